--- /dev/null
+++ b/bench/src/fulmarpulley_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure policies, nodes and control cost."""
--- /dev/null
+++ b/packages/fulmarpulley-cli/src/fulmarpulley_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Control fulmarpulley from the command line."""
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decide without input, output, clocks or randomness of its own."""
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/placement.py
@@ -0,0 +1,74 @@
+"""Choose home nodes, claim partitions and pool shards by hash."""
+
+from collections.abc import Iterable
+from typing import Protocol
+
+import xxhash
+
+from .ids import NodeId, Partition, Region
+
+SHARD_UPSTREAMS = 32
+
+
+class Located(Protocol):
+    """Describe what placement needs to know about a node."""
+
+    @property
+    def node_id(self) -> NodeId:
+        """Return the id of the node."""
+
+    @property
+    def region(self) -> Region:
+        """Return the region of the node."""
+
+
+def rank_nodes(
+    key: str, nodes: Iterable[Located], region: Region | None = None
+) -> list[NodeId]:
+    """Order nodes by rendezvous hash of a key, nodes of the region first."""
+    ranked = sorted(
+        nodes,
+        key=lambda node: (
+            region is not None and node.region != region,
+            -_weight(key, node.node_id),
+            node.node_id,
+        ),
+    )
+    return [node.node_id for node in ranked]
+
+
+def home_of(
+    key: str, nodes: Iterable[Located], region: Region | None = None
+) -> NodeId | None:
+    """Return the home node of a key, or None without nodes."""
+    best: tuple[bool, int, str] | None = None
+    home: NodeId | None = None
+    for node in nodes:
+        outside = region is not None and node.region != region
+        rank = (outside, -_weight(key, node.node_id), node.node_id)
+        if best is None or rank < best:
+            best, home = rank, node.node_id
+    return home
+
+
+def partition_of(service: str, key: str, partitions: int) -> Partition:
+    """Return the claim partition of a caller's key."""
+    return Partition(_hash(f"{service}/{key}") % partitions)
+
+
+def shard_of(prefix: str, shards: int) -> int:
+    """Return the pool shard of a prompt prefix."""
+    return _hash(prefix) % shards
+
+
+def shard_count(upstreams: int) -> int:
+    """Return how many shards a pool of that many upstreams has."""
+    return max(1, -(-upstreams // SHARD_UPSTREAMS))
+
+
+def _weight(key: str, node: str) -> int:
+    return _hash(f"{key}\x00{node}")
+
+
+def _hash(text: str) -> int:
+    return xxhash.xxh64_intdigest(text.encode())
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/__init__.py
@@ -0,0 +1,1 @@
+"""Dispatch the work of one pool shard to its upstreams."""
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/__init__.py
@@ -0,0 +1,1 @@
+"""Run one node of fulmarpulley."""
--- /dev/null
+++ b/packages/fulmarpulley-schema/src/fulmarpulley_schema/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the message and settings types of fulmarpulley."""
--- /dev/null
+++ b/packages/fulmarpulley-schema/src/fulmarpulley_schema/codec.py
@@ -0,0 +1,83 @@
+"""Encode and decode messages, and report every fault of an input with its path."""
+
+import json
+from functools import cache
+from importlib import resources
+from typing import Any, TypeVar
+
+import msgspec
+from jsonschema.protocols import Validator
+from jsonschema.validators import Draft202012Validator
+from result import Err, Ok, Result
+
+from .generated import document, http, peer, records, settings, upstream
+from .generated.http import Finding
+
+T = TypeVar("T", bound=msgspec.Struct)
+
+_MODULES = (document, http, peer, records, settings, upstream)
+_json_encoder = msgspec.json.Encoder()
+_msgpack_encoder = msgspec.msgpack.Encoder()
+
+
+def to_json(message: Any) -> bytes:
+    """Encode a message as JSON."""
+    return _json_encoder.encode(message)
+
+
+def from_json(data: bytes | str, kind: type[T]) -> T:
+    """Decode trusted JSON; raise msgspec.ValidationError on a wrong shape."""
+    return msgspec.json.decode(data, type=kind)
+
+
+def to_msgpack(message: Any) -> bytes:
+    """Encode a message as MessagePack."""
+    return _msgpack_encoder.encode(message)
+
+
+def from_msgpack(data: bytes, kind: type[T]) -> T:
+    """Decode MessagePack; raise msgspec.ValidationError on a wrong shape."""
+    return msgspec.msgpack.decode(data, type=kind)
+
+
+def to_builtins(message: Any) -> Any:
+    """Turn a message into plain dictionaries, lists and scalars."""
+    return msgspec.to_builtins(message)
+
+
+def parse(data: bytes | str, kind: type[T]) -> Result[T, list[Finding]]:
+    """Decode JSON from outside and collect all faults with their paths."""
+    try:
+        value = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        line = getattr(error, "lineno", None)
+        message = f"not valid JSON: {error}"
+        return Err([Finding(path="$", message=message, line=line)])
+    return convert(value, kind)
+
+
+def convert(value: Any, kind: type[T]) -> Result[T, list[Finding]]:
+    """Turn plain values into a message and collect all faults with their paths."""
+    findings = [
+        Finding(path=error.json_path, message=error.message)
+        for error in _validator(kind).iter_errors(value)
+    ]
+    if findings:
+        return Err(sorted(findings, key=lambda finding: finding.path))
+    try:
+        return Ok(msgspec.convert(value, kind))
+    except (msgspec.ValidationError, UnicodeError, OverflowError) as error:
+        return Err([Finding(path="$", message=str(error))])
+
+
+@cache
+def _validator(kind: type[msgspec.Struct]) -> Validator:
+    module = next(m for m in _MODULES if m.__name__ == kind.__module__)
+    name = module.__name__.rpartition(".")[2]
+    source = resources.files(__package__) / "sources" / f"{name}.schema.json"
+    schema = json.loads(source.read_text())
+    definition = schema.get("$defs", {}).get(kind.__name__)
+    if definition is not None:
+        schema = {"$defs": schema["$defs"], "$ref": f"#/$defs/{kind.__name__}"}
+    validator: Validator = Draft202012Validator(schema)
+    return validator
--- /dev/null
+++ b/testing/src/fulmarpulley_testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform, upstreams, trainers and callers in tests."""
--- /dev/null
+++ b/testing/src/fulmarpulley_testing/runner_plugin.py
@@ -0,0 +1,26 @@
+"""Collect test outcomes as a nose2 plugin."""
+
+from typing import Any
+
+from nose2 import events
+
+from .runner import Suite
+
+
+class ResultCollector(events.Plugin):
+    """Collect the outcome of each test."""
+
+    alwaysOn = True  # noqa: N815  (name fixed by nose2)
+    suite = Suite()
+    prefix = ""
+
+    def testOutcome(self, event: Any) -> None:  # noqa: N802  (name fixed by nose2)
+        """Sort a test by its outcome."""
+        test = event.test
+        name = f"{self.prefix}/{test.id()}"
+        if event.outcome == "passed":
+            self.suite.passed.append(name)
+        elif event.outcome == "skipped":
+            self.suite.skipped.append(name)
+        else:
+            self.suite.failed.append(name)
--- /dev/null
+++ b/testing/src/fulmarpulley_testing/runner_suite.py
@@ -0,0 +1,28 @@
+"""Run one test directory with nose2 and write its results to a file."""
+
+import sys
+from pathlib import Path
+
+import msgspec
+from hypothesis import settings
+from nose2 import discover
+
+from .runner import ROOT
+from .runner_plugin import ResultCollector
+
+
+def run(folder: Path, report: Path) -> None:
+    """Run the tests of a folder and write the report."""
+    settings.register_profile("ci", derandomize=True, deadline=None, database=None)
+    settings.load_profile("ci")
+    ResultCollector.prefix = str(folder.relative_to(ROOT))
+    discover(
+        argv=["nose2", "-s", str(folder), "-t", str(folder)],
+        plugins=[ResultCollector.__module__],
+        exit=False,
+    )
+    report.write_bytes(msgspec.json.encode(ResultCollector.suite))
+
+
+if __name__ == "__main__":
+    run(Path(sys.argv[1]), Path(sys.argv[2]))
