Define the messages of a pool and share one environment between worktrees

The dispatcher, its node and the bench are written in parallel and need one set of types. The stamp of the environment carries the checksum of the lock.

--- a/Makefile
+++ b/Makefile
@@ -2,39 +2,41 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
+# The stamp carries the checksum of the lock, so that worktrees can share one environment.
+STAMP := $(BIN)/.installed-$(shell cksum < requirements.lock | cut -d" " -f1)
 SOURCES := packages testing bench
 export PYTHONPATH := $(CURDIR)/packages/fulmarpulley-schema/src:$(CURDIR)/packages/fulmarpulley-core/src:$(CURDIR)/packages/fulmarpulley-node/src:$(CURDIR)/packages/fulmarpulley-cli/src:$(CURDIR)/testing/src:$(CURDIR)/bench/src
 export PYTHONHASHSEED := 0
 
 .PHONY: demo test lint format bench generate check-generated soak
 
-$(BIN)/.installed: requirements.lock
+$(STAMP):
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(foreach name,schema core node cli,-e packages/fulmarpulley-$(name))
 	touch $@
 
-test: $(BIN)/.installed
+test: $(STAMP)
 	$(BIN)/python -m fulmarpulley_testing.runner
 
-lint: $(BIN)/.installed
+lint: $(STAMP)
 	$(BIN)/ruff format --check $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
 	$(BIN)/lint-imports --no-cache
 	$(BIN)/mypy packages/*/src testing/src bench/src
 
-format: $(BIN)/.installed
+format: $(STAMP)
 	$(BIN)/ruff format $(SOURCES)
 	$(BIN)/ruff check --fix $(SOURCES)
 
-generate: $(BIN)/.installed
+generate: $(STAMP)
 	$(BIN)/python -m fulmarpulley_schema.generate
 
 check-generated: generate
 	git diff --exit-code -- packages/fulmarpulley-schema/src/fulmarpulley_schema/generated
 
-demo: $(BIN)/.installed
+demo: $(STAMP)
 	$(BIN)/python -m fulmarpulley_testing.demo
 
-bench: $(BIN)/.installed
+bench: $(STAMP)
 	$(BIN)/python -m fulmarpulley_bench.policy
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
@@ -0,0 +1,249 @@
+"""Define the work, events and actions of a pool."""
+
+from enum import StrEnum
+
+import msgspec
+
+from fulmarpulley_schema.generated.document import ServiceDocument
+from fulmarpulley_schema.generated.http import Ran, Span
+
+from ..ids import (
+    AttemptId,
+    ModelName,
+    OrderId,
+    PrefixId,
+    Region,
+    StepNumber,
+    TenantId,
+    UpstreamId,
+    Version,
+    WorkId,
+)
+
+
+class WorkKind(StrEnum):
+    """Name the kind of a work item."""
+
+    SAMPLE = "sample"
+    DESK = "desk"
+
+
+class Failure(StrEnum):
+    """Name how an attempt failed, by what may have happened at the upstream."""
+
+    NOT_SENT = "not_sent"
+    REFUSED = "refused"
+    BROKEN = "broken"
+    ERRORED = "errored"
+
+
+class Availability(StrEnum):
+    """Name whether an upstream takes new attempts, and why not."""
+
+    AVAILABLE = "available"
+    DRAINING = "draining"
+    LEAVING = "leaving"
+    EJECTED = "ejected"
+    GONE = "gone"
+
+
+class Work(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe one unit of work; times are monotonic seconds of the pool home."""
+
+    work_id: WorkId
+    tenant: TenantId
+    kind: WorkKind
+    model: ModelName
+    max_tokens: int
+    prompt_tokens: int = 1
+    min_version: Version = Version(0)
+    staleness_bound: int | None = None
+    prefix: PrefixId = PrefixId("")
+    region: Region = Region("")
+    repeatable: bool = True
+    priority: int = 5
+    deadline: float | None = None
+    step: StepNumber = StepNumber(0)
+    group: int = 0
+    resume_tokens: int = 0
+
+
+class Submit(msgspec.Struct, frozen=True):
+    """Queue a work item; a repeated work_id has no effect."""
+
+    work: Work
+
+
+class Withdraw(msgspec.Struct, frozen=True):
+    """Drop a work item and cancel its attempts."""
+
+    work_id: WorkId
+
+
+class AttemptProgress(msgspec.Struct, frozen=True):
+    """Report tokens received in total, and the version of the newest one."""
+
+    attempt_id: AttemptId
+    tokens: int
+    version: Version | None = None
+
+
+class AttemptFinished(msgspec.Struct, frozen=True):
+    """Report a complete answer."""
+
+    attempt_id: AttemptId
+    tokens: int
+    spans: list[Span] = []
+
+
+class AttemptFailed(msgspec.Struct, frozen=True):
+    """Report a failed attempt and the tokens received before."""
+
+    attempt_id: AttemptId
+    failure: Failure
+    tokens: int = 0
+    retry_after: float | None = None
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """Carry the load of an upstream as it was `age` seconds ago."""
+
+    upstream: UpstreamId
+    running: int
+    queued: int
+    cache_used: int = 0
+    age: float = 0.0
+
+
+class CacheReport(msgspec.Struct, frozen=True):
+    """Carry a late, possibly incomplete hint on cached prefixes."""
+
+    upstream: UpstreamId
+    added: list[PrefixId] = []
+    removed: list[PrefixId] = []
+
+
+class VersionReport(msgspec.Struct, frozen=True):
+    """Report the version of a model that an upstream serves."""
+
+    upstream: UpstreamId
+    model: ModelName
+    version: Version
+
+
+class UpstreamState(msgspec.Struct, frozen=True):
+    """Report the availability of an upstream from the list or its own signal."""
+
+    upstream: UpstreamId
+    availability: Availability
+
+
+class VersionAnnounced(msgspec.Struct, frozen=True):
+    """Report a new version that a trainer published."""
+
+    model: ModelName
+    version: Version
+
+
+class OrderFinished(msgspec.Struct, frozen=True):
+    """Report the end of a load order."""
+
+    order_id: OrderId
+    ok: bool
+
+
+class DocumentChanged(msgspec.Struct, frozen=True):
+    """Put a new document in force."""
+
+    document: ServiceDocument
+
+
+class Tick(msgspec.Struct, frozen=True):
+    """Let time pass."""
+
+
+Event = (
+    Submit
+    | Withdraw
+    | AttemptProgress
+    | AttemptFinished
+    | AttemptFailed
+    | LoadReport
+    | CacheReport
+    | VersionReport
+    | UpstreamState
+    | VersionAnnounced
+    | OrderFinished
+    | DocumentChanged
+    | Tick
+)
+
+
+class StartAttempt(msgspec.Struct, frozen=True):
+    """Send a work item to an upstream, resuming after `resume_from` tokens."""
+
+    attempt_id: AttemptId
+    work_id: WorkId
+    upstream: UpstreamId
+    resume_from: int = 0
+    hedge: bool = False
+
+
+class CancelAttempt(msgspec.Struct, frozen=True):
+    """Cancel an attempt at its upstream."""
+
+    attempt_id: AttemptId
+
+
+class Order(msgspec.Struct, frozen=True):
+    """Order an upstream to load a version, from the store or another upstream."""
+
+    order_id: OrderId
+    upstream: UpstreamId
+    model: ModelName
+    version: Version
+    source: UpstreamId | None = None
+
+
+class Finish(msgspec.Struct, frozen=True):
+    """Return the answer of an attempt to the owner of the work item."""
+
+    work_id: WorkId
+    attempt_id: AttemptId
+
+
+class Refuse(msgspec.Struct, frozen=True):
+    """Tell the owner that a work item ends without an answer."""
+
+    work_id: WorkId
+    code: str
+    ran: Ran
+    retry_after: float | None = None
+
+
+Action = StartAttempt | CancelAttempt | Order | Finish | Refuse
+
+
+class PoolSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Name the policies of a pool and the region of its weight store."""
+
+    routing: str = "least_tokens"
+    store_region: Region = Region("")
+
+
+class UpstreamView(msgspec.Struct, frozen=True):
+    """Show the state of one upstream."""
+
+    upstream: UpstreamId
+    availability: Availability
+    in_flight: int
+    tokens_in_flight: int
+    versions: dict[ModelName, Version]
+
+
+class PoolView(msgspec.Struct, frozen=True):
+    """Show the state of a pool."""
+
+    queued: int
+    in_flight: int
+    upstreams: list[UpstreamView]
