Add the client for operators

Operators drive the system by editing documents, so the client checks files, publishes edits based on a revision and waits until they are in force.

--- /dev/null
+++ b/packages/fulmarpulley-cli/src/fulmarpulley_cli/__main__.py
@@ -0,0 +1,7 @@
+"""Run the client as a module."""
+
+import sys
+
+from .main import main
+
+sys.exit(main())
--- /dev/null
+++ b/packages/fulmarpulley-cli/src/fulmarpulley_cli/client.py
@@ -0,0 +1,122 @@
+"""Call the operators' interface of the nodes."""
+
+import asyncio
+import os
+from collections.abc import AsyncIterator, Sequence
+from typing import Any, TypeVar
+
+import aiohttp
+import msgspec
+
+from fulmarpulley_schema import codec
+from fulmarpulley_schema.generated.http import ErrorBody
+
+from .exits import CommandError, ExitCode
+
+T = TypeVar("T", bound=msgspec.Struct)
+
+NODES_VARIABLE = "FULMARPULLEY_NODES"
+CALL_TIMEOUT_S = 10.0
+RETRY_PAUSE_S = 0.2
+SERVER_ERROR = 500
+
+
+class ClientSettings(msgspec.Struct, frozen=True):
+    """Name the nodes to call and how long to try."""
+
+    nodes: list[str]
+    timeout_s: float = 30.0
+
+
+class NodeError(Exception):
+    """Carry the error body that a node returned."""
+
+    def __init__(self, status: int, body: ErrorBody) -> None:
+        super().__init__(body.message)
+        self.status = status
+        self.body = body
+
+
+def settings_from(nodes: Sequence[str], timeout_s: float) -> ClientSettings:
+    """Take the nodes from the command line, else from the environment."""
+    named = list(nodes) or os.environ.get(NODES_VARIABLE, "").split()
+    if not named:
+        message = f"no node given; use --nodes or set {NODES_VARIABLE}"
+        raise CommandError(ExitCode.USAGE, message)
+    return ClientSettings([node.rstrip("/") for node in named], timeout_s)
+
+
+class Client:
+    """Send each call to the first node that answers, until the time is up.
+
+    All calls of operators are idempotent: an edit carries a record id, so that
+    a repeated call finds the first one's record.
+    """
+
+    def __init__(self, settings: ClientSettings) -> None:
+        self.settings = settings
+        self.session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        )
+
+    async def __aenter__(self) -> "Client":
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.session.close()
+
+    async def get(self, path: str, kind: type[T]) -> T:
+        """Fetch a path."""
+        return codec.from_json(await self._call("GET", path, None), kind)
+
+    async def post(self, path: str, body: Any, kind: type[T]) -> T:
+        """Post a body; it must be safe to post again."""
+        return codec.from_json(await self._call("POST", path, body), kind)
+
+    async def lines(self, path: str) -> AsyncIterator[str]:
+        """Stream the data lines of server-sent events from one node."""
+        no_limit = aiohttp.ClientTimeout(total=None, sock_connect=CALL_TIMEOUT_S)
+        url = self.settings.nodes[0] + path
+        try:
+            async with self.session.get(url, timeout=no_limit) as response:
+                async for line in response.content:
+                    if line.startswith(b"data:"):
+                        yield line[5:].strip().decode()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise CommandError(ExitCode.UNREACHABLE, f"{url}: {error}") from error
+
+    async def _call(self, method: str, path: str, body: Any) -> bytes:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.settings.timeout_s
+        while True:
+            problems = []
+            for node in self.settings.nodes:
+                try:
+                    return await self._call_node(method, node + path, body)
+                except NodeError as error:
+                    if error.status < SERVER_ERROR:
+                        raise
+                    problems.append(f"{node}: {error.body.code}: {error}")
+                except (aiohttp.ClientError, TimeoutError) as error:
+                    problems.append(f"{node}: {error or type(error).__name__}")
+            if loop.time() >= end:
+                raise CommandError(ExitCode.UNREACHABLE, "; ".join(problems))
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def _call_node(self, method: str, url: str, body: Any) -> bytes:
+        data = None if body is None else codec.to_json(body)
+        async with self.session.request(
+            method, url, data=data, allow_redirects=False
+        ) as response:
+            content = await response.read()
+            if response.ok:
+                return content
+            raise NodeError(response.status, _error_body(response.status, content))
+
+
+def _error_body(status: int, content: bytes) -> ErrorBody:
+    try:
+        return codec.from_json(content, ErrorBody)
+    except msgspec.DecodeError as error:
+        message = f"status {status} with no error body"
+        raise aiohttp.ClientPayloadError(message) from error
--- /dev/null
+++ b/packages/fulmarpulley-cli/src/fulmarpulley_cli/documents.py
@@ -0,0 +1,134 @@
+"""Check, compare and show service documents."""
+
+import difflib
+from collections.abc import Sequence
+from pathlib import Path
+
+from result import Err
+
+from fulmarpulley_schema.generated.http import DocumentState, History
+
+from . import files
+from .client import Client, NodeError, settings_from
+from .exits import CommandError, ExitCode
+from .output import print_findings, print_json, print_line, print_table
+from .registry import command
+
+
+@command
+def check(*paths: Path, json: bool = False) -> ExitCode:
+    """Check documents and print every finding with file, line and path.
+
+    :param paths: files to check
+    :param json: print JSON
+    """
+    findings = []
+    for path in paths:
+        result = files.read(path)
+        if isinstance(result, Err):
+            findings += result.err_value
+    print_findings(findings, json)
+    return ExitCode.FINDINGS if findings else ExitCode.OK
+
+
+@command
+async def get(
+    service: str,
+    *,
+    nodes: Sequence[str] = (),
+    timeout_s: float = 30.0,
+    json: bool = False,
+) -> ExitCode:
+    """Print the accepted document of a service.
+
+    :param service: name of the service
+    :param nodes: addresses of nodes, as in http://10.0.0.1:7000
+    :param timeout_s: seconds to try
+    :param json: print JSON
+    """
+    async with Client(settings_from(nodes, timeout_s)) as client:
+        state = await client.get(f"/v1/documents/{service}", DocumentState)
+    if json:
+        print_json(state)
+    else:
+        print_line(files.write(state).rstrip("\n"))
+    return ExitCode.OK
+
+
+@command
+async def diff(
+    path: Path,
+    *,
+    nodes: Sequence[str] = (),
+    timeout_s: float = 30.0,
+) -> ExitCode:
+    """Compare a file with the accepted document of its service.
+
+    :param path: file to compare
+    :param nodes: addresses of nodes
+    :param timeout_s: seconds to try
+    """
+    file = read_or_fail(path)
+    async with Client(settings_from(nodes, timeout_s)) as client:
+        state = await current_state(client, file.document.name)
+    accepted = files.lines({} if state is None else state.document)
+    revision = 0 if state is None else state.revision
+    for line in difflib.unified_diff(
+        accepted,
+        files.lines(file.value),
+        f"revision {revision}",
+        str(path),
+        lineterm="",
+    ):
+        print_line(line)
+    return ExitCode.OK
+
+
+@command
+async def history(
+    service: str,
+    *,
+    nodes: Sequence[str] = (),
+    timeout_s: float = 30.0,
+    json: bool = False,
+) -> ExitCode:
+    """List the edits of a service, accepted or not.
+
+    :param service: name of the service
+    :param nodes: addresses of nodes
+    :param timeout_s: seconds to try
+    :param json: print JSON
+    """
+    async with Client(settings_from(nodes, timeout_s)) as client:
+        edits = await client.get(f"/v1/documents/{service}/history", History)
+    if json:
+        print_json(edits)
+        return ExitCode.OK
+    print_table(
+        ("offset", "base", "outcome", "author", "record"),
+        [
+            (edit.offset, edit.base_revision, edit.outcome, edit.author, edit.record_id)
+            for edit in edits.entries
+        ],
+    )
+    return ExitCode.OK
+
+
+async def current_state(client: Client, service: str) -> DocumentState | None:
+    """Fetch the accepted document, or None for a service that does not exist."""
+    try:
+        return await client.get(f"/v1/documents/{service}", DocumentState)
+    except NodeError as error:
+        if error.body.code == "unknown_service":
+            return None
+        raise
+
+
+def read_or_fail(path: Path) -> files.DocumentFile:
+    """Read a document, or print its findings and end the command."""
+    result = files.read(path)
+    if isinstance(result, Err):
+        print_findings(result.err_value, as_json=False)
+        message = f"{path} has {len(result.err_value)} findings; nothing was published"
+        raise CommandError(ExitCode.FINDINGS, message)
+    return result.ok_value
--- /dev/null
+++ b/packages/fulmarpulley-cli/src/fulmarpulley_cli/edits.py
@@ -0,0 +1,202 @@
+"""Publish edits of service documents and wait until they are in force."""
+
+import asyncio
+import getpass
+import uuid
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from fulmarpulley_schema.generated.document import AttachState
+from fulmarpulley_schema.generated.http import (
+    DocumentEdit,
+    DocumentState,
+    EditOutcome,
+    NodeStatus,
+    SystemStatus,
+)
+
+from .client import Client, NodeError, settings_from
+from .documents import current_state, read_or_fail
+from .exits import CommandError, ExitCode
+from .output import print_json, print_line
+from .registry import command
+
+POLL_S = 0.2
+
+
+class EditReport(msgspec.Struct):
+    """Tell how an edit ended and which nodes do not have it in force yet."""
+
+    service: str
+    revision: int
+    record_id: str
+    outcome: EditOutcome
+    lagging: list[str]
+
+
+@command
+async def apply(
+    path: Path,
+    *,
+    base: int | None = None,
+    author: str = "",
+    wait_s: float = 30.0,
+    nodes: Sequence[str] = (),
+    timeout_s: float = 30.0,
+    json: bool = False,
+) -> ExitCode:
+    """Publish a document and wait until all nodes have it in force.
+
+    :param path: file with the document
+    :param base: revision that the edit is based on; else the one in the header
+        that `get` writes; else the current one
+    :param author: name shown to others; the login name by default
+    :param wait_s: seconds to wait until the edit is in force; 0 does not wait
+    :param nodes: addresses of nodes
+    :param timeout_s: seconds to try to publish
+    :param json: print JSON
+    """
+    file = read_or_fail(path)
+    async with Client(settings_from(nodes, timeout_s)) as client:
+        revision = base if base is not None else file.base_revision
+        if revision is None:
+            revision = await _current_revision(client, file.document.name)
+        edit = _edit(revision, author, file.value)
+        report = await _publish(client, file.document.name, edit, wait_s)
+    return _finish(report, json)
+
+
+@command
+async def drain(
+    service: str,
+    upstream: str,
+    *,
+    author: str = "",
+    wait_s: float = 30.0,
+    nodes: Sequence[str] = (),
+    timeout_s: float = 30.0,
+    json: bool = False,
+) -> ExitCode:
+    """Edit the document so that an upstream takes no new work.
+
+    :param service: name of the service
+    :param upstream: id of the upstream
+    :param author: name shown to others
+    :param wait_s: seconds to wait until the edit is in force
+    :param nodes: addresses of nodes
+    :param timeout_s: seconds to try to publish
+    :param json: print JSON
+    """
+    async with Client(settings_from(nodes, timeout_s)) as client:
+        edit = await _state_edit(client, service, upstream, AttachState.DRAINING)
+        edit.author = author or edit.author
+        report = await _publish(client, service, edit, wait_s)
+    return _finish(report, json)
+
+
+@command
+async def attach(
+    service: str,
+    upstream: str,
+    *,
+    author: str = "",
+    wait_s: float = 30.0,
+    nodes: Sequence[str] = (),
+    timeout_s: float = 30.0,
+    json: bool = False,
+) -> ExitCode:
+    """Edit the document so that a draining upstream takes work again.
+
+    :param service: name of the service
+    :param upstream: id of the upstream
+    :param author: name shown to others
+    :param wait_s: seconds to wait until the edit is in force
+    :param nodes: addresses of nodes
+    :param timeout_s: seconds to try to publish
+    :param json: print JSON
+    """
+    async with Client(settings_from(nodes, timeout_s)) as client:
+        edit = await _state_edit(client, service, upstream, AttachState.ATTACHED)
+        edit.author = author or edit.author
+        report = await _publish(client, service, edit, wait_s)
+    return _finish(report, json)
+
+
+def _edit(base: int, author: str, document: dict[str, Any]) -> DocumentEdit:
+    return DocumentEdit(
+        record_id=uuid.uuid4().hex,
+        base_revision=base,
+        author=author or getpass.getuser(),
+        document=document,
+    )
+
+
+async def _current_revision(client: Client, service: str) -> int:
+    state = await current_state(client, service)
+    return 0 if state is None else state.revision
+
+
+async def _state_edit(
+    client: Client, service: str, upstream: str, state: AttachState
+) -> DocumentEdit:
+    current = await client.get(f"/v1/documents/{service}", DocumentState)
+    for entry in current.document["upstreams"]:
+        if entry["id"] == upstream:
+            entry["state"] = state.value
+            return _edit(current.revision, "", current.document)
+    known = ", ".join(entry["id"] for entry in current.document["upstreams"])
+    message = f"{service} has no upstream {upstream!r}; it has: {known}"
+    raise CommandError(ExitCode.USAGE, message)
+
+
+async def _publish(
+    client: Client, service: str, edit: DocumentEdit, wait_s: float
+) -> EditReport:
+    # A lost answer is safe: the repeated call carries the same record id.
+    try:
+        state = await client.post(f"/v1/documents/{service}", edit, DocumentState)
+    except NodeError as error:
+        if error.body.code == EditOutcome.CONFLICT:
+            raise CommandError(ExitCode.CONFLICT, error.body.message) from error
+        raise
+    lagging = await _wait_in_force(client, service, state.revision, wait_s)
+    return EditReport(
+        service, state.revision, edit.record_id, EditOutcome.ACCEPTED, lagging
+    )
+
+
+async def _wait_in_force(
+    client: Client, service: str, revision: int, wait_s: float
+) -> list[str]:
+    loop = asyncio.get_running_loop()
+    end = loop.time() + wait_s
+    while True:
+        status = await client.get("/v1/status", SystemStatus)
+        lagging = [
+            node.node_id for node in status.nodes if _in_force(node, service) < revision
+        ]
+        if not lagging or loop.time() >= end:
+            return lagging
+        await asyncio.sleep(POLL_S)
+
+
+def _in_force(node: NodeStatus, service: str) -> int:
+    for revision in node.revisions:
+        if revision.service == service:
+            return revision.in_force
+    return 0
+
+
+def _finish(report: EditReport, json: bool) -> ExitCode:
+    if json:
+        print_json(report)
+    else:
+        print_line(f"{report.service}: accepted as revision {report.revision}")
+        if report.lagging:
+            print_line("not yet in force on: " + ", ".join(report.lagging))
+        else:
+            print_line("in force on all nodes")
+    return ExitCode.NOT_IN_FORCE if report.lagging else ExitCode.OK
