--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
@@ -81,7 +81,7 @@
 
 
 class AttemptProgress(msgspec.Struct, frozen=True):
-    """Report tokens received in total, and the version of the newest one."""
+    """Report the tokens received, those resumed after included, and their version."""
 
     attempt_id: AttemptId
     tokens: int
