Queue work fairly by tokens between tenants of a pool

First come, first served lets the trainer with the larger step hold every upstream. FairQueue serves tenants by virtual time in tokens per share, desk classes by priority with a quarter of the tokens kept for lower bands, and a step's last groups before the next step. Items of equal requirements share a lane, so that blocked work is skipped without a scan of the queue.

--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/fair_queue.py
@@ -0,0 +1,226 @@
+"""Queue work items fairly by tokens between tenants."""
+
+import heapq
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from fulmarpulley_schema.generated.document import ServiceDocument
+
+from ..ids import ModelName, StepNumber, TenantId, Version
+from .messages import Work, WorkKind
+from .state import Item
+
+# Desk classes of priority 0 to 9 are bands above the samples' band 0.
+DESK_BAND = 1
+DEFAULT_PRIORITY = 5
+# Part of the tokens that a lower band gets while a higher one has work waiting:
+# desk requests go first, yet trainers never come to a halt.
+LOWER_BAND_SHARE = 0.25
+CREDIT_PER_TOKEN = LOWER_BAND_SHARE / (1 - LOWER_BAND_SHARE)
+# A tenant that could not be served catches up by at most this many tokens, so
+# that its return does not shut out the others.
+MAX_CATCH_UP_TOKENS = 65536
+
+Order = tuple[int, int, int]
+
+
+class LaneKey(NamedTuple):
+    """Name what an upstream must satisfy to run the items of a lane."""
+
+    model: ModelName
+    min_version: Version
+    staleness_bound: int | None
+    step: StepNumber
+
+
+class Lane:
+    """Hold the items of a tenant that can run on the same upstreams, in order."""
+
+    def __init__(self, key: LaneKey, flow: "Flow") -> None:
+        self.key = key
+        self.flow = flow
+        self.waiting = 0
+        self._heap: list[tuple[Order, Item]] = []
+
+    def push(self, item: Item) -> None:
+        """Add an item."""
+        self.waiting += 1
+        heapq.heappush(self._heap, (_order(item), item))
+
+    def head(self) -> Item:
+        """Return the first item of a lane that is not empty."""
+        while not self._heap[0][1].queued:
+            heapq.heappop(self._heap)
+        return self._heap[0][1]
+
+    def head_order(self) -> Order:
+        """Return the order of the first item."""
+        self.head()
+        return self._heap[0][0]
+
+    def drop_removed(self) -> None:
+        """Rebuild the heap once most of its entries are removed items."""
+        if len(self._heap) > 2 * self.waiting + 64:
+            self._heap = [entry for entry in self._heap if entry[1].queued]
+            heapq.heapify(self._heap)
+
+
+class Flow:
+    """Hold the lanes of a tenant and its virtual time in tokens per share."""
+
+    def __init__(self, band: "Band", share: float) -> None:
+        self.band = band
+        self.share = share
+        self.tag = 0.0
+        self.lanes: dict[LaneKey, Lane] = {}
+
+    def ordered_lanes(self) -> list[Lane]:
+        """Return the lanes by their first items."""
+        return sorted(self.lanes.values(), key=Lane.head_order)
+
+
+class Band:
+    """Hold the tenants of one rank; a higher band is served first."""
+
+    def __init__(self, rank: int) -> None:
+        self.rank = rank
+        self.credit = 0.0
+        self.virtual_time = 0.0
+        self.flows: dict[TenantId, Flow] = {}
+        self.active: dict[TenantId, Flow] = {}
+
+
+class FairQueue:
+    """Serve bands by rank, tenants by tokens per share, and items by step."""
+
+    def __init__(self, document: ServiceDocument) -> None:
+        self.waiting = 0
+        self.desk_waiting = 0
+        self.desk_tokens = 0
+        self._bands: dict[int, Band] = {}
+        self._ranked: list[Band] = []
+        self.change_document(document)
+
+    def change_document(self, document: ServiceDocument) -> None:
+        """Put the shares and priorities of a document in force."""
+        self._shares = {TenantId(t.id): t.share for t in document.trainers}
+        self._shares |= {TenantId(c.name): c.share for c in document.classes}
+        self._ranks = {
+            TenantId(c.name): DESK_BAND + c.priority for c in document.classes
+        }
+        for band in self._bands.values():
+            for tenant, flow in band.flows.items():
+                flow.share = self._shares.get(tenant, 1.0)
+
+    def push(self, item: Item, charge: int) -> None:
+        """Queue an item that will take about `charge` tokens."""
+        item.queued = True
+        item.charge = charge
+        flow = self._flow(item.work)
+        key = _lane_key(item.work)
+        lane = flow.lanes.get(key)
+        if lane is None:
+            lane = flow.lanes[key] = Lane(key, flow)
+        lane.push(item)
+        item.lane = lane
+        self._count(item, 1)
+
+    def remove(self, item: Item) -> None:
+        """Remove an item if it is queued."""
+        if item.queued and item.lane is not None:
+            self._drop(item, item.lane)
+
+    def lanes(self) -> Iterator[Lane]:
+        """Yield the lanes in the order in which their first items are due."""
+        for band in self._due_bands():
+            oldest = band.virtual_time
+            for flow in sorted(band.active.values(), key=lambda flow: flow.tag):
+                flow.tag = max(flow.tag, oldest - MAX_CATCH_UP_TOKENS / flow.share)
+                yield from flow.ordered_lanes()
+
+    def take(self, lane: Lane) -> Item:
+        """Take the first item of a lane and charge its tenant."""
+        item = lane.head()
+        flow = lane.flow
+        band = flow.band
+        band.virtual_time = max(band.virtual_time, flow.tag)
+        flow.tag += item.charge / flow.share
+        self._move_credit(band, item.charge)
+        self._drop(item, lane)
+        return item
+
+    def settle(self, item: Item, tokens: int) -> None:
+        """Replace the charge of an item that was taken by the tokens it took."""
+        if item.lane is not None:
+            flow = item.lane.flow
+            flow.tag += (tokens - item.charge) / flow.share
+            item.charge = tokens
+
+    def has_waiting(self, tenant: TenantId, step: StepNumber) -> bool:
+        """Tell whether samples of a tenant wait that belong to this or older steps."""
+        band = self._bands.get(0)
+        flow = band.active.get(tenant) if band else None
+        return flow is not None and any(key.step <= step for key in flow.lanes)
+
+    def _due_bands(self) -> list[Band]:
+        active = [band for band in self._ranked if band.active]
+        owed = [band for band in active[1:] if band.credit > 0]
+        return owed + [band for band in active if band not in owed]
+
+    def _move_credit(self, served: Band, charge: int) -> None:
+        active = [band for band in self._ranked if band.active]
+        if served.credit > 0 and active[0] is not served:
+            served.credit -= charge
+            return
+        for band in active:
+            if band.rank < served.rank:
+                band.credit += charge * CREDIT_PER_TOKEN
+
+    def _flow(self, work: Work) -> Flow:
+        rank = 0
+        if work.kind is WorkKind.DESK:
+            rank = self._ranks.get(work.tenant, DESK_BAND + DEFAULT_PRIORITY)
+        band = self._bands.get(rank)
+        if band is None:
+            band = self._bands[rank] = Band(rank)
+            self._ranked = sorted(self._bands.values(), key=lambda b: -b.rank)
+        flow = band.flows.get(work.tenant)
+        if flow is None:
+            flow = Flow(band, self._shares.get(work.tenant, 1.0))
+            band.flows[work.tenant] = flow
+        if work.tenant not in band.active:
+            flow.tag = max(flow.tag, band.virtual_time)
+            band.active[work.tenant] = flow
+        return flow
+
+    def _drop(self, item: Item, lane: Lane) -> None:
+        item.queued = False
+        self._count(item, -1)
+        lane.waiting -= 1
+        lane.drop_removed()
+        if lane.waiting:
+            return
+        flow = lane.flow
+        del flow.lanes[lane.key]
+        if not flow.lanes:
+            del flow.band.active[item.work.tenant]
+            if not flow.band.active:
+                flow.band.credit = 0.0
+
+    def _count(self, item: Item, sign: int) -> None:
+        self.waiting += sign
+        if not item.is_sample:
+            self.desk_waiting += sign
+            self.desk_tokens += sign * item.charge
+
+
+def _lane_key(work: Work) -> LaneKey:
+    step = work.step if work.kind is WorkKind.SAMPLE else StepNumber(0)
+    return LaneKey(work.model, work.min_version, work.staleness_bound, step)
+
+
+def _order(item: Item) -> Order:
+    work = item.work
+    if work.kind is WorkKind.SAMPLE:
+        return (work.step, work.group, item.sequence)
+    return (-work.priority, 0, item.sequence)
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/ledger.py
@@ -0,0 +1,184 @@
+"""Record work items, attempts and upstreams, and the actions that change them."""
+
+from collections import defaultdict
+from collections.abc import Callable
+
+from fulmarpulley_schema.generated.document import ServiceDocument
+from fulmarpulley_schema.generated.http import Ran
+
+from ..ids import AttemptId, StepNumber, TenantId, UpstreamId, WorkId
+from .messages import (
+    Action,
+    Availability,
+    CancelAttempt,
+    Finish,
+    PoolView,
+    Refuse,
+    StartAttempt,
+    UpstreamView,
+    Work,
+    WorkKind,
+)
+from .state import Attempt, Item, Upstream
+
+# Ends of work that must not repeat are remembered so that a late duplicate of
+# its submission does not run it again.
+REMEMBERED_ENDS = 65536
+
+
+class Ledger:
+    """Hold what a pool has accepted and started; every end happens here once."""
+
+    def __init__(
+        self, document: ServiceDocument, on_release: Callable[[Attempt], None]
+    ) -> None:
+        self.document = document
+        self.on_release = on_release
+        self.items: dict[WorkId, Item] = {}
+        self.attempts: dict[AttemptId, Attempt] = {}
+        self.upstreams: dict[UpstreamId, Upstream] = {}
+        self.ended: dict[WorkId, Refuse] = {}
+        self.steps: dict[TenantId, dict[StepNumber, int]] = defaultdict(dict)
+        self.actions: list[Action] = []
+        self.sequence = 0
+
+    def list_upstreams(self, document: ServiceDocument) -> list[Upstream]:
+        """Put the upstreams of a document in force and return the added ones."""
+        self.document = document
+        listed = {UpstreamId(entry.id): entry for entry in document.upstreams}
+        for upstream in list(self.upstreams.values()):
+            upstream.listed = upstream.upstream_id in listed
+            self._forget_unlisted(upstream)
+        added = []
+        for upstream_id, entry in listed.items():
+            known = self.upstreams.get(upstream_id)
+            if known is None:
+                known = Upstream(entry=entry, upstream_id=upstream_id)
+                self.upstreams[upstream_id] = known
+                added.append(known)
+            known.entry = entry
+        return added
+
+    def repeated_end(self, work: Work) -> Refuse | None:
+        """Return the end of work that was submitted before and must not repeat."""
+        return self.ended.get(work.work_id)
+
+    def add(self, work: Work, now: float) -> Item:
+        """Accept a work item."""
+        self.sequence += 1
+        resumed = work.resume_tokens > 0
+        item = Item(
+            work=work,
+            sequence=self.sequence,
+            submitted=now,
+            deadline=self._deadline(work, now),
+            received=work.resume_tokens,
+            past_runs=Ran.MAY_HAVE_RUN if resumed else Ran.NOT_RUN,
+        )
+        self.items[work.work_id] = item
+        steps = self.steps[work.tenant]
+        steps[work.step] = steps.get(work.step, 0) + 1
+        return item
+
+    def is_held(self, item: Item) -> bool:
+        """Tell whether an item has not ended."""
+        return self.items.get(item.work.work_id) is item
+
+    def is_live(self, attempt: Attempt) -> bool:
+        """Tell whether an attempt has not ended."""
+        return attempt.attempt_id in self.attempts
+
+    def start(
+        self, item: Item, upstream: Upstream, now: float, hedge: bool = False
+    ) -> Attempt:
+        """Start an attempt, resuming after the tokens received."""
+        self.sequence += 1
+        attempt = Attempt(
+            attempt_id=AttemptId(f"{item.work.work_id}#{self.sequence}"),
+            item=item,
+            upstream=upstream,
+            started=now,
+            cost=item.cost(),
+            resume_from=item.received,
+            tokens=item.received,
+            hedge=hedge,
+        )
+        item.attempts.append(attempt)
+        self.attempts[attempt.attempt_id] = attempt
+        upstream.attempts[attempt.attempt_id] = attempt
+        upstream.tokens_in_flight += attempt.cost
+        work_id, upstream_id = item.work.work_id, upstream.upstream_id
+        self.actions.append(
+            StartAttempt(attempt.attempt_id, work_id, upstream_id, item.received, hedge)
+        )
+        return attempt
+
+    def release(self, attempt: Attempt) -> None:
+        """Record that an attempt has ended and free its place."""
+        upstream = attempt.upstream
+        attempt.item.attempts.remove(attempt)
+        del self.attempts[attempt.attempt_id]
+        del upstream.attempts[attempt.attempt_id]
+        upstream.tokens_in_flight -= attempt.cost
+        self.on_release(attempt)
+        self._forget_unlisted(upstream)
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Cancel an attempt, which may have run."""
+        self.release(attempt)
+        attempt.item.note_run(Ran.MAY_HAVE_RUN)
+        self.actions.append(CancelAttempt(attempt.attempt_id))
+
+    def finish(self, attempt: Attempt) -> None:
+        """End an item with the answer of an attempt and cancel the others."""
+        item = attempt.item
+        self.release(attempt)
+        self.actions.append(Finish(item.work.work_id, attempt.attempt_id))
+        self._end(item, Refuse(item.work.work_id, "upstream_broken", Ran.MAY_HAVE_RUN))
+
+    def refuse(self, item: Item, code: str, retry_after: float | None = None) -> None:
+        """End an item without an answer and say whether it ran."""
+        refusal = Refuse(item.work.work_id, code, item.ran(), retry_after)
+        self._end(item, refusal)
+        self.actions.append(refusal)
+
+    def view(self, queued: int) -> PoolView:
+        """Return the state of the pool for status pages."""
+        views = [_view(upstream) for upstream in self.upstreams.values()]
+        return PoolView(queued, len(self.attempts), views)
+
+    def _deadline(self, work: Work, now: float) -> float | None:
+        if work.deadline is not None or work.kind is WorkKind.SAMPLE:
+            return work.deadline
+        return now + self.document.deadline_s
+
+    def _end(self, item: Item, repeated: Refuse) -> None:
+        for attempt in list(item.attempts):
+            self.cancel(attempt)
+        work = item.work
+        del self.items[work.work_id]
+        steps = self.steps[work.tenant]
+        steps[work.step] -= 1
+        if not steps[work.step]:
+            del steps[work.step]
+        if not work.repeatable:
+            self.ended[work.work_id] = repeated
+            if len(self.ended) > REMEMBERED_ENDS:
+                del self.ended[next(iter(self.ended))]
+
+    def _forget_unlisted(self, upstream: Upstream) -> None:
+        if not upstream.listed and not upstream.attempts:
+            self.upstreams.pop(upstream.upstream_id, None)
+
+
+def _view(upstream: Upstream) -> UpstreamView:
+    availability = upstream.availability()
+    if availability is Availability.AVAILABLE and not upstream.slots:
+        availability = Availability.EJECTED
+    return UpstreamView(
+        upstream.upstream_id,
+        availability,
+        len(upstream.attempts),
+        upstream.tokens_in_flight,
+        dict(upstream.versions),
+    )
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
@@ -1,12 +1,17 @@
 """Hold the state of work items, attempts and upstreams of a pool."""
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from fulmarpulley_schema.generated.document import AttachState, UpstreamEntry
 from fulmarpulley_schema.generated.http import Ran
 
 from ..ids import AttemptId, ModelName, UpstreamId, Version
-from .messages import Availability, Work
+from .messages import Availability, Work, WorkKind
+
+if TYPE_CHECKING:
+    from .fair_queue import Lane
 
 
 class Item(msgspec.Struct, eq=False, kw_only=True):
@@ -18,20 +23,32 @@
     deadline: float | None = None
     received: int = 0
     failures: int = 0
-    may_have_run: bool = False
+    past_runs: Ran = Ran.NOT_RUN
     queued: bool = False
+    charge: int = 0
+    lane: "Lane | None" = None
     avoid: UpstreamId | None = None
     attempts: list["Attempt"] = []
 
+    @property
+    def is_sample(self) -> bool:
+        """Tell whether a trainer waits for this item."""
+        return self.work.kind is WorkKind.SAMPLE
+
     def cost(self) -> int:
         """Return the tokens that an upstream holds while it runs this item."""
         return self.work.prompt_tokens + self.work.max_tokens
 
     def ran(self) -> Ran:
         """Return what is known about runs of this item, its attempts included."""
-        if self.may_have_run or self.attempts:
+        if self.past_runs is Ran.NOT_RUN and self.attempts:
             return Ran.MAY_HAVE_RUN
-        return Ran.NOT_RUN
+        return self.past_runs
+
+    def note_run(self, ran: Ran) -> None:
+        """Remember a past run; what is certain replaces what is possible."""
+        if self.past_runs is not Ran.RAN:
+            self.past_runs = ran
 
 
 class Attempt(msgspec.Struct, eq=False, kw_only=True):
@@ -42,24 +59,27 @@
     upstream: "Upstream"
     started: float
     cost: int
+    resume_from: int = 0
+    tokens: int = 0
     hedge: bool = False
 
 
 class Upstream(msgspec.Struct, eq=False, kw_only=True):
-    """Hold what a pool knows about an upstream."""
+    """Hold what a pool knows about an upstream.
+
+    `slots` is the number of attempts that may run at once; it is zero while the
+    upstream takes no new attempt.
+    """
 
     entry: UpstreamEntry
+    upstream_id: UpstreamId
+    slots: int = 0
     listed: bool = True
     reported: Availability = Availability.AVAILABLE
     tokens_in_flight: int = 0
     attempts: dict[AttemptId, Attempt] = {}
     versions: dict[ModelName, Version] = {}
 
-    @property
-    def upstream_id(self) -> UpstreamId:
-        """Return the id of the upstream."""
-        return UpstreamId(self.entry.id)
-
     def availability(self) -> Availability:
         """Combine the document, the instance list and the upstream's own signal."""
         if not self.listed:
@@ -68,10 +88,10 @@
             return Availability.DRAINING
         return self.reported
 
+    def is_free(self) -> bool:
+        """Tell whether one more attempt may start."""
+        return len(self.attempts) < self.slots
+
     def has_room(self, cost: int, token_limit: int) -> bool:
-        """Tell whether an attempt of that cost fits; an idle upstream takes any."""
-        if not self.attempts:
-            return True
-        if len(self.attempts) >= self.entry.capacity:
-            return False
-        return self.tokens_in_flight + cost <= token_limit
+        """Tell whether the tokens of an attempt fit; an idle upstream takes any."""
+        return not self.attempts or self.tokens_in_flight + cost <= token_limit
--- /dev/null
+++ b/packages/fulmarpulley-core/tests/pool/test_fair_queue.py
@@ -0,0 +1,86 @@
+from collections import Counter
+from unittest import TestCase
+
+from fulmarpulley_core.pool.fair_queue import FairQueue
+from fulmarpulley_core.pool.messages import Work
+from fulmarpulley_core.pool.state import Item
+from fulmarpulley_schema.generated.document import ClassEntry, TrainerEntry
+
+from .pool_fixtures import document, sample, work
+
+
+def filled(works: list[Work], **fields: object) -> FairQueue:
+    queue = FairQueue(document(**fields))
+    for number, each in enumerate(works):
+        item = Item(work=each, sequence=number, submitted=0.0)
+        queue.push(item, item.cost())
+    return queue
+
+
+def served(queue: FairQueue, count: int) -> list[Work]:
+    return [queue.take(next(queue.lanes())).work for _ in range(count)]
+
+
+class FairQueueTest(TestCase):
+    """Guards against a tenant that takes the turns of another."""
+
+    def test_trainers_share_tokens_not_turns(self) -> None:
+        works = [sample(f"a{i}", tenant="a", max_tokens=299) for i in range(100)]
+        works += [sample(f"b{i}", tenant="b", max_tokens=99) for i in range(100)]
+        tokens: Counter[str] = Counter()
+        for each in served(filled(works), 80):
+            tokens[each.tenant] += each.prompt_tokens + each.max_tokens
+        self.assertAlmostEqual(tokens["a"] / tokens["b"], 1.0, delta=0.1)
+
+    def test_shares_of_the_document_are_followed(self) -> None:
+        works = [sample(f"{t}{i}", tenant=t) for i in range(90) for t in "ab"]
+        trainers = [TrainerEntry(id="a", share=2.0), TrainerEntry(id="b")]
+        count = Counter(w.tenant for w in served(filled(works, trainers=trainers), 60))
+        self.assertAlmostEqual(count["a"], 40, delta=2)
+
+    def test_idle_tenant_saves_up_no_turns(self) -> None:
+        queue = filled([sample(f"a{i}", tenant="a") for i in range(100)])
+        served(queue, 50)
+        for number in range(100, 150):
+            each = sample(f"b{number}", tenant="b")
+            queue.push(Item(work=each, sequence=number, submitted=0.0), 11)
+        count = Counter(w.tenant for w in served(queue, 20))
+        self.assertEqual(count["a"], 10)
+
+    def test_desk_goes_first_but_trainers_keep_a_part(self) -> None:
+        works = [sample(f"s{i}") for i in range(100)]
+        works += [work(f"d{i}", tenant="desk") for i in range(100)]
+        first = served(filled(works), 40)
+        self.assertEqual(first[0].tenant, "desk")
+        desk = sum(each.tenant == "desk" for each in first)
+        self.assertAlmostEqual(desk, 30, delta=2)
+
+    def test_class_of_higher_priority_goes_first(self) -> None:
+        classes = [ClassEntry(name="low", priority=1), ClassEntry(name="high")]
+        works = [work("l", tenant="low"), work("h", tenant="high")]
+        queue = filled(works, classes=classes)
+        self.assertEqual([w.work_id for w in served(queue, 2)], ["h", "l"])
+
+    def test_last_groups_of_a_step_precede_the_next_step(self) -> None:
+        works = [sample("n", step=2, group=0), sample("l", step=1, group=9)]
+        works += [sample("r", step=1, group=3)]
+        order = [w.work_id for w in served(filled(works), 3)]
+        self.assertEqual(order, ["r", "l", "n"])
+
+    def test_settled_tokens_replace_the_charge(self) -> None:
+        queue = filled([sample(f"{t}{i}", tenant=t) for i in range(9) for t in "ab"])
+        first = queue.take(next(queue.lanes()))
+        queue.settle(first, 33)
+        following = [w.tenant for w in served(queue, 4)]
+        self.assertEqual(following.count(first.work.tenant), 1)
+
+    def test_removed_items_are_not_served(self) -> None:
+        queue = FairQueue(document())
+        items = [Item(work=work(f"w{i}"), sequence=i, submitted=0.0) for i in range(99)]
+        for item in items:
+            queue.push(item, 11)
+        for item in items[:-1]:
+            queue.remove(item)
+        self.assertEqual([w.work_id for w in served(queue, 1)], ["w98"])
+        self.assertEqual((queue.waiting, queue.desk_tokens), (0, 0))
+        self.assertEqual(list(queue.lanes()), [])
