Add stand-ins of the platform and the upstreams

Each stand-in is one aiohttp program with a control interface: faults are read and set at /control/faults, and records are read at /control/history or from a file that outlives a killed process. A token text names the hash of its prompt, its seed, its index and the version that produced it, so that a checker can tell foreign, missing and mislabelled tokens.

--- /dev/null
+++ b/testing/src/fulmarpulley_testing/engine.py
@@ -0,0 +1,212 @@
+"""Stand in for a model engine with continuous batching."""
+
+import asyncio
+import os
+import time
+from collections import deque
+from collections.abc import AsyncIterator
+
+import defopt
+import msgspec
+from aiohttp import web
+
+from fulmarpulley_schema import codec
+from fulmarpulley_schema.generated.upstream import (
+    CancelRequest,
+    EndEvent,
+    GenerateRequest,
+    LoadBody,
+    TokenEvent,
+)
+
+from .engine_batch import Batch, BatchSettings, Run
+from .engine_orders import EngineFaults, Orders
+from .history import History
+from .serving import abort, add_control, body_of, pause, reply, serve
+
+LOAD_PERIOD_S = 0.05
+LOADS_KEPT = 400
+CRASH_EXIT_CODE = 70
+
+
+class CacheEvent(msgspec.Struct, kw_only=True):
+    """Report prefixes that entered or left the cache."""
+
+    offset: int
+    added: list[str]
+    removed: list[str]
+
+
+class CacheEvents(msgspec.Struct, kw_only=True):
+    """Hold a page of cache events; offsets may be missing."""
+
+    next: int
+    events: list[CacheEvent]
+
+
+class Engine:
+    """Serve the engine dialect."""
+
+    def __init__(self, settings: BatchSettings, history: History) -> None:
+        self.settings = settings
+        self.history = history
+        self.faults = EngineFaults()
+        self.batch = Batch(settings, history)
+        self.orders = Orders(self.batch, self.faults, history)
+        self.loads: deque[tuple[float, LoadBody]] = deque(maxlen=LOADS_KEPT)
+        self.generated = 0
+
+    async def generate(self, request: web.Request) -> web.StreamResponse:
+        """Run a request and stream its tokens; 503 means that it did not run."""
+        message = await body_of(request, GenerateRequest)
+        if self.faults.draining or self.faults.refusals > 0:
+            self.faults.refusals = max(0, self.faults.refusals - 1)
+            return web.Response(status=503)
+        run = self.batch.submit(message)
+        response = web.StreamResponse()
+        response.content_type = "text/event-stream"
+        try:
+            await response.prepare(request)
+            await self.stream(run, request, response)
+        finally:
+            self.batch.end(run, "disconnected")
+        return response
+
+    async def stream(
+        self, run: Run, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Write the events of a run until its end or a fault."""
+        async for event in _events(run):
+            name = "token" if isinstance(event, TokenEvent) else "end"
+            data = codec.to_json(self.visible(event))
+            await response.write(b"event: %s\ndata: %s\n\n" % (name.encode(), data))
+            if name == "token":
+                self.count_token()
+            if self.faults.cut_streams > 0 and name == "token":
+                self.faults.cut_streams -= 1
+                abort(request)
+                return
+
+    def visible(self, event: TokenEvent | EndEvent) -> TokenEvent | EndEvent:
+        """Remove the version from a token when the engine reports none."""
+        if self.faults.hide_versions and isinstance(event, TokenEvent):
+            return TokenEvent(index=event.index, token=event.token)
+        return event
+
+    def count_token(self) -> None:
+        """End the process when it has sent as many tokens as the fault says."""
+        self.generated += 1
+        limit = self.faults.crash_after_tokens
+        if limit and self.generated >= limit:
+            os._exit(CRASH_EXIT_CODE)
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Stop a request."""
+        message = await body_of(request, CancelRequest)
+        found = self.batch.cancel(message.request_id)
+        return reply({}, 200 if found else 404)
+
+    async def load(self, _request: web.Request) -> web.Response:
+        """Report the load as it was some time ago."""
+        await pause(self.faults.load_delay_s)
+        now = time.monotonic()
+        seen = [one for one in self.loads if one[0] <= now - self.faults.load_lag_s]
+        taken, body = seen[-1] if seen else (now, self.current_load())
+        return reply(msgspec.structs.replace(body, age_s=now - taken))
+
+    def current_load(self) -> LoadBody:
+        """Return the load at this moment."""
+        return LoadBody(
+            running=len(self.batch.running),
+            queued=self.batch.queue_length(),
+            cache_used=self.batch.cache.used,
+            cache_size=self.batch.cache.size,
+            versions=dict(self.batch.versions),
+            draining=self.faults.draining,
+        )
+
+    async def cache_events(self, request: web.Request) -> web.Response:
+        """Return cache events, late and without every n-th one."""
+        await pause(self.faults.cache_lag_s)
+        start = max(1, int(request.query.get("from", "1")))
+        changes = self.batch.cache_changes
+        gap = self.faults.cache_gap
+        events = [
+            CacheEvent(offset=offset, added=added, removed=removed)
+            for offset, (added, removed) in enumerate(changes, 1)
+            if offset >= start and not (gap and offset % gap == 0)
+        ]
+        return reply(CacheEvents(next=len(changes) + 1, events=events))
+
+    async def sample_load(self) -> None:
+        """Apply the hang fault and keep the load of the last seconds."""
+        while True:
+            self.batch.hung = self.faults.hang
+            self.loads.append((time.monotonic(), self.current_load()))
+            await asyncio.sleep(LOAD_PERIOD_S)
+
+    async def run(self, _app: web.Application) -> AsyncIterator[None]:
+        """Run the batch while the application runs."""
+        tasks = [
+            asyncio.create_task(self.batch.work()),
+            asyncio.create_task(self.sample_load()),
+        ]
+        yield
+        for task in tasks:
+            task.cancel()
+
+
+async def _events(run: Run) -> AsyncIterator[TokenEvent | EndEvent]:
+    while True:
+        event = await run.events.get()
+        yield event
+        if isinstance(event, EndEvent):
+            return
+
+
+def application(engine: Engine) -> web.Application:
+    """Build the application of an engine."""
+    app = web.Application(client_max_size=16 * 1024 * 1024)
+    app.router.add_post("/v1/generate", engine.generate)
+    app.router.add_post("/v1/cancel", engine.cancel)
+    app.router.add_get("/v1/load", engine.load)
+    app.router.add_get("/v1/cache-events", engine.cache_events)
+    app.router.add_post("/v1/orders", engine.orders.handle)
+    app.router.add_post("/v1/kv/export", engine.orders.export_cache)
+    app.router.add_post("/v1/kv/import", engine.orders.import_cache)
+    app.cleanup_ctx.append(engine.run)
+    add_control(app, engine, engine.history)
+    return app
+
+
+def main(
+    *,
+    port: int,
+    name: str = "engine",
+    history: str = "",
+    model: str = "model",
+    version: int = 0,
+    tokens_per_s: float = 200.0,
+    concurrency: int = 8,
+    cache_tokens: int = 4096,
+    swap_s: float = 0.5,
+    checks_fencing: bool = False,
+    weight_store: str = "",
+) -> None:
+    """Run an engine that serves one version of a model at first."""
+    settings = BatchSettings(
+        upstream=name,
+        tokens_per_s=tokens_per_s,
+        concurrency=concurrency,
+        cache_tokens=cache_tokens,
+    )
+    engine = Engine(settings, History(history))
+    engine.batch.versions[model] = version
+    engine.faults.swap_s = swap_s
+    engine.faults.checks_fencing = checks_fencing
+    engine.orders.weight_store = weight_store
+    serve(application(engine), port)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/testing/src/fulmarpulley_testing/history.py
@@ -0,0 +1,246 @@
+"""Record what callers, trainers and upstreams saw, for the history checker."""
+
+import os
+import time
+from collections.abc import Iterable
+from pathlib import Path
+from typing import TypeAlias
+
+import msgspec
+
+from fulmarpulley_schema.generated.http import Ran, Span
+
+
+class RunStarted(msgspec.Struct, tag=True, kw_only=True):
+    """Record that an engine started to run a request."""
+
+    at: float = msgspec.field(default_factory=time.monotonic)
+    upstream: str
+    request_id: str
+    model: str
+    prompt: str
+    seed: int
+    max_tokens: int
+    resumed: int
+
+
+class SpanStarted(msgspec.Struct, tag=True, kw_only=True):
+    """Record the version that produces the tokens of a run from an index on."""
+
+    at: float = msgspec.field(default_factory=time.monotonic)
+    upstream: str
+    run: int
+    prompt: str
+    seed: int
+    index: int
+    version: int
+
+
+class RunEnded(msgspec.Struct, tag=True, kw_only=True):
+    """Record the end of a run; count includes resumed tokens."""
+
+    at: float = msgspec.field(default_factory=time.monotonic)
+    upstream: str
+    run: int
+    request_id: str
+    count: int
+    reason: str
+
+
+class OrderHandled(msgspec.Struct, tag=True, kw_only=True):
+    """Record an order and what the engine did with it."""
+
+    at: float = msgspec.field(default_factory=time.monotonic)
+    upstream: str
+    order_id: str
+    model: str
+    version: int
+    fence: int
+    outcome: str
+
+
+class CallExecuted(msgspec.Struct, tag=True, kw_only=True):
+    """Record that a plain service executed a call."""
+
+    at: float = msgspec.field(default_factory=time.monotonic)
+    upstream: str
+    key: str
+    body: str
+
+
+class Invoked(msgspec.Struct, tag=True, kw_only=True):
+    """Record a request that a caller wants answered once; its input is unique."""
+
+    at: float = msgspec.field(default_factory=time.monotonic)
+    caller: str
+    invocation: str
+    service: str
+    dialect: str
+    input: str
+    max_tokens: int
+    repeatable: bool
+
+
+class AttemptStarted(msgspec.Struct, tag=True, kw_only=True):
+    """Record that a caller sent its request, or fetches the answer by key."""
+
+    at: float = msgspec.field(default_factory=time.monotonic)
+    invocation: str
+    attempt: int
+    fetch: bool
+    key: str | None
+
+
+class AttemptAnswered(msgspec.Struct, tag=True, kw_only=True):
+    """Record a whole answer; indexes are those of the streamed tokens."""
+
+    at: float = msgspec.field(default_factory=time.monotonic)
+    invocation: str
+    attempt: int
+    text: str
+    count: int
+    spans: list[Span]
+    upstream: str
+    indexes: list[int] | None = None
+
+
+class AttemptFailed(msgspec.Struct, tag=True, kw_only=True):
+    """Record an error; ran is absent when the connection was lost."""
+
+    at: float = msgspec.field(default_factory=time.monotonic)
+    invocation: str
+    attempt: int
+    code: str
+    ran: Ran | None = None
+
+
+class Completed(msgspec.Struct, tag=True, kw_only=True):
+    """Record how an invocation ended: answered, not_run, unresolved or gave_up."""
+
+    at: float = msgspec.field(default_factory=time.monotonic)
+    invocation: str
+    outcome: str
+
+
+class StepOpened(msgspec.Struct, tag=True, kw_only=True):
+    """Record that a trainer opened a step, or stated it again."""
+
+    at: float = msgspec.field(default_factory=time.monotonic)
+    service: str
+    trainer: str
+    step: int
+    prompts: list[str]
+    samples_per_group: int
+    max_tokens: int
+    bound: int
+    version: int
+    held: list[int]
+
+
+class TakenSample(msgspec.Struct, kw_only=True):
+    """Hold one sample as the trainer received it."""
+
+    slot: int
+    text: str
+    count: int
+    spans: list[Span]
+    upstream: str
+
+
+class BatchTaken(msgspec.Struct, tag=True, kw_only=True):
+    """Record the answer to a take that the trainer had not abandoned."""
+
+    at: float = msgspec.field(default_factory=time.monotonic)
+    service: str
+    trainer: str
+    step: int
+    version: int
+    held: list[int]
+    samples: list[TakenSample]
+
+
+class TakeAbandoned(msgspec.Struct, tag=True, kw_only=True):
+    """Record a take whose answer the trainer drops."""
+
+    at: float = msgspec.field(default_factory=time.monotonic)
+    service: str
+    trainer: str
+    step: int
+
+
+class StepEnded(msgspec.Struct, tag=True, kw_only=True):
+    """Record the end of a step and the trainer's wait for it."""
+
+    at: float = msgspec.field(default_factory=time.monotonic)
+    service: str
+    trainer: str
+    step: int
+    complete: bool
+    idle_s: float
+
+
+class TrainerIdle(msgspec.Struct, tag=True, kw_only=True):
+    """Record that a trainer finished all its steps."""
+
+    at: float = msgspec.field(default_factory=time.monotonic)
+    service: str
+    trainer: str
+    idle_s: float
+
+
+class VersionPublished(msgspec.Struct, tag=True, kw_only=True):
+    """Record that a trainer's announcement of a version was accepted."""
+
+    at: float = msgspec.field(default_factory=time.monotonic)
+    service: str
+    trainer: str
+    version: int
+
+
+Entry: TypeAlias = (
+    RunStarted
+    | SpanStarted
+    | RunEnded
+    | OrderHandled
+    | CallExecuted
+    | Invoked
+    | AttemptStarted
+    | AttemptAnswered
+    | AttemptFailed
+    | Completed
+    | StepOpened
+    | BatchTaken
+    | TakeAbandoned
+    | StepEnded
+    | TrainerIdle
+    | VersionPublished
+)
+
+_decoder: msgspec.json.Decoder[Entry] = msgspec.json.Decoder(Entry)
+
+
+class History:
+    """Keep records in memory and in a file that outlives a killed process."""
+
+    def __init__(self, path: str = "") -> None:
+        self.records: list[Entry] = []
+        flags = os.O_CREAT | os.O_WRONLY | os.O_APPEND
+        self.file = os.open(path, flags) if path else None
+
+    def add(self, entry: Entry) -> None:
+        """Add one record."""
+        self.records.append(entry)
+        if self.file is not None:
+            os.write(self.file, msgspec.json.encode(entry) + b"\n")
+
+
+def read(paths: Iterable[Path]) -> list[Entry]:
+    """Read history files, oldest record first; skip a line that is cut short.
+
+    All processes of a test run on one machine, whose monotonic clock they share.
+    """
+    entries: list[Entry] = []
+    for path in paths:
+        lines = path.read_bytes().split(b"\n")
+        entries += [_decoder.decode(line) for line in lines[:-1]]
+    return sorted(entries, key=lambda entry: entry.at)
--- /dev/null
+++ b/testing/src/fulmarpulley_testing/instance_list.py
@@ -0,0 +1,67 @@
+"""Stand in for the instance list, which lags behind the instances."""
+
+import time
+from pathlib import Path
+
+import defopt
+import msgspec
+from aiohttp import web
+
+from fulmarpulley_schema import codec
+from fulmarpulley_schema.generated.upstream import InstanceList
+
+from .history import History
+from .serving import add_control, body_of, pause, reply, serve
+
+
+class ListFaults(msgspec.Struct):
+    """Hold the lag and the faults of the list."""
+
+    lag_s: float = 1.0
+    outage: bool = False
+    delay_s: float = 0.0
+
+
+class InstanceLister:
+    """Serve the list as it was some time ago."""
+
+    def __init__(self, instances: InstanceList, lag_s: float) -> None:
+        self.faults = ListFaults(lag_s=lag_s)
+        self.states = [(float("-inf"), instances)]
+
+    async def read(self, _request: web.Request) -> web.Response:
+        """Return the newest list that is older than the lag."""
+        await pause(self.faults.delay_s)
+        if self.faults.outage:
+            return web.Response(status=503)
+        newest = time.monotonic() - self.faults.lag_s
+        seen = [state for changed, state in self.states if changed <= newest]
+        return reply(seen[-1])
+
+    async def write(self, request: web.Request) -> web.Response:
+        """Replace the list; readers see it after the lag."""
+        instances = await body_of(request, InstanceList)
+        self.states.append((time.monotonic(), instances))
+        return reply({})
+
+
+def application(instances: InstanceList, lag_s: float) -> web.Application:
+    """Build the application of an instance list."""
+    lister = InstanceLister(instances, lag_s)
+    app = web.Application()
+    app.router.add_get("/instances", lister.read)
+    app.router.add_put("/control/instances", lister.write)
+    add_control(app, lister, History())
+    return app
+
+
+def main(*, port: int, file: str = "", lag_s: float = 1.0) -> None:
+    """Run an instance list that starts with the content of a file."""
+    instances = InstanceList(instances=[])
+    if file:
+        instances = codec.from_json(Path(file).read_bytes(), InstanceList)
+    serve(application(instances, lag_s), port)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/testing/src/fulmarpulley_testing/log_service.py
@@ -0,0 +1,150 @@
+"""Stand in for the append-only log service."""
+
+import asyncio
+import time
+from collections import deque
+
+import defopt
+import msgspec
+from aiohttp import web
+
+from fulmarpulley_schema.generated.upstream import (
+    LogAppend,
+    LogAppended,
+    LogPage,
+    LogRecord,
+)
+
+from .history import History
+from .serving import RateLimit, abort, add_control, body_of, pause, reply, serve
+
+MAX_WAIT_S = 30.0
+# Longer than any timeout of a client: a request caught by the fault is never answered.
+SILENCE_S = 3600.0
+
+
+class LogFaults(msgspec.Struct):
+    """Hold the limits and faults of the log; 0 switches one off."""
+
+    appends_per_s: float = 400.0
+    retain_count: int = 0
+    retain_s: float = 0.0
+    outage: bool = False
+    silent: bool = False
+    delay_s: float = 0.0
+    lose_answers: int = 0
+    double_appends: int = 0
+
+
+class Stream:
+    """Keep the records of one stream."""
+
+    def __init__(self) -> None:
+        self.records: deque[tuple[float, LogRecord]] = deque()
+        self.next = 1
+        self.changed = asyncio.Event()
+
+    def append(self, record: LogAppend) -> int:
+        """Append a record, wake the readers and return its offset."""
+        offset = self.next
+        kept = LogRecord(offset=offset, id=record.id, data=record.data)
+        self.records.append((time.monotonic(), kept))
+        self.next += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return offset
+
+    def expire(self, faults: LogFaults) -> None:
+        """Drop records beyond the retention by count and by age."""
+        while faults.retain_count and len(self.records) > faults.retain_count:
+            self.records.popleft()
+        oldest = time.monotonic() - faults.retain_s
+        while faults.retain_s and self.records and self.records[0][0] < oldest:
+            self.records.popleft()
+
+    def page(self, start: int, limit: int) -> LogPage:
+        """Return records from an offset on; an offset past the end reads the end."""
+        first = self.records[0][1].offset if self.records else self.next
+        start = max(first, min(start, self.next))
+        skip = start - first
+        size = min(limit, self.next - start)
+        records = [self.records[skip + i][1] for i in range(size)]
+        return LogPage(first=first, next=start + size, records=records)
+
+
+class LogService:
+    """Serve streams of records."""
+
+    def __init__(self) -> None:
+        self.faults = LogFaults()
+        self.streams: dict[str, Stream] = {}
+        self.rate = RateLimit(time.monotonic)
+
+    def stream(self, request: web.Request) -> Stream:
+        """Return the stream that a request names."""
+        return self.streams.setdefault(request.match_info["stream"], Stream())
+
+    async def fail(self) -> web.Response | None:
+        """Apply slowness and outage; return the answer of an outage."""
+        await pause(self.faults.delay_s)
+        await pause(SILENCE_S if self.faults.silent else 0.0)
+        return web.Response(status=503) if self.faults.outage else None
+
+    async def append(self, request: web.Request) -> web.Response:
+        """Append one record."""
+        record = await body_of(request, LogAppend)
+        if (failure := await self.fail()) is not None:
+            return failure
+        if not self.rate.allow(self.faults.appends_per_s):
+            return web.Response(status=429)
+        stream = self.stream(request)
+        offset = stream.append(record)
+        if self.faults.double_appends > 0:
+            self.faults.double_appends -= 1
+            stream.append(record)
+        stream.expire(self.faults)
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return abort(request)
+        return reply(LogAppended(offset=offset))
+
+    async def read(self, request: web.Request) -> web.Response:
+        """Return a page, waiting up to wait_s for the first record."""
+        if (failure := await self.fail()) is not None:
+            return failure
+        stream = self.stream(request)
+        start = int(request.query.get("from", "1"))
+        limit = int(request.query.get("max", "1000"))
+        wait_s = min(float(request.query.get("wait_s", "0")), MAX_WAIT_S)
+        if wait_s > 0 and limit > 0 and start >= stream.next:
+            await _wait(stream.changed, wait_s)
+        if (failure := await self.fail()) is not None:
+            return failure
+        stream.expire(self.faults)
+        return reply(stream.page(start, limit))
+
+
+async def _wait(event: asyncio.Event, seconds: float) -> None:
+    try:
+        await asyncio.wait_for(event.wait(), seconds)
+    except TimeoutError:
+        return
+
+
+def application() -> web.Application:
+    """Build the application of a log service."""
+    service = LogService()
+    app = web.Application(client_max_size=16 * 1024 * 1024)
+    app.router.add_post("/streams/{stream}/records", service.append)
+    app.router.add_get("/streams/{stream}/records", service.read)
+    add_control(app, service, History())
+    return app
+
+
+def main(*, port: int) -> None:
+    """Run a log service."""
+    serve(application(), port)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/testing/src/fulmarpulley_testing/processes.py
@@ -0,0 +1,145 @@
+"""Start and end the processes of a test, and no others."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any, Self
+from urllib import request
+
+import msgspec
+
+START_TIMEOUT_S = 30.0
+POLL_S = 0.02
+CALL_TIMEOUT_S = 10.0
+
+
+class NotReadyError(RuntimeError):
+    """Report a condition that did not come true in time."""
+
+
+def free_ports(count: int) -> list[int]:
+    """Return distinct loopback ports that the kernel reports as free."""
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        return [int(one.getsockname()[1]) for one in sockets]
+
+
+def wait_for(
+    condition: Callable[[], bool], what: str, timeout_s: float = START_TIMEOUT_S
+) -> None:
+    """Wait until a condition holds; raise NotReadyError after the timeout."""
+    deadline = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > deadline:
+            raise NotReadyError(f"{what} did not happen within {timeout_s} s")
+        time.sleep(POLL_S)
+
+
+def call(url: str, method: str = "GET", body: Any = None) -> Any:
+    """Call a loopback address and return the decoded JSON answer."""
+    data = None if body is None else msgspec.json.encode(body)
+    made = request.Request(url, data=data, method=method)
+    with request.urlopen(made, timeout=CALL_TIMEOUT_S) as answer:
+        return json.loads(answer.read() or b"null")
+
+
+def answers(url: str) -> bool:
+    """Say whether an address answers with a status below 400."""
+    try:
+        with request.urlopen(url, timeout=1.0):
+            return True
+    except OSError:
+        return False
+
+
+def set_faults(port: int, **faults: Any) -> None:
+    """Set faults of the stand-in that listens on a port."""
+    call(f"http://127.0.0.1:{port}/control/faults", "POST", faults)
+
+
+class Process:
+    """Hold one process that this program started."""
+
+    def __init__(self, name: str, command: list[str], log: Path) -> None:
+        self.name = name
+        self.command = command
+        self.log = log
+        with log.open("ab") as output:
+            self.child = subprocess.Popen(
+                command, stdin=subprocess.DEVNULL, stdout=output, stderr=output
+            )
+
+    def running(self) -> bool:
+        """Say whether the process has not ended."""
+        return self.child.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        self.child.send_signal(number)
+
+    def freeze(self) -> None:
+        """Stop the process without its notice."""
+        self.signal(signal.SIGSTOP)
+
+    def wake(self) -> None:
+        """Continue a frozen process."""
+        self.signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask the process to end."""
+        self.signal(signal.SIGTERM)
+
+    def wait(self, timeout_s: float = START_TIMEOUT_S) -> int:
+        """Wait for the end of the process and return its exit code."""
+        return self.child.wait(timeout_s)
+
+    def kill(self) -> None:
+        """End the process at once and collect its exit code."""
+        self.child.kill()
+        self.child.wait()
+
+
+class Processes:
+    """Start processes and end them all when the context closes."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.by_name: dict[str, Process] = {}
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_exception: object) -> None:
+        for process in self.by_name.values():
+            if process.running():
+                process.kill()
+
+    def start(self, name: str, module: str, *arguments: str) -> Process:
+        """Start a Python module; a process of the same name must have ended."""
+        earlier = self.by_name.get(name)
+        if earlier is not None and earlier.running():
+            raise ValueError(f"process {name} is already running")
+        command = [sys.executable, "-m", module, *arguments]
+        process = Process(name, command, self.folder / f"{name}.log")
+        self.by_name[name] = process
+        return process
+
+    def wait_ready(self, name: str, url: str) -> None:
+        """Wait until a process answers at an address."""
+        process = self.by_name[name]
+
+        def ready_or_ended() -> bool:
+            if not process.running():
+                tail = process.log.read_text()[-2000:]
+                raise NotReadyError(f"{name} ended before it was ready:\n{tail}")
+            return answers(url)
+
+        wait_for(ready_or_ended, f"start of {name}")
--- /dev/null
+++ b/testing/src/fulmarpulley_testing/serving.py
@@ -0,0 +1,112 @@
+"""Serve a stand-in over HTTP with its control interface."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol, TypeVar
+
+import msgspec
+import uvloop
+from aiohttp import web
+
+from fulmarpulley_schema import codec
+
+from .history import History
+
+T = TypeVar("T", bound=msgspec.Struct)
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+LOOPBACK = "127.0.0.1"
+
+
+class Faulty(Protocol):
+    """Hold the faults that a test may set."""
+
+    faults: Any
+
+
+def serve(app: web.Application, port: int) -> None:
+    """Run an application on a loopback port until SIGTERM or SIGINT."""
+    web.run_app(
+        app,
+        host=LOOPBACK,
+        port=port,
+        print=None,
+        access_log=None,
+        shutdown_timeout=0.1,
+        loop=uvloop.new_event_loop(),
+    )
+
+
+def reply(message: Any, status: int = 200) -> web.Response:
+    """Answer with a message as JSON."""
+    return web.Response(
+        body=codec.to_json(message), status=status, content_type="application/json"
+    )
+
+
+async def body_of(request: web.Request, kind: type[T]) -> T:
+    """Decode a request body, or answer 400 with what is wrong."""
+    try:
+        return codec.from_json(await request.read(), kind)
+    except msgspec.MsgspecError as error:
+        raise web.HTTPBadRequest(text=str(error)) from error
+
+
+def add_control(app: web.Application, owner: Faulty, history: History) -> None:
+    """Add /control/ready, /control/faults and /control/history."""
+
+    async def ready(_request: web.Request) -> web.Response:
+        return reply({})
+
+    async def read_faults(_request: web.Request) -> web.Response:
+        return reply(owner.faults)
+
+    async def change_faults(request: web.Request) -> web.Response:
+        values = msgspec.to_builtins(owner.faults)
+        values.update(msgspec.json.decode(await request.read()))
+        changed = msgspec.convert(values, type(owner.faults))
+        for name in changed.__struct_fields__:
+            setattr(owner.faults, name, getattr(changed, name))
+        return reply(owner.faults)
+
+    async def read_history(_request: web.Request) -> web.Response:
+        return reply(history.records)
+
+    app.router.add_get("/control/ready", ready)
+    app.router.add_get("/control/faults", read_faults)
+    app.router.add_post("/control/faults", change_faults)
+    app.router.add_get("/control/history", read_history)
+
+
+def abort(request: web.Request) -> web.Response:
+    """Drop the connection of a request without an answer."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=500)
+
+
+class RateLimit:
+    """Allow a number of events a second, with a burst of one second."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self.level = 0.0
+        self.updated = clock()
+
+    def allow(self, per_s: float) -> bool:
+        """Count one event and say whether it is within the rate; 0 is unlimited."""
+        now = self.clock()
+        self.level = max(0.0, self.level - (now - self.updated) * per_s)
+        self.updated = now
+        if per_s <= 0:
+            return True
+        if self.level + 1 > max(1.0, per_s):
+            return False
+        self.level += 1
+        return True
+
+
+async def pause(seconds: float) -> None:
+    """Sleep when the duration is positive."""
+    if seconds > 0:
+        await asyncio.sleep(seconds)
--- /dev/null
+++ b/testing/src/fulmarpulley_testing/tokens.py
@@ -0,0 +1,60 @@
+"""Compute the token texts and lengths that every engine gives for a prompt and seed.
+
+A token names the hash of its prompt, its seed, its index and the version that
+produced it, so that a checker can tell foreign, missing and mislabelled tokens.
+"""
+
+from typing import NamedTuple
+
+import xxhash
+
+# Every 25th generation runs to the limit, which makes it a straggler.
+STRAGGLER_PERIOD = 25
+
+
+class Token(NamedTuple):
+    """Hold the parts of a token text."""
+
+    prompt_hash: str
+    seed: int
+    position: int
+    version: int
+
+
+def prompt_hash(prompt: str) -> str:
+    """Return the part of a token that names its prompt."""
+    return xxhash.xxh64_hexdigest(prompt.encode())
+
+
+def token_text(prompt: str, seed: int, index: int, version: int) -> str:
+    """Return the text of one token; texts are joined without a separator."""
+    return f"{prompt_hash(prompt)}:{seed}:{index}:{version} "
+
+
+def parse(text: str) -> list[Token] | None:
+    """Split a text into its tokens, or return None when a token is damaged."""
+    if text and not text.endswith(" "):
+        return None
+    try:
+        return [_parse_token(part) for part in text.split(" ")[:-1]]
+    except ValueError:
+        return None
+
+
+def _parse_token(part: str) -> Token:
+    hashed, seed, index, version = part.split(":")
+    return Token(hashed, int(seed), int(index), int(version))
+
+
+def whole_length(prompt: str, seed: int, max_tokens: int) -> int:
+    """Return the count of tokens of the whole generation, at least 1."""
+    draw = xxhash.xxh64_intdigest(f"{seed}/{prompt}".encode())
+    if draw % STRAGGLER_PERIOD == 0:
+        return max_tokens
+    longest = max(1, max_tokens // 2)
+    return 1 + (draw >> 8) % longest
+
+
+def plain_result(body: str) -> str:
+    """Return the answer of every plain service to a body."""
+    return f"result {prompt_hash(body)}"
--- /dev/null
+++ b/testing/src/fulmarpulley_testing/weight_store.py
@@ -0,0 +1,80 @@
+"""Stand in for the rate-limited weight store."""
+
+import time
+
+import defopt
+import msgspec
+from aiohttp import web
+
+from .history import History
+from .serving import RateLimit, add_control, pause, serve
+
+MAX_BYTES = 64 * 1024 * 1024
+
+
+class StoreFaults(msgspec.Struct):
+    """Hold the limits and faults of the store; 0 switches one off."""
+
+    requests_per_s: float = 50.0
+    bytes_per_s: float = 0.0
+    outage: bool = False
+
+
+class WeightStore:
+    """Keep weights by model and version."""
+
+    def __init__(self) -> None:
+        self.faults = StoreFaults()
+        self.weights: dict[str, bytes] = {}
+        self.rate = RateLimit(time.monotonic)
+
+    def refuse(self) -> web.Response | None:
+        """Apply the outage and the rate limit."""
+        if self.faults.outage:
+            return web.Response(status=503)
+        if not self.rate.allow(self.faults.requests_per_s):
+            return web.Response(status=429)
+        return None
+
+    async def transfer(self, size: int) -> None:
+        """Wait for the time that a transfer takes."""
+        if self.faults.bytes_per_s > 0:
+            await pause(size / self.faults.bytes_per_s)
+
+    async def put(self, request: web.Request) -> web.Response:
+        """Store the weights of one version."""
+        data = await request.read()
+        if (refusal := self.refuse()) is not None:
+            return refusal
+        await self.transfer(len(data))
+        self.weights[request.path] = data
+        return web.Response(status=204)
+
+    async def get(self, request: web.Request) -> web.Response:
+        """Return the weights of one version."""
+        if (refusal := self.refuse()) is not None:
+            return refusal
+        data = self.weights.get(request.path)
+        if data is None:
+            return web.Response(status=404)
+        await self.transfer(len(data))
+        return web.Response(body=data)
+
+
+def application() -> web.Application:
+    """Build the application of a weight store."""
+    store = WeightStore()
+    app = web.Application(client_max_size=MAX_BYTES)
+    app.router.add_get("/weights/{model}/{version}", store.get)
+    app.router.add_put("/weights/{model}/{version}", store.put)
+    add_control(app, store, History())
+    return app
+
+
+def main(*, port: int) -> None:
+    """Run a weight store."""
+    serve(application(), port)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
