Route by tokens in flight, aged load reports, prefix and region

Load reports lag, so a router that trusts them sends bursts to the same idle upstream. Groups of one prompt stay on upstreams that hold the prefix while these are within 1.25 times the mean load; the region of the work comes before the paid link. Policies are plugins; round_robin is the baseline.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
@@ -2,21 +2,24 @@
 
 from collections.abc import Callable
 
-from fulmarpulley_schema.generated.document import ServiceDocument, ServiceKind
+from fulmarpulley_schema.generated.document import ServiceDocument
 from fulmarpulley_schema.generated.http import Ran
 
-from ..ids import ModelName, Version
 from .fair_queue import FairQueue
+from .freshness import Freshness
 from .ledger import Ledger
+from .load import note_attempts, note_report, note_tokens
 from .messages import (
     Action,
     AttemptFailed,
     AttemptFinished,
     AttemptProgress,
     Availability,
+    CacheReport,
     DocumentChanged,
     Event,
     Failure,
+    LoadReport,
     PoolSettings,
     PoolView,
     Submit,
@@ -25,6 +28,7 @@
     VersionReport,
     Withdraw,
 )
+from .routing import ROUTING
 from .state import Attempt, Item, Upstream
 from .timers import Timers
 
@@ -41,7 +45,9 @@
         self.ledger = Ledger(document, self._released)
         self.queue = FairQueue(document)
         self.timers = Timers()
-        self.newest: dict[ModelName, Version] = {}
+        self.freshness = Freshness(document)
+        self.routing = ROUTING.get(settings.routing)()
+        self.now = 0.0
         self.can_dispatch = False
         self.handlers: dict[type, Callable[..., None]] = {
             Submit: self._submit,
@@ -50,6 +56,8 @@
             AttemptFailed: self._failed,
             AttemptProgress: self._progress,
             UpstreamState: self._upstream_state,
+            LoadReport: self._load_report,
+            CacheReport: self._cache_report,
             VersionReport: self._version_report,
             VersionAnnounced: self._version_announced,
             DocumentChanged: self._document_changed,
@@ -59,6 +67,7 @@
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Apply an event at a monotonic time in seconds and return the actions."""
+        self.now = now
         handler = self.handlers.get(type(event))
         if handler is not None:
             handler(event, now)
@@ -118,7 +127,7 @@
             self._fail(attempt, event.failure)
 
     def _receive(self, attempt: Attempt, tokens: int) -> None:
-        attempt.tokens = max(attempt.tokens, tokens)
+        note_tokens(attempt, tokens)
         attempt.item.received = max(attempt.item.received, tokens)
 
     def _fail(self, attempt: Attempt, failure: Failure) -> None:
@@ -144,6 +153,14 @@
             upstream.reported = event.availability
             self._refresh_upstreams()
 
+    def _load_report(self, event: LoadReport, now: float) -> None:
+        upstream = self.ledger.upstreams.get(event.upstream)
+        if upstream is not None:
+            note_report(upstream, event, now)
+
+    def _cache_report(self, event: CacheReport, now: float) -> None:
+        self.routing.cache_changed(event)
+
     def _version_report(self, event: VersionReport, now: float) -> None:
         upstream = self.ledger.upstreams.get(event.upstream)
         if upstream is not None:
@@ -151,11 +168,12 @@
             self.can_dispatch = True
 
     def _version_announced(self, event: VersionAnnounced, now: float) -> None:
-        known = self.newest.get(event.model, event.version)
-        self.newest[event.model] = max(known, event.version)
+        if self.freshness.announce(event.model, event.version):
+            self.can_dispatch = True
 
     def _document_changed(self, event: DocumentChanged, now: float) -> None:
         self.document = event.document
+        self.freshness.document = event.document
         self.queue.change_document(event.document)
         self.ledger.list_upstreams(event.document)
         self._refresh_upstreams()
@@ -176,6 +194,7 @@
 
     def _released(self, attempt: Attempt) -> None:
         self.can_dispatch = True
+        note_attempts(attempt.upstream, self.now)
         item = attempt.item
         if not item.attempts:
             produced = attempt.tokens - attempt.resume_from
@@ -190,28 +209,28 @@
         if not free:
             return False
         for lane in self.queue.lanes():
-            upstream = self._choose(lane.head(), free)
+            upstream = self._choose(lane.head(), free, now)
             if upstream is not None:
-                self.ledger.start(self.queue.take(lane), upstream, now)
+                self._start(self.queue.take(lane), upstream, now)
                 return True
         return False
 
-    def _choose(self, item: Item, free: list[Upstream]) -> Upstream | None:
+    def _start(self, item: Item, upstream: Upstream, now: float) -> None:
+        self.ledger.start(item, upstream, now)
+        self.routing.started(item, upstream)
+        note_attempts(upstream, now)
+
+    def _choose(self, item: Item, free: list[Upstream], now: float) -> Upstream | None:
         limit = self.document.limits.tokens_in_flight
         cost = item.cost()
-        fit = [u for u in free if u.has_room(cost, limit) and self._is_fresh(item, u)]
-        if not fit:
-            return None
-        avoid = item.avoid
-        return min(fit, key=lambda u: (u.upstream_id == avoid, u.tokens_in_flight))
-
-    def _is_fresh(self, item: Item, upstream: Upstream) -> bool:
-        work = item.work
-        version = upstream.versions.get(work.model)
-        if self.document.kind is not ServiceKind.TRAINING or not item.is_sample:
-            return work.min_version <= (version or 0)
-        if version is None or version < work.min_version:
-            return False
-        bound = work.staleness_bound
-        bound = self.document.staleness_bound if bound is None else bound
-        return self.newest.get(work.model, version) - version <= bound
+        may_run = self.freshness.may_run
+        fit = [u for u in free if u.has_room(cost, limit) and may_run(item, u)]
+        return self.routing.choose(item, fit, self, now) if fit else None
+
+    def usable(self) -> list[Upstream]:
+        """Return the upstreams that take new attempts, busy ones included."""
+        return [u for u in self.ledger.upstreams.values() if u.slots]
+
+    def versions_behind(self, item: Item, upstream: Upstream) -> int:
+        """Return how many versions the upstream is behind for the item's model."""
+        return self.freshness.versions_behind(item, upstream)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/ledger.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/ledger.py
@@ -99,6 +99,7 @@
             upstream=upstream,
             started=now,
             cost=item.cost(),
+            expected=item.charge,
             resume_from=item.received,
             tokens=item.received,
             hedge=hedge,
@@ -107,6 +108,8 @@
         self.attempts[attempt.attempt_id] = attempt
         upstream.attempts[attempt.attempt_id] = attempt
         upstream.tokens_in_flight += attempt.cost
+        upstream.expected_tokens += attempt.expected
+        upstream.starts += 1
         work_id, upstream_id = item.work.work_id, upstream.upstream_id
         self.actions.append(
             StartAttempt(attempt.attempt_id, work_id, upstream_id, item.received, hedge)
@@ -120,6 +123,7 @@
         del self.attempts[attempt.attempt_id]
         del upstream.attempts[attempt.attempt_id]
         upstream.tokens_in_flight -= attempt.cost
+        upstream.expected_tokens -= attempt.expected
         self.on_release(attempt)
         self._forget_unlisted(upstream)
 
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/routing.py
@@ -0,0 +1,135 @@
+"""Choose the upstream that runs a work item."""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+from typing import Protocol
+
+from ..ids import PrefixId, UpstreamId
+from ..registry import Registry
+from .load import load_tokens
+from .messages import CacheReport
+from .state import Item, Upstream
+
+# Prefixes that are remembered; engines evict older ones from their caches.
+REMEMBERED_PREFIXES = 8192
+# An upstream that holds the prefix is used up to this multiple of the mean load,
+# and a slack of some items that keeps small groups together on an idle pool.
+AFFINITY_LOAD_BOUND = 1.25
+AFFINITY_SLACK_ITEMS = 2
+# Each version that an upstream is behind adds this part of its load.
+STALE_LOAD = 0.5
+
+
+class RoutingPolicy(Protocol):
+    """Choose among the upstreams that can run an item now."""
+
+    def choose(
+        self, item: Item, fit: Sequence[Upstream], pool: "PoolLoad", now: float
+    ) -> Upstream:
+        """Return one of `fit`, which is not empty."""
+
+    def started(self, item: Item, upstream: Upstream) -> None:
+        """Learn that the upstream was sent the item."""
+
+    def cache_changed(self, report: CacheReport) -> None:
+        """Take a hint on the prefixes that an upstream holds."""
+
+
+class PoolLoad(Protocol):
+    """Describe what a policy may ask about the whole pool."""
+
+    def usable(self) -> Iterable[Upstream]:
+        """Return the upstreams that take new attempts, busy ones included."""
+
+    def versions_behind(self, item: Item, upstream: Upstream) -> int:
+        """Return how many versions the upstream is behind for the item's model."""
+
+
+ROUTING: Registry[type[RoutingPolicy]] = Registry("routing policy")
+
+
+@ROUTING.register("round_robin")
+class RoundRobin:
+    """Take the upstreams in turn, as a baseline to compare with."""
+
+    def __init__(self) -> None:
+        self._last = ""
+
+    def choose(
+        self, item: Item, fit: Sequence[Upstream], pool: PoolLoad, now: float
+    ) -> Upstream:
+        """Return the next upstream by id."""
+        after = [u for u in fit if u.upstream_id > self._last]
+        return min(after or fit, key=lambda u: u.upstream_id)
+
+    def started(self, item: Item, upstream: Upstream) -> None:
+        """Go on after this upstream."""
+        self._last = upstream.upstream_id
+
+    def cache_changed(self, report: CacheReport) -> None:
+        """Ignore the hint."""
+
+
+@ROUTING.register("least_tokens")
+class LeastTokens:
+    """Take the least loaded upstream of the region, or one that holds the prefix."""
+
+    def __init__(self) -> None:
+        self._holders: OrderedDict[PrefixId, set[UpstreamId]] = OrderedDict()
+
+    def choose(
+        self, item: Item, fit: Sequence[Upstream], pool: PoolLoad, now: float
+    ) -> Upstream:
+        """Return the best upstream; the paid link is the last choice."""
+        others = [u for u in fit if u.upstream_id != item.avoid] or fit
+        region = item.work.region
+        near = [u for u in others if u.entry.region == region] or others
+        if len(near) == 1:
+            return near[0]
+        holders = self._holders_below_bound(item, near, pool, now)
+        return min(
+            holders or near,
+            key=lambda u: (self._score(item, u, pool, now), u.starts),
+        )
+
+    def started(self, item: Item, upstream: Upstream) -> None:
+        """Remember that the upstream holds the prefix of the item."""
+        if item.work.prefix:
+            self._add_holder(item.work.prefix, upstream.upstream_id)
+
+    def cache_changed(self, report: CacheReport) -> None:
+        """Correct the remembered prefixes by what the upstream reports."""
+        for prefix in report.removed:
+            holders = self._holders.get(prefix)
+            if holders is not None:
+                holders.discard(report.upstream)
+        for prefix in report.added:
+            self._add_holder(prefix, report.upstream)
+
+    def _add_holder(self, prefix: PrefixId, upstream: UpstreamId) -> None:
+        holders = self._holders.setdefault(prefix, set())
+        holders.add(upstream)
+        self._holders.move_to_end(prefix)
+        if len(self._holders) > REMEMBERED_PREFIXES:
+            self._holders.popitem(last=False)
+
+    def _holders_below_bound(
+        self, item: Item, near: Sequence[Upstream], pool: PoolLoad, now: float
+    ) -> list[Upstream]:
+        ids = self._holders.get(item.work.prefix)
+        holders = [u for u in near if u.upstream_id in ids] if ids else []
+        if not holders:
+            return []
+        usable = list(pool.usable())
+        total = sum(load_tokens(u, now) for u in usable)
+        slots = sum(u.slots for u in usable)
+        bound = AFFINITY_LOAD_BOUND * total / max(1, slots)
+        slack = AFFINITY_SLACK_ITEMS * item.charge
+        return [u for u in holders if load_tokens(u, now) < bound * u.slots + slack]
+
+    def _score(
+        self, item: Item, upstream: Upstream, pool: PoolLoad, now: float
+    ) -> float:
+        tokens = load_tokens(upstream, now) + item.charge
+        behind = pool.versions_behind(item, upstream)
+        return tokens * (1 + STALE_LOAD * behind) / upstream.entry.capacity
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
@@ -1,5 +1,6 @@
 """Hold the state of work items, attempts and upstreams of a pool."""
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -59,6 +60,7 @@
     upstream: "Upstream"
     started: float
     cost: int
+    expected: int
     resume_from: int = 0
     tokens: int = 0
     hedge: bool = False
@@ -68,7 +70,9 @@
     """Hold what a pool knows about an upstream.
 
     `slots` is the number of attempts that may run at once; it is zero while the
-    upstream takes no new attempt.
+    upstream takes no new attempt. `expected_tokens` is what the own attempts have
+    yet to process, `foreign` the number of other attempts at time `foreign_at`,
+    and `history` the number of own attempts from a time on.
     """
 
     entry: UpstreamEntry
@@ -77,6 +81,11 @@
     listed: bool = True
     reported: Availability = Availability.AVAILABLE
     tokens_in_flight: int = 0
+    expected_tokens: int = 0
+    foreign: float = 0.0
+    foreign_at: float = 0.0
+    starts: int = 0
+    history: deque[tuple[float, int]] = msgspec.field(default_factory=deque)
     attempts: dict[AttemptId, Attempt] = {}
     versions: dict[ModelName, Version] = {}
 
--- a/packages/fulmarpulley-core/tests/pool/pool_fixtures.py
+++ b/packages/fulmarpulley-core/tests/pool/pool_fixtures.py
@@ -13,6 +13,7 @@
     Action,
     AttemptFailed,
     AttemptFinished,
+    AttemptProgress,
     Event,
     Failure,
     PoolSettings,
@@ -43,11 +44,14 @@
 
 
 def document(
-    names: Iterable[str] | Iterable[UpstreamEntry] = ("u1", "u2"),
+    names: Iterable[str | UpstreamEntry] = ("u1", "u2"),
     kind: ServiceKind = ServiceKind.DESK,
+    capacity: int = 2,
     **fields: object,
 ) -> ServiceDocument:
-    entries = [upstream(n) if isinstance(n, str) else n for n in names]
+    entries = [
+        upstream(n, capacity=capacity) if isinstance(n, str) else n for n in names
+    ]
     return ServiceDocument(name="s", kind=kind, model="m", upstreams=entries, **fields)  # type: ignore[arg-type]
 
 
@@ -87,6 +91,12 @@
         for name in names:
             self.send(VersionReport(UpstreamId(name), MODEL, Version(version)))
 
+    def progress(
+        self, attempt: AttemptId, tokens: int, version: int | None = None
+    ) -> list[Action]:
+        label = None if version is None else Version(version)
+        return self.send(AttemptProgress(attempt, tokens, label))
+
     def finish(self, attempt: AttemptId, tokens: int = 10) -> list[Action]:
         return self.send(AttemptFinished(attempt, tokens))
 
