Admit desk requests by queue length and predicted wait

A request that waits past its deadline costs its caller the whole wait and may run for nothing. Admission predicts the wait from queued tokens and the measured time per token, and refuses at once, as not_run and with a jittered retry_after. Samples are always admitted.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
@@ -7,7 +7,9 @@
 
 from .fair_queue import FairQueue
 from .freshness import Freshness
+from .jitter import Jitter
 from .ledger import Ledger
+from .limits import Admission
 from .load import note_attempts, note_report, note_tokens
 from .messages import (
     Action,
@@ -46,6 +48,8 @@
         self.queue = FairQueue(document)
         self.timers = Timers()
         self.freshness = Freshness(document)
+        self.jitter = Jitter(seed)
+        self.admission = Admission(document, self.jitter)
         self.routing = ROUTING.get(settings.routing)()
         self.now = 0.0
         self.can_dispatch = False
@@ -95,6 +99,12 @@
             self.ledger.actions.append(repeated)
             return
         item = self.ledger.add(work, now)
+        upstreams = self.ledger.upstreams.values()
+        charge = self._charge(item)
+        refusal = self.admission.check(item, charge, self.queue, upstreams, now)
+        if refusal is not None:
+            self.ledger.refuse(item, refusal.code, refusal.retry_after)
+            return
         if item.deadline is not None:
             self.timers.at(item.deadline, lambda _: self._pass_deadline(item))
         self._enqueue(item)
@@ -117,6 +127,7 @@
         attempt = self.ledger.attempts.get(event.attempt_id)
         if attempt is not None:
             self._receive(attempt, event.tokens)
+            self.admission.note_finished(attempt, now)
             self.ledger.finish(attempt)
 
     def _failed(self, event: AttemptFailed, now: float) -> None:
@@ -173,6 +184,7 @@
 
     def _document_changed(self, event: DocumentChanged, now: float) -> None:
         self.document = event.document
+        self.admission.document = event.document
         self.freshness.document = event.document
         self.queue.change_document(event.document)
         self.ledger.list_upstreams(event.document)
@@ -189,9 +201,12 @@
         self.ledger.refuse(item, code)
 
     def _enqueue(self, item: Item) -> None:
-        self.queue.push(item, item.cost() - item.received)
+        self.queue.push(item, self._charge(item))
         self.can_dispatch = True
 
+    def _charge(self, item: Item) -> int:
+        return item.cost() - item.received
+
     def _released(self, attempt: Attempt) -> None:
         self.can_dispatch = True
         note_attempts(attempt.upstream, self.now)
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/limits.py
@@ -0,0 +1,76 @@
+"""Admit desk requests by queue length and by deadline."""
+
+from collections.abc import Collection
+from typing import NamedTuple
+
+from fulmarpulley_schema.generated.document import ServiceDocument
+
+from .fair_queue import FairQueue
+from .jitter import Jitter
+from .messages import Availability
+from .state import Attempt, Item, Upstream
+
+# Weight of the newest attempt in the mean time per token.
+PACE_WEIGHT = 0.1
+MIN_RETRY_AFTER_S = 0.5
+MAX_RETRY_AFTER_S = 30.0
+# Callers that were refused together come back spread over this range.
+RETRY_AFTER_SPREAD = (0.75, 1.25)
+
+
+class Refusal(NamedTuple):
+    """Say why a work item is not admitted."""
+
+    code: str
+    retry_after: float | None = None
+
+
+class Admission:
+    """Refuse early what would wait past its deadline."""
+
+    def __init__(self, document: ServiceDocument, jitter: Jitter) -> None:
+        self.document = document
+        self._jitter = jitter
+        self._pace_s: float | None = None
+
+    def note_finished(self, attempt: Attempt, now: float) -> None:
+        """Learn the time per token from a finished attempt."""
+        produced = attempt.tokens - attempt.resume_from
+        tokens = attempt.item.work.prompt_tokens + produced
+        pace = (now - attempt.started) / max(1, tokens)
+        known = pace if self._pace_s is None else self._pace_s
+        self._pace_s = known + PACE_WEIGHT * (pace - known)
+
+    def check(
+        self,
+        item: Item,
+        charge: int,
+        queue: FairQueue,
+        upstreams: Collection[Upstream],
+        now: float,
+    ) -> Refusal | None:
+        """Return why a desk request cannot be answered in time, if so.
+
+        Samples are always admitted: their trainer waits for them in any case.
+        """
+        if item.deadline is not None and item.deadline <= now:
+            return Refusal("deadline_passed")
+        if item.is_sample:
+            return None
+        if not any(u.availability() is Availability.AVAILABLE for u in upstreams):
+            return Refusal("no_upstream", self._retry_after(MIN_RETRY_AFTER_S * 2))
+        slots = sum(u.slots for u in upstreams)
+        wait = self._time(queue.desk_tokens, slots)
+        if queue.desk_waiting >= self.document.limits.queue:
+            return Refusal("overloaded", self._retry_after(wait / 2))
+        if not queue.desk_waiting or item.deadline is None:
+            return None
+        late = now + wait + self._time(charge, 1) - item.deadline
+        return Refusal("overloaded", self._retry_after(late)) if late > 0 else None
+
+    def _time(self, tokens: int, slots: int) -> float:
+        return (self._pace_s or 0.0) * tokens / max(1, slots)
+
+    def _retry_after(self, wait: float) -> float:
+        spread = wait * self._jitter.between(*RETRY_AFTER_SPREAD)
+        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, spread))
