Retry under a budget, after a jittered back-off

Work that is queued again at once turns the crash of an upstream into a storm of attempts. Retries wait for an exponential back-off from a seeded generator and for a token bucket that finished work fills by budget_ratio. Its burst covers two full upstreams, and one retry a second is always allowed, so that held work proceeds.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
@@ -30,6 +30,7 @@
     VersionReport,
     Withdraw,
 )
+from .retries import Retries
 from .routing import ROUTING
 from .state import Attempt, Item, Upstream
 from .timers import Timers
@@ -47,9 +48,12 @@
         self.ledger = Ledger(document, self._released)
         self.queue = FairQueue(document)
         self.timers = Timers()
-        self.freshness = Freshness(document)
         self.jitter = Jitter(seed)
         self.admission = Admission(document, self.jitter)
+        self.retries = Retries(
+            document, self.timers, self.ledger, self.jitter, self._enqueue
+        )
+        self.freshness = Freshness(document)
         self.routing = ROUTING.get(settings.routing)()
         self.now = 0.0
         self.can_dispatch = False
@@ -128,6 +132,7 @@
         if attempt is not None:
             self._receive(attempt, event.tokens)
             self.admission.note_finished(attempt, now)
+            self.retries.budget.deposit()
             self.ledger.finish(attempt)
 
     def _failed(self, event: AttemptFailed, now: float) -> None:
@@ -135,13 +140,13 @@
         if attempt is not None:
             self._receive(attempt, event.tokens)
             self.ledger.release(attempt)
-            self._fail(attempt, event.failure)
+            self._fail(attempt, event.failure, now)
 
     def _receive(self, attempt: Attempt, tokens: int) -> None:
         note_tokens(attempt, tokens)
         attempt.item.received = max(attempt.item.received, tokens)
 
-    def _fail(self, attempt: Attempt, failure: Failure) -> None:
+    def _fail(self, attempt: Attempt, failure: Failure, now: float) -> None:
         item = attempt.item
         item.avoid = attempt.upstream.upstream_id
         ran = failure in {Failure.BROKEN, Failure.ERRORED}
@@ -156,7 +161,7 @@
             broken = failure is Failure.BROKEN
             self._refuse(item, "upstream_broken" if broken else "upstream_error")
         else:
-            self._enqueue(item)
+            self.retries.schedule(item, now)
 
     def _upstream_state(self, event: UpstreamState, now: float) -> None:
         upstream = self.ledger.upstreams.get(event.upstream)
@@ -184,6 +189,7 @@
 
     def _document_changed(self, event: DocumentChanged, now: float) -> None:
         self.document = event.document
+        self.retries.change_document(event.document)
         self.admission.document = event.document
         self.freshness.document = event.document
         self.queue.change_document(event.document)
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/retries.py
@@ -0,0 +1,114 @@
+"""Retry failed work items under a budget and with back-off."""
+
+from collections import deque
+from collections.abc import Callable
+
+from fulmarpulley_schema.generated.document import ServiceDocument
+
+from .jitter import Jitter
+from .ledger import Ledger
+from .state import Item
+from .timers import Timers
+
+MAX_BACKOFF_S = 5.0
+BACKOFF_SPREAD = (0.5, 1.5)
+# Retries that a service may make at once after a quiet time: at least this many,
+# and those of two full upstreams, so that a crash is made good without a wait.
+MIN_BURST = 10.0
+BURST_UPSTREAMS = 2
+# Retries a second that are allowed without finished work, so that work held for
+# a retry always proceeds.
+BUDGET_MIN_RATE = 1.0
+
+
+class Budget:
+    """Allow extra attempts in proportion to finished work."""
+
+    def __init__(self, ratio: float, burst: float, min_rate: float) -> None:
+        self.ratio = ratio
+        self.burst = burst
+        self._min_rate = min_rate
+        self._tokens = burst
+        self._at: float | None = None
+
+    def deposit(self) -> None:
+        """Count a finished work item."""
+        self._tokens = min(self.burst, self._tokens + self.ratio)
+
+    def take(self, now: float) -> bool:
+        """Take one extra attempt if the budget allows it."""
+        if self.wait(now) > 0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def wait(self, now: float) -> float:
+        """Return the seconds until the budget allows one more attempt."""
+        passed = 0.0 if self._at is None else now - self._at
+        self._at = now
+        self._tokens = min(self.burst, self._tokens + passed * self._min_rate)
+        missing = 1.0 - self._tokens
+        # A rest below one part in a million is rounding of earlier deposits.
+        if missing <= 1e-6:
+            return 0.0
+        return missing / self._min_rate if self._min_rate else float("inf")
+
+
+class Retries:
+    """Hold failed items until their back-off is over and the budget allows."""
+
+    def __init__(
+        self,
+        document: ServiceDocument,
+        timers: Timers,
+        ledger: Ledger,
+        jitter: Jitter,
+        enqueue: Callable[[Item], None],
+    ) -> None:
+        self.document = document
+        ratio = document.retries.budget_ratio
+        self.budget = Budget(ratio, _burst(document), BUDGET_MIN_RATE)
+        self._timers = timers
+        self._ledger = ledger
+        self._jitter = jitter
+        self._enqueue = enqueue
+        self._waiting: deque[Item] = deque()
+
+    def change_document(self, document: ServiceDocument) -> None:
+        """Put the budget and back-off of a document in force."""
+        self.document = document
+        self.budget.ratio = document.retries.budget_ratio
+        self.budget.burst = _burst(document)
+
+    def schedule(self, item: Item, now: float) -> None:
+        """Queue an item again after its back-off."""
+        item.tries += 1
+        delay = self._backoff(item.tries)
+        self._timers.at(now + delay, lambda later: self._wait_for_budget(item, later))
+
+    def _backoff(self, tries: int) -> float:
+        base = self.document.retries.backoff_ms / 1000
+        # The exponent is bounded so that many tries do not overflow.
+        delay = min(MAX_BACKOFF_S, base * 2.0 ** min(tries - 1, 16))
+        return delay * self._jitter.between(*BACKOFF_SPREAD)
+
+    def _wait_for_budget(self, item: Item, now: float) -> None:
+        self._waiting.append(item)
+        if len(self._waiting) == 1:
+            self._release(now)
+
+    def _release(self, now: float) -> None:
+        while self._waiting:
+            item = self._waiting[0]
+            if self._ledger.is_held(item):
+                if not self.budget.take(now):
+                    wait = self.budget.wait(now)
+                    self._timers.at(now + wait, self._release)
+                    return
+                self._enqueue(item)
+            self._waiting.popleft()
+
+
+def _burst(document: ServiceDocument) -> float:
+    largest = max((entry.capacity for entry in document.upstreams), default=0)
+    return max(MIN_BURST, float(BURST_UPSTREAMS * largest))
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
@@ -23,6 +23,7 @@
     submitted: float
     deadline: float | None = None
     received: int = 0
+    tries: int = 0
     failures: int = 0
     past_runs: Ran = Ran.NOT_RUN
     queued: bool = False
--- /dev/null
+++ b/packages/fulmarpulley-core/tests/pool/test_retries.py
@@ -0,0 +1,101 @@
+from unittest import TestCase
+
+from fulmarpulley_core.pool.jitter import Jitter
+from fulmarpulley_core.pool.messages import Failure, StartAttempt, Tick
+from fulmarpulley_core.pool.retries import MIN_BURST, Budget
+from fulmarpulley_schema.generated.document import Retries
+from fulmarpulley_schema.generated.http import Ran
+
+from .pool_fixtures import Driver, document, refusals, starts, work
+
+
+def wait_for_start(driver: Driver, until: float) -> list[StartAttempt]:
+    wakeup = driver.pool.next_wakeup()
+    while wakeup is not None and wakeup <= until:
+        driver.now = wakeup
+        started = starts(driver.send(Tick()))
+        if started:
+            return started
+        wakeup = driver.pool.next_wakeup()
+    return []
+
+
+class RetryTest(TestCase):
+    """Guards against retry storms and against runs that start over."""
+
+    def test_broken_work_resumes_elsewhere_after_a_back_off(self) -> None:
+        driver = Driver(document())
+        first = driver.submit(work("a"))[0]
+        self.assertEqual(driver.fail(first.attempt_id, Failure.BROKEN, tokens=4), [])
+        again = wait_for_start(driver, 1.0)[0]
+        self.assertEqual((again.upstream, again.resume_from), ("u2", 4))
+        self.assertTrue(0.05 <= driver.now <= 0.15)
+
+    def test_back_off_grows(self) -> None:
+        driver = Driver(document(retries=Retries(attempts=9)))
+        attempt = driver.submit(work("a"))[0]
+        waits = []
+        for _ in range(4):
+            before = driver.now
+            driver.fail(attempt.attempt_id, Failure.REFUSED)
+            attempt = wait_for_start(driver, 100.0)[0]
+            waits.append(driver.now - before)
+        self.assertGreater(waits[3], 2 * waits[0])
+
+    def test_crash_of_everything_retries_within_the_budget(self) -> None:
+        driver = Driver(document([f"u{i}" for i in range(50)]))
+        started = driver.submit(*[work(f"w{i}") for i in range(100)])
+        retried = 0
+        while started or driver.now < 5.0:
+            for start in started:
+                driver.fail(start.attempt_id, Failure.NOT_SENT)
+            started = wait_for_start(driver, 5.0)
+            retried += len(started)
+            if not started:
+                break
+        self.assertLessEqual(retried, MIN_BURST + 5)
+
+    def test_attempts_are_bounded_and_the_end_says_that_it_ran(self) -> None:
+        driver = Driver(document(retries=Retries(attempts=2)))
+        attempt = driver.submit(work("a"))[0]
+        driver.fail(attempt.attempt_id, Failure.BROKEN)
+        attempt = wait_for_start(driver, 1.0)[0]
+        ended = refusals(driver.fail(attempt.attempt_id, Failure.ERRORED))
+        self.assertEqual((ended[0].code, ended[0].ran), ("upstream_error", Ran.RAN))
+
+    def test_work_that_must_not_repeat_is_retried_only_if_it_did_not_run(self) -> None:
+        for failure in Failure:
+            driver = Driver(document())
+            attempt = driver.submit(work("a", repeatable=False))[0]
+            driver.fail(attempt.attempt_id, failure)
+            started = wait_for_start(driver, 1.0)
+            safe = failure in {Failure.NOT_SENT, Failure.REFUSED}
+            self.assertEqual(bool(started), safe, failure)
+
+
+class BudgetTest(TestCase):
+    """Guards against a budget that runs dry for good or never."""
+
+    def test_budget_follows_finished_work(self) -> None:
+        budget = Budget(ratio=0.5, burst=2.0, min_rate=0.0)
+        self.assertEqual([budget.take(0.0) for _ in range(3)], [True, True, False])
+        budget.deposit()
+        budget.deposit()
+        self.assertEqual([budget.take(9.0) for _ in range(2)], [True, False])
+
+    def test_budget_refills_slowly_without_finished_work(self) -> None:
+        budget = Budget(ratio=0.0, burst=1.0, min_rate=0.5)
+        self.assertTrue(budget.take(0.0))
+        self.assertEqual(budget.wait(0.0), 2.0)
+        self.assertTrue(budget.take(2.0))
+
+
+class JitterTest(TestCase):
+    """Guards against runs that differ for the same seed."""
+
+    def test_numbers_depend_on_the_seed_only(self) -> None:
+        first, again, other = Jitter(1), Jitter(1), Jitter(2)
+        numbers = [first.between(0, 1) for _ in range(50)]
+        self.assertEqual(numbers, [again.between(0, 1) for _ in range(50)])
+        self.assertNotEqual(numbers, [other.between(0, 1) for _ in range(50)])
+        self.assertTrue(0.3 < sum(numbers) / 50 < 0.7)
