Eject failing and slow upstreams, and cut attempts that stall

An upstream that fails fast looks like the least loaded one and draws all work. Three failures in a row or five slow answers eject it, for longer each time; after that single probes, two successes and a ramp of five seconds lead back to full capacity. At most half of the upstreams are ejected; others rest for half a second. An attempt without a token for stall_s is cancelled and its work resumed elsewhere.

--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/health.py
@@ -0,0 +1,192 @@
+"""Eject failing and slow upstreams, probe them, and ramp up those that return."""
+
+import math
+import statistics
+from collections.abc import Callable
+
+from .jitter import Jitter
+from .ledger import Ledger
+from .messages import Availability
+from .state import Attempt, HealthState, Upstream
+from .timers import Timers
+
+EJECT_FAILURES = 3
+EJECT_BASE_S = 2.0
+EJECT_MAX_S = 60.0
+EJECT_SPREAD = (0.75, 1.25)
+# Ejecting more would move so much load to the rest that it fails as well.
+MAX_EJECTED_SHARE = 0.5
+# An upstream that fails but may not be ejected rests this long, since its short
+# attempts would otherwise make it look like the least loaded one.
+FAILURE_PAUSE_S = 0.5
+REFUSAL_PAUSE_S = 0.2
+MAX_REFUSAL_PAUSE_S = 30.0
+# Successful probes in a row that end a probation.
+PROBES = 2
+RAMP_S = 5.0
+RAMP_STEPS = 4
+# After this time without an ejection the next one is short again.
+FORGIVE_S = 60.0
+# An upstream is slow when its time per token exceeds this multiple of the
+# median, in this many finished attempts in a row.
+SLOW_RATIO = 3.0
+SLOW_STRIKES = 5
+PACE_WEIGHT = 0.3
+MIN_PACES = 3
+
+
+class Health:
+    """Decide how many attempts each upstream may run."""
+
+    def __init__(
+        self, ledger: Ledger, timers: Timers, jitter: Jitter, wake: Callable[[], None]
+    ) -> None:
+        self._ledger = ledger
+        self._timers = timers
+        self._jitter = jitter
+        self._wake = wake
+
+    def refresh_all(self) -> None:
+        """Work out the slots of every upstream again."""
+        for upstream in self._ledger.upstreams.values():
+            self.refresh(upstream)
+
+    def refresh(self, upstream: Upstream) -> None:
+        """Work out the slots of an upstream again."""
+        upstream.slots = _slots(upstream)
+        self._wake()
+
+    def joined(self, upstream: Upstream, now: float) -> None:
+        """Give work to an upstream step by step, since its caches are empty."""
+        record = upstream.health
+        record.state = HealthState.RAMPING
+        record.ramp_step = 0
+        record.failures = record.strikes = 0
+        record.pace_s = None
+        record.epoch += 1
+        self._ramp(upstream, record.epoch, now)
+
+    def finished(self, attempt: Attempt, now: float) -> None:
+        """Learn from a finished attempt."""
+        upstream = attempt.upstream
+        record = upstream.health
+        record.failures = 0
+        if now - record.ejected_at > FORGIVE_S:
+            record.ejections = 0
+        if record.state is HealthState.PROBING:
+            record.probes += 1
+            if record.probes >= PROBES:
+                self.joined(upstream, now)
+        else:
+            self._note_pace(attempt, now)
+
+    def failed(self, upstream: Upstream, now: float) -> None:
+        """Learn from an attempt that broke, erred, stalled or was not sent."""
+        record = upstream.health
+        record.failures += 1
+        if record.state is HealthState.EJECTED:
+            return
+        if record.state is HealthState.PROBING or record.failures >= EJECT_FAILURES:
+            self._eject(upstream, now)
+
+    def refused(
+        self, upstream: Upstream, retry_after: float | None, now: float
+    ) -> None:
+        """Leave an upstream alone that refuses work, without counting a failure."""
+        pause = REFUSAL_PAUSE_S if retry_after is None else retry_after
+        self._pause(upstream, min(pause, MAX_REFUSAL_PAUSE_S), now)
+
+    def _note_pace(self, attempt: Attempt, now: float) -> None:
+        record = attempt.upstream.health
+        tokens = max(1, attempt.tokens - attempt.resume_from)
+        pace = (now - attempt.started) / tokens
+        known = pace if record.pace_s is None else record.pace_s
+        record.pace_s = known + PACE_WEIGHT * (pace - known)
+        usual = self.usual_pace()
+        slow = usual is not None and record.pace_s > SLOW_RATIO * usual
+        record.strikes = record.strikes + 1 if slow else 0
+        if record.strikes >= SLOW_STRIKES:
+            self._eject(attempt.upstream, now)
+
+    def usual_pace(self) -> float | None:
+        """Return the median time per token in seconds, if enough is known."""
+        upstreams = self._ledger.upstreams.values()
+        paces = [u.health.pace_s for u in upstreams if u.health.pace_s is not None]
+        return statistics.median(paces) if len(paces) >= MIN_PACES else None
+
+    def _eject(self, upstream: Upstream, now: float) -> None:
+        record = upstream.health
+        if record.state is not HealthState.PROBING and not self._may_eject():
+            self._pause(upstream, FAILURE_PAUSE_S, now)
+            return
+        record.state = HealthState.EJECTED
+        record.epoch += 1
+        record.ejected_at = now
+        record.strikes = 0
+        record.pace_s = None
+        time = min(EJECT_MAX_S, EJECT_BASE_S * 2.0 ** min(record.ejections, 8))
+        record.ejections += 1
+        due = now + time * self._jitter.between(*EJECT_SPREAD)
+        epoch = record.epoch
+        self._timers.at(due, lambda _: self._probe(upstream, epoch))
+        self.refresh(upstream)
+
+    def _may_eject(self) -> bool:
+        states = [
+            u.health.state
+            for u in self._ledger.upstreams.values()
+            if u.availability() is Availability.AVAILABLE
+        ]
+        out = sum(s in {HealthState.EJECTED, HealthState.PROBING} for s in states)
+        return out + 1 <= MAX_EJECTED_SHARE * len(states)
+
+    def _probe(self, upstream: Upstream, epoch: int) -> None:
+        record = upstream.health
+        if record.epoch == epoch:
+            record.state = HealthState.PROBING
+            record.probes = 0
+            record.failures = 0
+            self.refresh(upstream)
+
+    def _ramp(self, upstream: Upstream, epoch: int, now: float) -> None:
+        record = upstream.health
+        if record.epoch != epoch:
+            return
+        record.ramp_step += 1
+        if record.ramp_step >= RAMP_STEPS:
+            record.state = HealthState.HEALTHY
+        else:
+            due = now + RAMP_S / (RAMP_STEPS - 1)
+            self._timers.at(due, lambda later: self._ramp(upstream, epoch, later))
+        self.refresh(upstream)
+
+    def _pause(self, upstream: Upstream, pause: float, now: float) -> None:
+        record = upstream.health
+        if now + pause <= record.paused_until:
+            return
+        record.paused_until = now + pause
+        record.paused = True
+        self._timers.at(now + pause, lambda later: self._resume(upstream, later))
+        self.refresh(upstream)
+
+    def _resume(self, upstream: Upstream, now: float) -> None:
+        record = upstream.health
+        if record.paused_until <= now:
+            record.paused = False
+            self.refresh(upstream)
+
+
+def _slots(upstream: Upstream) -> int:
+    record = upstream.health
+    if upstream.availability() is not Availability.AVAILABLE or record.paused:
+        return 0
+    capacity = upstream.entry.capacity
+    match record.state:
+        case HealthState.EJECTED:
+            return 0
+        case HealthState.PROBING:
+            return 1
+        case HealthState.RAMPING:
+            return math.ceil(capacity * record.ramp_step / RAMP_STEPS)
+        case HealthState.HEALTHY:
+            return capacity
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/ledger.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/ledger.py
@@ -19,7 +19,7 @@
     Work,
     WorkKind,
 )
-from .state import Attempt, Item, Upstream
+from .state import Attempt, HealthState, Item, Upstream
 
 # Ends of work that must not repeat are remembered so that a late duplicate of
 # its submission does not run it again.
@@ -177,7 +177,8 @@
 
 def _view(upstream: Upstream) -> UpstreamView:
     availability = upstream.availability()
-    if availability is Availability.AVAILABLE and not upstream.slots:
+    ejected = upstream.health.state is HealthState.EJECTED
+    if availability is Availability.AVAILABLE and ejected:
         availability = Availability.EJECTED
     return UpstreamView(
         upstream.upstream_id,
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/outcomes.py
@@ -0,0 +1,92 @@
+"""Handle what attempts report, and what they fail to report."""
+
+from fulmarpulley_schema.generated.http import Ran
+
+from .load import note_tokens
+from .messages import AttemptFailed, AttemptFinished, AttemptProgress, Failure
+from .parts import Parts
+from .state import Attempt
+
+# Plain services send no tokens while they work; their deadline bounds them.
+UNSTREAMED_DIALECTS = frozenset({"plain"})
+
+
+class Outcomes:
+    """Turn the outcome of an attempt into an end or a retry of its item."""
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+
+    def started(self, attempt: Attempt) -> None:
+        """Watch an attempt that was started."""
+        if attempt.upstream.entry.dialect not in UNSTREAMED_DIALECTS:
+            self._watch(attempt)
+
+    def progress(self, event: AttemptProgress, now: float) -> None:
+        """Record the tokens received so far."""
+        attempt = self._parts.ledger.attempts.get(event.attempt_id)
+        if attempt is not None:
+            self._receive(attempt, event.tokens)
+
+    def finished(self, event: AttemptFinished, now: float) -> None:
+        """End an item with the answer of the first attempt that finishes."""
+        attempt = self._parts.ledger.attempts.get(event.attempt_id)
+        if attempt is None:
+            return
+        self._receive(attempt, event.tokens)
+        self._parts.admission.note_finished(attempt, now)
+        self._parts.retries.budget.deposit()
+        self._parts.health.finished(attempt, now)
+        self._parts.ledger.finish(attempt)
+
+    def failed(self, event: AttemptFailed, now: float) -> None:
+        """Release a failed attempt and decide what follows."""
+        attempt = self._parts.ledger.attempts.get(event.attempt_id)
+        if attempt is None:
+            return
+        self._receive(attempt, event.tokens)
+        self._parts.ledger.release(attempt)
+        self._fail(attempt, event.failure, now)
+        if event.failure is Failure.REFUSED:
+            self._parts.health.refused(attempt.upstream, event.retry_after, now)
+        else:
+            self._parts.health.failed(attempt.upstream, now)
+
+    def _receive(self, attempt: Attempt, tokens: int) -> None:
+        if tokens > attempt.tokens:
+            attempt.last_token = self._parts.now
+        note_tokens(attempt, tokens)
+        attempt.item.received = max(attempt.item.received, tokens)
+
+    def _fail(self, attempt: Attempt, failure: Failure, now: float) -> None:
+        item = attempt.item
+        item.avoid = attempt.upstream.upstream_id
+        ran = failure in {Failure.BROKEN, Failure.ERRORED}
+        if ran:
+            item.failures += 1
+            errored = failure is Failure.ERRORED
+            item.note_run(Ran.RAN if errored else Ran.MAY_HAVE_RUN)
+        if item.attempts:
+            return
+        spent = item.failures >= self._parts.document.retries.attempts
+        if ran and (spent or not item.work.repeatable):
+            broken = failure is Failure.BROKEN
+            self._parts.refuse(item, "upstream_broken" if broken else "upstream_error")
+        else:
+            self._parts.retries.schedule(item, now)
+
+    def _watch(self, attempt: Attempt) -> None:
+        last = max(attempt.started, attempt.last_token)
+        due = last + self._parts.document.stall_s
+        self._parts.timers.at(due, lambda now: self._check_stall(attempt, now))
+
+    def _check_stall(self, attempt: Attempt, now: float) -> None:
+        if not self._parts.ledger.is_live(attempt):
+            return
+        last = max(attempt.started, attempt.last_token)
+        if last + self._parts.document.stall_s > now:
+            self._watch(attempt)
+            return
+        self._parts.ledger.cancel(attempt)
+        self._fail(attempt, Failure.BROKEN, now)
+        self._parts.health.failed(attempt.upstream, now)
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
@@ -0,0 +1,82 @@
+"""Build the parts of a pool and keep them consistent with each other."""
+
+from fulmarpulley_schema.generated.document import ServiceDocument
+
+from .fair_queue import FairQueue
+from .freshness import Freshness
+from .health import Health
+from .jitter import Jitter
+from .ledger import Ledger
+from .limits import Admission
+from .load import note_attempts
+from .messages import PoolSettings
+from .retries import Retries
+from .routing import ROUTING
+from .state import Attempt, Item, Upstream
+from .timers import Timers
+
+
+class Parts:
+    """Hold the parts of a pool, the document in force and the time of the event."""
+
+    def __init__(
+        self, document: ServiceDocument, settings: PoolSettings, seed: int
+    ) -> None:
+        self.document = document
+        self.now = 0.0
+        self.can_dispatch = False
+        self.timers = Timers()
+        self.jitter = Jitter(seed)
+        self.ledger = Ledger(document, self._released)
+        self.queue = FairQueue(document)
+        self.freshness = Freshness(document)
+        self.admission = Admission(document, self.jitter)
+        self.retries = Retries(
+            document, self.timers, self.ledger, self.jitter, self.enqueue
+        )
+        self.health = Health(self.ledger, self.timers, self.jitter, self.wake)
+        self.routing = ROUTING.get(settings.routing)()
+        self.ledger.list_upstreams(document)
+        self.health.refresh_all()
+
+    def change_document(self, document: ServiceDocument) -> list[Upstream]:
+        """Put a document in force in every part and return the new upstreams."""
+        self.document = document
+        self.retries.change_document(document)
+        self.queue.change_document(document)
+        self.admission.document = document
+        self.freshness.document = document
+        return self.ledger.list_upstreams(document)
+
+    def wake(self) -> None:
+        """Note that queued work may be able to start."""
+        self.can_dispatch = True
+
+    def charge(self, item: Item) -> int:
+        """Return the tokens that an item is expected to take from now on."""
+        return item.cost() - item.received
+
+    def enqueue(self, item: Item) -> None:
+        """Queue an item."""
+        self.queue.push(item, self.charge(item))
+        self.can_dispatch = True
+
+    def refuse(self, item: Item, code: str, retry_after: float | None = None) -> None:
+        """End an item without an answer."""
+        self.queue.remove(item)
+        self.ledger.refuse(item, code, retry_after)
+
+    def start(self, item: Item, upstream: Upstream, hedge: bool = False) -> Attempt:
+        """Start an attempt."""
+        attempt = self.ledger.start(item, upstream, self.now, hedge)
+        self.routing.started(item, upstream)
+        note_attempts(upstream, self.now)
+        return attempt
+
+    def _released(self, attempt: Attempt) -> None:
+        self.can_dispatch = True
+        note_attempts(attempt.upstream, self.now)
+        item = attempt.item
+        if not item.attempts:
+            produced = attempt.tokens - attempt.resume_from
+            self.queue.settle(item, item.work.prompt_tokens + produced)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
@@ -1,6 +1,8 @@
 """Hold the state of work items, attempts and upstreams of a pool."""
 
+import math
 from collections import deque
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -64,9 +66,35 @@
     expected: int
     resume_from: int = 0
     tokens: int = 0
+    last_token: float = -math.inf
     hedge: bool = False
 
 
+class HealthState(StrEnum):
+    """Name how much work an upstream is trusted with."""
+
+    HEALTHY = "healthy"
+    EJECTED = "ejected"
+    PROBING = "probing"
+    RAMPING = "ramping"
+
+
+class HealthRecord(msgspec.Struct, eq=False):
+    """Hold the health of one upstream; the epoch outdates its older timers."""
+
+    state: HealthState = HealthState.HEALTHY
+    epoch: int = 0
+    failures: int = 0
+    ejections: int = 0
+    ejected_at: float = -math.inf
+    paused: bool = False
+    paused_until: float = -math.inf
+    ramp_step: int = 0
+    probes: int = 0
+    pace_s: float | None = None
+    strikes: int = 0
+
+
 class Upstream(msgspec.Struct, eq=False, kw_only=True):
     """Hold what a pool knows about an upstream.
 
@@ -78,6 +106,7 @@
 
     entry: UpstreamEntry
     upstream_id: UpstreamId
+    health: HealthRecord = msgspec.field(default_factory=HealthRecord)
     slots: int = 0
     listed: bool = True
     reported: Availability = Availability.AVAILABLE
--- a/packages/fulmarpulley-core/tests/pool/test_routing.py
+++ b/packages/fulmarpulley-core/tests/pool/test_routing.py
@@ -21,7 +21,7 @@
     """Guards against bursts to one upstream and needless use of the paid link."""
 
     def test_foreign_load_of_a_report_is_avoided_until_it_ages(self) -> None:
-        driver = Driver(document(capacity=8))
+        driver = Driver(document(capacity=8, stall_s=99.0))
         driver.send(LoadReport(UpstreamId("u1"), running=4, queued=0))
         self.assertEqual(upstreams_of(driver.submit(work("a"))), ["u2"])
         driver.now += 60.0
