Hedge the tail of a step, and predict lengths of answers

One slow attempt stalls the whole training step while other upstreams are free. Once nothing of a step waits, an attempt whose remaining time is twice that of a move to another upstream gets a second one, which resumes after the tokens received. The first to finish wins. Hedges follow a budget by ratio. Queue charges and loads use the length predicted from the group or the tenant instead of max_tokens. Measured: a silent attempt at 0.1 s a token is hedged within 3 s; hedges stop at the budget.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
@@ -36,6 +36,7 @@
         self.settings = settings
         self.parts = Parts(document, settings, seed)
         self.outcomes = Outcomes(self.parts)
+        self.parts.hedges.start_hedge = self._start_hedge
         fleet = Fleet(self.parts)
         self.handlers: dict[type, Callable[..., None]] = {
             Submit: self._submit,
@@ -125,6 +126,15 @@
                 return True
         return False
 
+    def _start_hedge(self, item: Item, excluded: set[Upstream]) -> bool:
+        upstreams = self.parts.ledger.upstreams.values()
+        free = [u for u in upstreams if u.is_free() and u not in excluded]
+        upstream = self._choose(item, free)
+        if upstream is None:
+            return False
+        self.outcomes.started(self.parts.start(item, upstream, hedge=True))
+        return True
+
     def _choose(self, item: Item, free: list[Upstream]) -> Upstream | None:
         parts = self.parts
         limit = parts.document.limits.tokens_in_flight
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/outcomes.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/outcomes.py
@@ -35,7 +35,9 @@
             return
         self._receive(attempt, event.tokens)
         self._parts.admission.note_finished(attempt, now)
+        self._parts.lengths.note_finished(attempt, now)
         self._parts.retries.budget.deposit()
+        self._parts.hedges.budget.deposit()
         self._parts.health.finished(attempt, now)
         self._parts.ledger.finish(attempt)
 
@@ -54,6 +56,8 @@
 
     def _receive(self, attempt: Attempt, tokens: int) -> None:
         if tokens > attempt.tokens:
+            if attempt.tokens == attempt.resume_from:
+                self._parts.lengths.note_first_token(attempt, self._parts.now)
             attempt.last_token = self._parts.now
         note_tokens(attempt, tokens)
         attempt.item.received = max(attempt.item.received, tokens)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
@@ -13,6 +13,7 @@
 from .retries import Retries
 from .routing import ROUTING
 from .state import Attempt, Item, Upstream
+from .stragglers import Hedges, Lengths
 from .timers import Timers
 
 
@@ -35,6 +36,10 @@
             document, self.timers, self.ledger, self.jitter, self.enqueue
         )
         self.health = Health(self.ledger, self.timers, self.jitter, self.wake)
+        self.lengths = Lengths()
+        self.hedges = Hedges(
+            document, self.ledger, self.queue, self.lengths, self.timers
+        )
         self.routing = ROUTING.get(settings.routing)()
         self.ledger.list_upstreams(document)
         self.health.refresh_all()
@@ -43,6 +48,7 @@
         """Put a document in force in every part and return the new upstreams."""
         self.document = document
         self.retries.change_document(document)
+        self.hedges.change_document(document)
         self.queue.change_document(document)
         self.admission.document = document
         self.freshness.document = document
@@ -54,7 +60,7 @@
 
     def charge(self, item: Item) -> int:
         """Return the tokens that an item is expected to take from now on."""
-        return item.cost() - item.received
+        return item.work.prompt_tokens + self.lengths.predict(item) - item.received
 
     def enqueue(self, item: Item) -> None:
         """Queue an item."""
@@ -71,6 +77,7 @@
         attempt = self.ledger.start(item, upstream, self.now, hedge)
         self.routing.started(item, upstream)
         note_attempts(upstream, self.now)
+        self.hedges.arm(self.now)
         return attempt
 
     def _released(self, attempt: Attempt) -> None:
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/stragglers.py
@@ -0,0 +1,170 @@
+"""Predict lengths of answers and hedge the last attempts of a step."""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+import msgspec
+
+from fulmarpulley_schema.generated.document import ServiceDocument
+
+from ..ids import PrefixId, TenantId
+from .fair_queue import FairQueue
+from .ledger import Ledger
+from .retries import Budget
+from .state import Attempt, Item, Upstream
+from .timers import Timers
+
+MEAN_WEIGHT = 0.1
+REMEMBERED_PREFIXES = 4096
+# An answer that is longer than predicted is expected to grow by this factor.
+GROWTH = 1.25
+SCAN_S = 0.25
+# A hedge must promise to halve the remaining time and to save at least this
+# much, since it takes a place at another upstream.
+HEDGE_GAIN = 2.0
+HEDGE_MIN_GAIN_S = 0.25
+# Hedges that may start at once, as a multiple of the budget's part of all slots.
+HEDGE_BURST_STEPS = 2.0
+MIN_HEDGE_BURST = 2.0
+
+
+class Mean(msgspec.Struct):
+    """Hold a moving mean that follows its first values at once."""
+
+    value: float = 0.0
+    count: int = 0
+
+    def add(self, value: float) -> None:
+        """Take a value into the mean."""
+        self.count += 1
+        self.value += (value - self.value) * max(MEAN_WEIGHT, 1 / self.count)
+
+
+class Lengths:
+    """Predict how many tokens an answer has, and how fast they come."""
+
+    def __init__(self) -> None:
+        self.pace_s = Mean()
+        self.first_token_s = Mean()
+        self._tenants: dict[TenantId, Mean] = {}
+        self._prefixes: OrderedDict[PrefixId, Mean] = OrderedDict()
+
+    def note_first_token(self, attempt: Attempt, now: float) -> None:
+        """Learn the time to the first token."""
+        self.first_token_s.add(now - attempt.started)
+
+    def note_finished(self, attempt: Attempt, now: float) -> None:
+        """Learn the length and the pace of an answer."""
+        work = attempt.item.work
+        produced = attempt.tokens - attempt.resume_from
+        if produced > 0:
+            self.pace_s.add((now - attempt.started) / produced)
+        self._tenants.setdefault(work.tenant, Mean()).add(attempt.tokens)
+        if work.prefix:
+            self._prefixes.setdefault(work.prefix, Mean()).add(attempt.tokens)
+            self._prefixes.move_to_end(work.prefix)
+            if len(self._prefixes) > REMEMBERED_PREFIXES:
+                self._prefixes.popitem(last=False)
+
+    def predict(self, item: Item) -> int:
+        """Return the expected number of tokens of an answer in total."""
+        work = item.work
+        known = self._prefixes.get(work.prefix) or self._tenants.get(work.tenant)
+        length = known.value if known else work.max_tokens
+        if length <= item.received:
+            length = item.received * GROWTH
+        return max(item.received + 1, min(work.max_tokens, round(length)))
+
+
+class Candidate(NamedTuple):
+    """Hold an attempt that a hedge would help, and the seconds it would save."""
+
+    gain: float
+    attempt: Attempt
+
+
+StartHedge = Callable[[Item, set[Upstream]], bool]
+
+
+class Hedges:
+    """Start second attempts for slow attempts at the tail of a step."""
+
+    def __init__(
+        self,
+        document: ServiceDocument,
+        ledger: Ledger,
+        queue: FairQueue,
+        lengths: Lengths,
+        timers: Timers,
+    ) -> None:
+        self._ledger = ledger
+        self._queue = queue
+        self._lengths = lengths
+        self._timers = timers
+        self._armed = False
+        self.document = document
+        self.budget = Budget(document.hedges.budget_ratio, _burst(document), 0.0)
+        self.start_hedge: StartHedge = lambda item, excluded: False
+
+    def change_document(self, document: ServiceDocument) -> None:
+        """Put the budget of a document in force."""
+        self.document = document
+        self.budget.ratio = document.hedges.budget_ratio
+        self.budget.burst = _burst(document)
+
+    def arm(self, now: float) -> None:
+        """Scan regularly while attempts run."""
+        if not self._armed and self._ledger.attempts:
+            self._armed = True
+            self._timers.at(now + SCAN_S, self._scan)
+
+    def _scan(self, now: float) -> None:
+        self._armed = False
+        self.arm(now)
+        if self.budget.wait(now) > 0 or not self._has_free_upstream():
+            return
+        found = sorted(self._candidates(now), key=lambda each: -each.gain)
+        for candidate in found:
+            if self.budget.wait(now) > 0:
+                return
+            item, upstream = candidate.attempt.item, candidate.attempt.upstream
+            if self.start_hedge(item, {upstream}):
+                self.budget.take(now)
+
+    def _has_free_upstream(self) -> bool:
+        return any(upstream.is_free() for upstream in self._ledger.upstreams.values())
+
+    def _candidates(self, now: float) -> Iterator[Candidate]:
+        for attempt in self._ledger.attempts.values():
+            if self._may_hedge(attempt.item):
+                gain = self._gain(attempt, now)
+                if gain >= HEDGE_MIN_GAIN_S:
+                    yield Candidate(gain, attempt)
+
+    def _may_hedge(self, item: Item) -> bool:
+        if len(item.attempts) != 1 or not item.work.repeatable:
+            return False
+        if not item.is_sample:
+            return self.document.hedges.desk and not self._queue.desk_waiting
+        return not self._queue.has_waiting(item.work.tenant, item.work.step)
+
+    def _gain(self, attempt: Attempt, now: float) -> float:
+        usual = self._lengths.pace_s
+        if not usual.count:
+            return 0.0
+        left = self._lengths.predict(attempt.item) - attempt.tokens
+        produced = attempt.tokens - attempt.resume_from
+        since = max(attempt.started, attempt.last_token)
+        silence = now - since
+        pace = (since - attempt.started) / produced if produced else usual.value
+        # A silence is expected to last as long again as it has lasted.
+        stay = left * pace + silence
+        move = self._lengths.first_token_s.value + left * usual.value
+        return stay - move if stay > HEDGE_GAIN * move else 0.0
+
+
+def _burst(document: ServiceDocument) -> float:
+    ratio = document.hedges.budget_ratio
+    slots = sum(entry.capacity for entry in document.upstreams)
+    return max(MIN_HEDGE_BURST, HEDGE_BURST_STEPS * ratio * slots) if ratio else 0.0
--- a/packages/fulmarpulley-core/tests/pool/pool_fixtures.py
+++ b/packages/fulmarpulley-core/tests/pool/pool_fixtures.py
@@ -20,6 +20,7 @@
     Refuse,
     StartAttempt,
     Submit,
+    Tick,
     VersionReport,
     Work,
     WorkKind,
@@ -112,3 +113,13 @@
 
 def refusals(actions: Iterable[Action]) -> list[Refuse]:
     return [action for action in actions if isinstance(action, Refuse)]
+
+
+def run(driver: Driver, seconds: float) -> list[StartAttempt]:
+    """Lets time pass, with a tick at every wakeup, and returns the starts."""
+    until, started = driver.now + seconds, []
+    while (due := driver.pool.next_wakeup()) is not None and due <= until:
+        driver.now = due
+        started += starts(driver.send(Tick()))
+    driver.now = until
+    return started
--- a/packages/fulmarpulley-core/tests/pool/test_health.py
+++ b/packages/fulmarpulley-core/tests/pool/test_health.py
@@ -6,13 +6,11 @@
     CancelAttempt,
     DocumentChanged,
     Failure,
-    StartAttempt,
-    Tick,
     UpstreamState,
 )
 from fulmarpulley_schema.generated.document import Retries
 
-from .pool_fixtures import Driver, document, refusals, starts, upstream, work
+from .pool_fixtures import Driver, document, refusals, run, starts, upstream, work
 
 
 def crash(driver: Driver, name: str, count: int = 3) -> None:
@@ -34,15 +32,6 @@
     return {v.upstream for v in views if v.availability is Availability.EJECTED}
 
 
-def run(driver: Driver, seconds: float) -> list[StartAttempt]:
-    until, started = driver.now + seconds, []
-    while (due := driver.pool.next_wakeup()) is not None and due <= until:
-        driver.now = due
-        started += starts(driver.send(Tick()))
-    driver.now = until
-    return started
-
-
 FIVE = [f"u{i}" for i in range(1, 6)]
 
 
--- /dev/null
+++ b/packages/fulmarpulley-core/tests/pool/test_stragglers.py
@@ -0,0 +1,112 @@
+from unittest import TestCase
+
+from fulmarpulley_core.ids import AttemptId
+from fulmarpulley_core.pool.messages import (
+    CancelAttempt,
+    Failure,
+    Finish,
+    StartAttempt,
+    Work,
+)
+from fulmarpulley_core.pool.state import Item
+from fulmarpulley_core.pool.stragglers import Lengths
+from fulmarpulley_schema.generated.document import Hedges
+
+from .pool_fixtures import Driver, document, run, sample, starts, work
+
+
+def tail(works: list[Work], hedges: Hedges | None = None) -> Driver:
+    """Answers 20 items at 0.1 s a token, then starts `works`, which go silent."""
+    driver = Driver(document(["u1", "u2", "u3"], hedges=hedges or Hedges()))
+    for number in range(20):
+        first = driver.submit(sample(f"old{number}"))[0].attempt_id
+        driver.now += 0.1
+        driver.progress(first, 1)
+        driver.now += 0.9
+        driver.finish(first)
+    driver.log.clear()
+    for start in driver.submit(*works):
+        driver.progress(start.attempt_id, 5)
+    return driver
+
+
+def hedges(driver: Driver) -> list[StartAttempt]:
+    return [start for start in starts(driver.log) if start.hedge]
+
+
+class HedgeTest(TestCase):
+    """Guards against one slow attempt that stalls a training step."""
+
+    def test_silent_attempt_at_the_tail_is_hedged_by_resuming(self) -> None:
+        driver = tail([sample("a")])
+        run(driver, 3.0)
+        self.assertEqual(
+            [(h.work_id, h.resume_from) for h in hedges(driver)], [("a", 5)]
+        )
+        self.assertNotEqual(hedges(driver)[0].upstream, starts(driver.log)[0].upstream)
+
+    def test_first_to_finish_wins_and_the_other_is_cancelled(self) -> None:
+        driver = tail([sample("a")])
+        run(driver, 3.0)
+        first, hedge = [AttemptId(s.attempt_id) for s in starts(driver.log)]
+        ended = driver.finish(hedge)
+        self.assertEqual(
+            ended, [Finish(sample("a").work_id, hedge), CancelAttempt(first)]
+        )
+        self.assertEqual(driver.finish(first), [])
+
+    def test_failed_first_attempt_leaves_the_hedge_running(self) -> None:
+        driver = tail([sample("a")])
+        run(driver, 3.0)
+        first, hedge = [AttemptId(s.attempt_id) for s in starts(driver.log)]
+        self.assertEqual(driver.fail(first, Failure.BROKEN), [])
+        self.assertEqual(len(driver.finish(hedge)), 1)
+
+    def test_hedges_stay_within_their_budget(self) -> None:
+        works = [sample(f"w{i}") for i in range(3)]
+        driver = tail(works)
+        run(driver, 6.0)
+        self.assertEqual(len(hedges(driver)), 2)
+        self.assertEqual(hedges_of(works, Hedges(budget_ratio=0.0)), 0)
+
+    def test_desk_and_work_that_must_not_repeat_are_not_hedged(self) -> None:
+        self.assertEqual(hedges_of([work("a")]), 0)
+        self.assertEqual(hedges_of([work("a")], Hedges(desk=True)), 1)
+        self.assertEqual(hedges_of([sample("a", repeatable=False)]), 0)
+
+    def test_steady_attempt_is_not_hedged(self) -> None:
+        driver = tail([sample("a")])
+        for tokens in range(6, 10):
+            driver.progress(starts(driver.log)[0].attempt_id, tokens)
+            run(driver, 0.25)
+        self.assertEqual(hedges(driver), [])
+
+
+def hedges_of(works: list[Work], settings: Hedges | None = None) -> int:
+    driver = tail(works, settings)
+    run(driver, 6.0)
+    return len(hedges(driver))
+
+
+class LengthsTest(TestCase):
+    """Guards against charges by max_tokens where answers are short."""
+
+    def test_group_then_tenant_then_limit_predict_the_length(self) -> None:
+        driver = Driver(document())
+        for name, prefix, tokens in (("a", "p", 40), ("b", "q", 80)):
+            item = sample(name, prefix=prefix, max_tokens=100)
+            driver.finish(driver.submit(item)[0].attempt_id, tokens)
+        lengths = driver.pool.parts.lengths
+        self.assertEqual(predict(lengths, prefix="p"), 40)
+        self.assertEqual(predict(lengths, prefix="r"), 60)
+        self.assertEqual(predict(lengths, tenant="new"), 100)
+
+    def test_longer_answer_than_predicted_keeps_growing(self) -> None:
+        self.assertEqual(predict(Lengths(), received=100), 101)
+
+
+def predict(lengths: Lengths, received: int = 0, **fields: object) -> int:
+    each = sample("x", max_tokens=100, **fields)
+    return lengths.predict(
+        Item(work=each, sequence=0, submitted=0.0, received=received)
+    )
