Order swaps of weights, and start samples only where they stay fresh

Upstreams with the least work swap first, swaps_at_once at a time. The first of a region loads from the store and later ones name it as source, so that one copy crosses the region link. Failed, unanswered and unconfirmed orders are retried with back-off; an older version that a late order of another owner brought back is replaced after a recheck, since reports lag. A sample is started only on a version within its bound, less the versions that are expected while it runs. A sample whose first tokens become too old starts over, unless it must not repeat.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
@@ -14,6 +14,7 @@
     DocumentChanged,
     Event,
     LoadReport,
+    OrderFinished,
     PoolSettings,
     PoolView,
     Submit,
@@ -47,6 +48,7 @@
             UpstreamState: fleet.upstream_state,
             LoadReport: fleet.load_report,
             CacheReport: fleet.cache_report,
+            OrderFinished: fleet.order_finished,
             VersionReport: fleet.version_report,
             VersionAnnounced: fleet.version_announced,
             DocumentChanged: fleet.document_changed,
@@ -111,6 +113,7 @@
 
     def _dispatch(self) -> None:
         self.parts.can_dispatch = False
+        self.parts.weights.plan(self.parts.now)
         while self.parts.queue.waiting and self._start_next():
             pass
 
@@ -138,9 +141,10 @@
     def _choose(self, item: Item, free: list[Upstream]) -> Upstream | None:
         parts = self.parts
         limit = parts.document.limits.tokens_in_flight
-        may_run = parts.freshness.may_run
         cost = item.cost()
-        fit = [u for u in free if u.has_room(cost, limit) and may_run(item, u)]
+        oldest = parts.freshness.oldest_allowed(item, parts.now)
+        may_run = parts.freshness.may_run
+        fit = [u for u in free if u.has_room(cost, limit) and may_run(item, u, oldest)]
         if not item.work.repeatable:
             fit = self._without_probes(fit)
         return parts.routing.choose(item, fit, self, parts.now) if fit else None
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/fleet.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/fleet.py
@@ -6,6 +6,7 @@
     CacheReport,
     DocumentChanged,
     LoadReport,
+    OrderFinished,
     UpstreamState,
     VersionAnnounced,
     VersionReport,
@@ -28,6 +29,7 @@
         if upstream.availability() is Availability.AVAILABLE:
             self._parts.health.joined(upstream, now)
         self._parts.health.refresh(upstream)
+        self._parts.weights.replan()
 
     def load_report(self, event: LoadReport, now: float) -> None:
         """Record a load report."""
@@ -42,17 +44,27 @@
     def version_report(self, event: VersionReport, now: float) -> None:
         """Record the version that an upstream serves."""
         upstream = self._parts.ledger.upstreams.get(event.upstream)
-        if upstream is not None and upstream.versions.get(event.model) != event.version:
-            upstream.versions[event.model] = event.version
-            self._parts.wake()
+        if upstream is not None:
+            self._parts.weights.report(upstream, event.model, event.version, now)
 
     def version_announced(self, event: VersionAnnounced, now: float) -> None:
-        """Record a new version of a trainer."""
-        if self._parts.freshness.announce(event.model, event.version):
-            self._parts.wake()
+        """Record a new version, and start over samples that it makes too old."""
+        parts = self._parts
+        if not parts.freshness.announce(event.model, event.version, now):
+            return
+        parts.weights.replan()
+        running = {attempt.item for attempt in parts.ledger.attempts.values()}
+        for item in sorted(running, key=lambda item: item.sequence):
+            if item.work.model == event.model and item.work.repeatable:
+                parts.start_over_expired(item)
+
+    def order_finished(self, event: OrderFinished, now: float) -> None:
+        """Record the end of an order."""
+        self._parts.weights.finished(event, now)
 
     def document_changed(self, event: DocumentChanged, now: float) -> None:
         """Put a new document in force."""
         for upstream in self._parts.change_document(event.document):
             self._parts.health.joined(upstream, now)
         self._parts.health.refresh_all()
+        self._parts.weights.replan()
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/freshness.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/freshness.py
@@ -1,49 +1,107 @@
-"""Decide which upstreams serve a version that is new enough for a work item."""
+"""Decide which versions are new enough for a work item."""
+
+import math
+
+import msgspec
 
 from fulmarpulley_schema.generated.document import ServiceDocument, ServiceKind
 
 from ..ids import ModelName, Version
+from .ledger import Ledger
 from .state import Item, Upstream
+from .stragglers import Lengths, Mean
+
+# Announcements that are later than this many usual intervals are not predicted.
+OVERDUE_INTERVALS = 2.0
+
+
+class Announcements(msgspec.Struct, eq=False):
+    """Hold when versions of a model were announced."""
+
+    last: float
+    interval_s: Mean = msgspec.field(default_factory=Mean)
 
 
 class Freshness:
     """Hold the newest announced version of each model."""
 
-    def __init__(self, document: ServiceDocument) -> None:
+    def __init__(
+        self, document: ServiceDocument, ledger: Ledger, lengths: Lengths
+    ) -> None:
         self.document = document
         self.newest: dict[ModelName, Version] = {}
+        self._ledger = ledger
+        self._lengths = lengths
+        self._announcements: dict[ModelName, Announcements] = {}
 
-    def announce(self, model: ModelName, version: Version) -> bool:
+    def announce(self, model: ModelName, version: Version, now: float) -> bool:
         """Remember a version and tell whether it is newer than all before."""
         known = self.newest.get(model)
         if known is not None and version <= known:
             return False
         self.newest[model] = version
+        times = self._announcements.setdefault(model, Announcements(now))
+        if known is not None:
+            times.interval_s.add((now - times.last) / (version - known))
+        times.last = now
         return True
 
-    def bound(self, item: Item) -> int:
-        """Return how many versions a sample may be behind its trainer."""
-        bound = item.work.staleness_bound
-        return self.document.staleness_bound if bound is None else bound
-
     def versions_behind(self, item: Item, upstream: Upstream) -> int:
         """Return how many versions the upstream is behind for the item's model."""
-        model = item.work.model
-        version = upstream.versions.get(model)
-        if version is None:
-            return 0
-        return max(0, self.newest.get(model, version) - version)
+        version = upstream.versions.get(item.work.model)
+        return 0 if version is None else self._behind(item, version)
 
-    def may_run(self, item: Item, upstream: Upstream) -> bool:
-        """Tell whether the version of the upstream suits the item.
+    def has_expired(self, item: Item) -> bool:
+        """Tell whether the tokens received of a sample are too old for its trainer."""
+        if not item.is_sample or item.oldest is None:
+            return False
+        return self._behind(item, item.oldest) > self._bound(item)
 
-        An upstream that reports no version cannot serve a training service.
+    def oldest_allowed(self, item: Item, now: float) -> Version:
+        """Return the oldest version that an item may be started with.
+
+        A sample allows for the versions that are expected while it runs, so that
+        it is not started where it cannot finish within its bound.
         """
         work = item.work
-        version = upstream.versions.get(work.model)
-        labelled = self.document.kind is ServiceKind.TRAINING and item.is_sample
-        if not labelled:
-            return work.min_version <= (version or 0)
-        if version is None or version < work.min_version:
-            return False
-        return self.versions_behind(item, upstream) <= self.bound(item)
+        newest = self.newest.get(work.model)
+        if not self._is_labelled(item) or newest is None:
+            return work.min_version
+        spare = self._bound(item) - self._expected_versions(item, now)
+        return max(work.min_version, Version(newest - spare))
+
+    def may_run(self, item: Item, upstream: Upstream, oldest: Version) -> bool:
+        """Tell whether the upstream serves a version that is new enough.
+
+        An upstream that reports no version cannot serve a training service.
+        """
+        version = upstream.versions.get(item.work.model)
+        if version is None:
+            return not self._is_labelled(item) and not oldest
+        return version >= oldest
+
+    def _is_labelled(self, item: Item) -> bool:
+        return item.is_sample and self.document.kind is ServiceKind.TRAINING
+
+    def _bound(self, item: Item) -> int:
+        bound = item.work.staleness_bound
+        return self.document.staleness_bound if bound is None else bound
+
+    def _behind(self, item: Item, version: Version) -> int:
+        return max(0, self.newest.get(item.work.model, version) - version)
+
+    def _expected_versions(self, item: Item, now: float) -> int:
+        # A trainer publishes a version after a step, so that samples of its
+        # oldest step see none and never wait for a version that waits for them.
+        steps = self._ledger.steps[item.work.tenant]
+        earlier = sum(step < item.work.step for step in steps)
+        times = self._announcements.get(item.work.model)
+        if not earlier or times is None or not times.interval_s.count:
+            return 0
+        since = now - times.last
+        interval = times.interval_s.value
+        if interval <= 0 or since > OVERDUE_INTERVALS * interval:
+            return 0
+        left = self._lengths.predict(item) - item.received
+        duration = left * self._lengths.pace_s.value
+        return min(earlier, math.floor((since + duration) / interval))
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/health.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/health.py
@@ -77,7 +77,8 @@
             record.probes += 1
             if record.probes >= PROBES:
                 self.joined(upstream, now)
-        else:
+        elif attempt.started > upstream.swap_until:
+            # A swap pauses the streams and says nothing about the upstream.
             self._note_pace(attempt, now)
 
     def failed(self, upstream: Upstream, now: float) -> None:
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/ledger.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/ledger.py
@@ -73,6 +73,7 @@
             submitted=now,
             deadline=self._deadline(work, now),
             received=work.resume_tokens,
+            oldest=work.oldest_version,
             past_runs=Ran.MAY_HAVE_RUN if resumed else Ran.NOT_RUN,
         )
         self.items[work.work_id] = item
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
@@ -48,7 +48,10 @@
 
 
 class Work(msgspec.Struct, frozen=True, kw_only=True):
-    """Describe one unit of work; times are monotonic seconds of the pool home."""
+    """Describe one unit of work; times are monotonic seconds of the pool home.
+
+    `oldest_version` belongs to the `resume_tokens` that the owner already has.
+    """
 
     work_id: WorkId
     tenant: TenantId
@@ -66,6 +69,7 @@
     step: StepNumber = StepNumber(0)
     group: int = 0
     resume_tokens: int = 0
+    oldest_version: Version | None = None
 
 
 class Submit(msgspec.Struct, frozen=True):
@@ -180,7 +184,10 @@
 
 
 class StartAttempt(msgspec.Struct, frozen=True):
-    """Send a work item to an upstream, resuming after `resume_from` tokens."""
+    """Send a work item to an upstream, resuming after `resume_from` tokens.
+
+    Zero means that tokens received before are given up.
+    """
 
     attempt_id: AttemptId
     work_id: WorkId
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/outcomes.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/outcomes.py
@@ -2,14 +2,12 @@
 
 from fulmarpulley_schema.generated.http import Ran
 
+from ..ids import Version
 from .load import note_tokens
 from .messages import AttemptFailed, AttemptFinished, AttemptProgress, Failure
 from .parts import Parts
 from .state import Attempt
 
-# Plain services send no tokens while they work; their deadline bounds them.
-UNSTREAMED_DIALECTS = frozenset({"plain"})
-
 
 class Outcomes:
     """Turn the outcome of an attempt into an end or a retry of its item."""
@@ -19,7 +17,7 @@
 
     def started(self, attempt: Attempt) -> None:
         """Watch an attempt that was started."""
-        if attempt.upstream.entry.dialect not in UNSTREAMED_DIALECTS:
+        if attempt.upstream.is_engine():
             self._watch(attempt)
 
     def progress(self, event: AttemptProgress, now: float) -> None:
@@ -27,6 +25,7 @@
         attempt = self._parts.ledger.attempts.get(event.attempt_id)
         if attempt is not None:
             self._receive(attempt, event.tokens)
+            self._note_version(attempt, event.version)
 
     def finished(self, event: AttemptFinished, now: float) -> None:
         """End an item with the answer of the first attempt that finishes."""
@@ -62,6 +61,13 @@
         note_tokens(attempt, tokens)
         attempt.item.received = max(attempt.item.received, tokens)
 
+    def _note_version(self, attempt: Attempt, version: Version | None) -> None:
+        parts, model = self._parts, attempt.item.work.model
+        if version is not None:
+            parts.weights.report(attempt.upstream, model, version, parts.now)
+        if attempt.item.oldest is None:
+            attempt.item.oldest = attempt.upstream.versions.get(model)
+
     def _fail(self, attempt: Attempt, failure: Failure, now: float) -> None:
         item = attempt.item
         item.avoid = attempt.upstream.upstream_id
@@ -80,15 +86,14 @@
             self._parts.retries.schedule(item, now)
 
     def _watch(self, attempt: Attempt) -> None:
-        last = max(attempt.started, attempt.last_token)
-        due = last + self._parts.document.stall_s
+        silent_since = attempt.silent_since(self._parts.now)
+        due = silent_since + self._parts.document.stall_s
         self._parts.timers.at(due, lambda now: self._check_stall(attempt, now))
 
     def _check_stall(self, attempt: Attempt, now: float) -> None:
         if not self._parts.ledger.is_live(attempt):
             return
-        last = max(attempt.started, attempt.last_token)
-        if last + self._parts.document.stall_s > now:
+        if attempt.silent_since(now) + self._parts.document.stall_s > now:
             self._watch(attempt)
             return
         self._parts.ledger.cancel(attempt)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
@@ -15,6 +15,7 @@
 from .state import Attempt, Item, Upstream
 from .stragglers import Hedges, Lengths
 from .timers import Timers
+from .weights import Weights
 
 
 class Parts:
@@ -30,16 +31,19 @@
         self.jitter = Jitter(seed)
         self.ledger = Ledger(document, self._released)
         self.queue = FairQueue(document)
-        self.freshness = Freshness(document)
+        self.lengths = Lengths()
+        self.freshness = Freshness(document, self.ledger, self.lengths)
         self.admission = Admission(document, self.jitter)
         self.retries = Retries(
             document, self.timers, self.ledger, self.jitter, self.enqueue
         )
         self.health = Health(self.ledger, self.timers, self.jitter, self.wake)
-        self.lengths = Lengths()
         self.hedges = Hedges(
             document, self.ledger, self.queue, self.lengths, self.timers
         )
+        self.weights = Weights(
+            document, self.ledger, self.freshness, self.timers, self.jitter, self.wake
+        )
         self.routing = ROUTING.get(settings.routing)()
         self.ledger.list_upstreams(document)
         self.health.refresh_all()
@@ -52,6 +56,7 @@
         self.queue.change_document(document)
         self.admission.document = document
         self.freshness.document = document
+        self.weights.document = document
         return self.ledger.list_upstreams(document)
 
     def wake(self) -> None:
@@ -63,10 +68,20 @@
         return item.work.prompt_tokens + self.lengths.predict(item) - item.received
 
     def enqueue(self, item: Item) -> None:
-        """Queue an item."""
+        """Queue an item; tokens that are too old by now are given up."""
+        if self.freshness.has_expired(item):
+            item.received = 0
+            item.oldest = None
         self.queue.push(item, self.charge(item))
         self.can_dispatch = True
 
+    def start_over_expired(self, item: Item) -> None:
+        """Cancel and queue again an item whose first tokens are too old by now."""
+        if self.freshness.has_expired(item):
+            for attempt in list(item.attempts):
+                self.ledger.cancel(attempt)
+            self.enqueue(item)
+
     def refuse(self, item: Item, code: str, retry_after: float | None = None) -> None:
         """End an item without an answer."""
         self.queue.remove(item)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
@@ -17,6 +17,10 @@
     from .fair_queue import Lane
 
 
+# Plain services send no tokens while they work; only their deadline bounds them.
+PLAIN_DIALECTS = frozenset({"plain"})
+
+
 class Item(msgspec.Struct, eq=False, kw_only=True):
     """Hold a work item from its submission to its end."""
 
@@ -25,6 +29,7 @@
     submitted: float
     deadline: float | None = None
     received: int = 0
+    oldest: Version | None = None
     tries: int = 0
     failures: int = 0
     past_runs: Ran = Ran.NOT_RUN
@@ -69,6 +74,11 @@
     last_token: float = -math.inf
     hedge: bool = False
 
+    def silent_since(self, now: float) -> float:
+        """Return since when the attempt has sent no token, swaps left out."""
+        swap_end = min(now, self.upstream.swap_until)
+        return max(self.started, self.last_token, swap_end)
+
 
 class HealthState(StrEnum):
     """Name how much work an upstream is trusted with."""
@@ -101,7 +111,8 @@
     `slots` is the number of attempts that may run at once; it is zero while the
     upstream takes no new attempt. `expected_tokens` is what the own attempts have
     yet to process, `foreign` the number of other attempts at time `foreign_at`,
-    and `history` the number of own attempts from a time on.
+    and `history` the number of own attempts from a time on. A swap of weights may
+    pause the upstream until `swap_until`.
     """
 
     entry: UpstreamEntry
@@ -115,6 +126,7 @@
     foreign: float = 0.0
     foreign_at: float = 0.0
     starts: int = 0
+    swap_until: float = -math.inf
     history: deque[tuple[float, int]] = msgspec.field(default_factory=deque)
     attempts: dict[AttemptId, Attempt] = {}
     versions: dict[ModelName, Version] = {}
@@ -127,6 +139,10 @@
             return Availability.DRAINING
         return self.reported
 
+    def is_engine(self) -> bool:
+        """Tell whether the upstream streams tokens and loads versions."""
+        return self.entry.dialect not in PLAIN_DIALECTS
+
     def is_free(self) -> bool:
         """Tell whether one more attempt may start."""
         return len(self.attempts) < self.slots
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/stragglers.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/stragglers.py
@@ -155,7 +155,7 @@
             return 0.0
         left = self._lengths.predict(attempt.item) - attempt.tokens
         produced = attempt.tokens - attempt.resume_from
-        since = max(attempt.started, attempt.last_token)
+        since = attempt.silent_since(now)
         silence = now - since
         pace = (since - attempt.started) / produced if produced else usual.value
         # A silence is expected to last as long again as it has lasted.
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/weights.py
@@ -0,0 +1,224 @@
+"""Order upstreams to load new versions of weights until all serve the newest."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from fulmarpulley_schema.generated.document import ServiceDocument
+
+from ..ids import ModelName, OrderId, Region, UpstreamId, Version
+from .freshness import Freshness
+from .jitter import Jitter
+from .ledger import Ledger
+from .messages import Availability, Order, OrderFinished
+from .state import HealthState, Upstream
+from .timers import Timers
+
+RETRY_BASE_S = 0.5
+RETRY_MAX_S = 30.0
+RETRY_SPREAD = (0.75, 1.25)
+# A swap is given up after this time, ten times its usual pause, and the time of
+# the transfer at the rate below.
+ORDER_TIMEOUT_S = 30.0
+TIMEOUT_SWAPS = 10.0
+SLOWEST_TRANSFER_BYTES_PER_S = 5_000_000
+# Reports lag: the report of a loaded version is awaited this long, and an older
+# version must still be served after the recheck time before it is replaced.
+CONFIRM_S = 5.0
+RECHECK_S = 2.0
+
+
+class Load(msgspec.Struct, eq=False):
+    """Hold an order that was given and is not confirmed by a report."""
+
+    order: Order
+    region: Region
+    confirming: bool = False
+
+
+class Target(msgspec.Struct, eq=False):
+    """Hold what went wrong with the swaps of a model at an upstream."""
+
+    failures: int = 0
+    not_before: float = 0.0
+    failed_source: UpstreamId | None = None
+
+
+class Weights:
+    """Bring every upstream to the newest version, a few at a time."""
+
+    def __init__(
+        self,
+        document: ServiceDocument,
+        ledger: Ledger,
+        freshness: Freshness,
+        timers: Timers,
+        jitter: Jitter,
+        wake: Callable[[], None],
+    ) -> None:
+        self.document = document
+        self._ledger = ledger
+        self._freshness = freshness
+        self._timers = timers
+        self._jitter = jitter
+        self._wake = wake
+        self._sequence = 0
+        self._changed = False
+        self._loads: dict[OrderId, Load] = {}
+        self._targets: dict[tuple[UpstreamId, ModelName], Target] = {}
+
+    def report(
+        self, upstream: Upstream, model: ModelName, version: Version, now: float
+    ) -> None:
+        """Record the version that an upstream says it serves."""
+        before = upstream.versions.get(model)
+        if before == version:
+            return
+        upstream.versions[model] = version
+        self.replan()
+        key = (upstream.upstream_id, model)
+        if before is not None and version < before:
+            target = self._targets.setdefault(key, Target())
+            target.not_before = max(target.not_before, now + RECHECK_S)
+            self._timers.at(target.not_before, self._plan_later)
+        for load in self._loads_of(upstream):
+            if load.order.model == model and version >= load.order.version:
+                del self._loads[load.order.order_id]
+                self._targets.pop(key, None)
+                upstream.swap_until = min(upstream.swap_until, now)
+
+    def finished(self, event: OrderFinished, now: float) -> None:
+        """Await the report of a loaded version, or retry a failed order later."""
+        load = self._loads.get(event.order_id)
+        if load is None or load.confirming:
+            return
+        upstream = self._ledger.upstreams.get(load.order.upstream)
+        if upstream is not None:
+            upstream.swap_until = min(upstream.swap_until, now)
+        if not event.ok:
+            self._fail(load, now)
+            return
+        load.confirming = True
+        self._timers.at(now + CONFIRM_S, lambda later: self._fail(load, later))
+        self.replan()
+
+    def replan(self) -> None:
+        """Note that new orders may be due."""
+        self._changed = True
+        self._wake()
+
+    def plan(self, now: float) -> None:
+        """Give the orders that may be given now."""
+        if not self._changed:
+            return
+        self._changed = False
+        loading = sum(not load.confirming for load in self._loads.values())
+        room = self.document.weights.swaps_at_once - loading
+        if room <= 0 or not self._freshness.newest:
+            return
+        for upstream in self._by_work():
+            model = self._model_to_load(upstream, now)
+            if model is not None and self._order(upstream, model, now):
+                room -= 1
+                if not room:
+                    return
+
+    def _by_work(self) -> list[Upstream]:
+        busy = {load.order.upstream for load in self._loads.values()}
+        able = [
+            u
+            for u in self._ledger.upstreams.values()
+            if u.availability() is Availability.AVAILABLE
+            and u.upstream_id not in busy
+            and u.is_engine()
+        ]
+        ejected = HealthState.EJECTED
+        return sorted(able, key=lambda u: (u.health.state is ejected, len(u.attempts)))
+
+    def _model_to_load(self, upstream: Upstream, now: float) -> ModelName | None:
+        models = {ModelName(self.document.model)}
+        models |= {ModelName(t.model) for t in self.document.trainers if t.model}
+        # The dict of newest versions keeps the order in which models came.
+        for model, newest in self._freshness.newest.items():
+            served = upstream.versions.get(model)
+            if model not in models or (served is not None and served >= newest):
+                continue
+            target = self._targets.get((upstream.upstream_id, model))
+            if target is None or target.not_before <= now:
+                return model
+        return None
+
+    def _order(self, upstream: Upstream, model: ModelName, now: float) -> bool:
+        version = self._freshness.newest[model]
+        region = Region(upstream.entry.region)
+        source = self._source(upstream, model, version)
+        if source is None and self._is_crossing(region, model):
+            return False
+        self._sequence += 1
+        order_id = OrderId(f"{self.document.name}/{self._sequence}")
+        order = Order(order_id, upstream.upstream_id, model, version, source)
+        load = Load(order, region)
+        self._loads[order_id] = load
+        self._ledger.actions.append(order)
+        upstream.swap_until = now + 2 * self.document.weights.swap_s
+        due = now + self._timeout()
+        self._timers.at(due, lambda later: self._time_out(load, later))
+        return True
+
+    def _source(
+        self, upstream: Upstream, model: ModelName, version: Version
+    ) -> UpstreamId | None:
+        target = self._targets.get((upstream.upstream_id, model), Target())
+        copies = [
+            u
+            for u in self._ledger.upstreams.values()
+            if u.versions.get(model) == version
+            and u.reported in {Availability.AVAILABLE, Availability.DRAINING}
+            and u.entry.region == upstream.entry.region
+            and u.health.state is not HealthState.EJECTED
+            and u.upstream_id != target.failed_source
+        ]
+        sent = [load.order.source for load in self._loads.values()]
+        best = min(
+            copies,
+            key=lambda u: (sent.count(u.upstream_id), len(u.attempts)),
+            default=None,
+        )
+        return best.upstream_id if best else None
+
+    def _is_crossing(self, region: Region, model: ModelName) -> bool:
+        return any(
+            load.region == region
+            and load.order.model == model
+            and load.order.source is None
+            for load in self._loads.values()
+        )
+
+    def _timeout(self) -> float:
+        weights = self.document.weights
+        transfer = weights.bytes / SLOWEST_TRANSFER_BYTES_PER_S
+        return ORDER_TIMEOUT_S + TIMEOUT_SWAPS * weights.swap_s + transfer
+
+    def _time_out(self, load: Load, now: float) -> None:
+        if not load.confirming:
+            self._fail(load, now)
+
+    def _fail(self, load: Load, now: float) -> None:
+        order = load.order
+        if self._loads.pop(order.order_id, None) is None:
+            return
+        key = (order.upstream, order.model)
+        target = self._targets.setdefault(key, Target())
+        delay = min(RETRY_MAX_S, RETRY_BASE_S * 2.0 ** min(target.failures, 8))
+        target.failures += 1
+        target.failed_source = order.source
+        target.not_before = now + delay * self._jitter.between(*RETRY_SPREAD)
+        self._timers.at(target.not_before, self._plan_later)
+        self.replan()
+
+    def _plan_later(self, now: float) -> None:
+        self.replan()
+
+    def _loads_of(self, upstream: Upstream) -> list[Load]:
+        loads = self._loads.values()
+        return [x for x in loads if x.order.upstream == upstream.upstream_id]
