--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
@@ -2,21 +2,19 @@
 
 from collections.abc import Callable
 
-from fulmarpulley_schema.generated.document import ServiceDocument, ServiceKind
-from fulmarpulley_schema.generated.http import Ran
+from fulmarpulley_schema.generated.document import ServiceDocument
 
-from ..ids import ModelName, Version
-from .fair_queue import FairQueue
-from .ledger import Ledger
+from .fleet import Fleet
 from .messages import (
     Action,
     AttemptFailed,
     AttemptFinished,
     AttemptProgress,
-    Availability,
+    CacheReport,
     DocumentChanged,
     Event,
-    Failure,
+    LoadReport,
+    OrderFinished,
     PoolSettings,
     PoolView,
     Submit,
@@ -25,8 +23,9 @@
     VersionReport,
     Withdraw,
 )
-from .state import Attempt, Item, Upstream
-from .timers import Timers
+from .outcomes import Outcomes
+from .parts import Parts
+from .state import HealthState, Item, Upstream
 
 
 class Pool:
@@ -35,183 +34,124 @@
     def __init__(
         self, document: ServiceDocument, settings: PoolSettings, seed: int
     ) -> None:
-        self.document = document
         self.settings = settings
-        self.seed = seed
-        self.ledger = Ledger(document, self._released)
-        self.queue = FairQueue(document)
-        self.timers = Timers()
-        self.newest: dict[ModelName, Version] = {}
-        self.can_dispatch = False
+        self.parts = Parts(document, settings, seed)
+        self.outcomes = Outcomes(self.parts)
+        self.parts.hedges.start_hedge = self._start_hedge
+        fleet = Fleet(self.parts)
         self.handlers: dict[type, Callable[..., None]] = {
             Submit: self._submit,
             Withdraw: self._withdraw,
-            AttemptFinished: self._finished,
-            AttemptFailed: self._failed,
-            AttemptProgress: self._progress,
-            UpstreamState: self._upstream_state,
-            VersionReport: self._version_report,
-            VersionAnnounced: self._version_announced,
-            DocumentChanged: self._document_changed,
+            AttemptFinished: self.outcomes.finished,
+            AttemptFailed: self.outcomes.failed,
+            AttemptProgress: self.outcomes.progress,
+            UpstreamState: fleet.upstream_state,
+            LoadReport: fleet.load_report,
+            CacheReport: fleet.cache_report,
+            OrderFinished: fleet.order_finished,
+            VersionReport: fleet.version_report,
+            VersionAnnounced: fleet.version_announced,
+            DocumentChanged: fleet.document_changed,
         }
-        self.ledger.list_upstreams(document)
-        self._refresh_upstreams()
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Apply an event at a monotonic time in seconds and return the actions."""
+        parts = self.parts
+        parts.now = now
         handler = self.handlers.get(type(event))
         if handler is not None:
             handler(event, now)
-        self.timers.run_due(now)
-        if self.can_dispatch:
-            self.can_dispatch = False
-            self._dispatch(now)
-        actions, self.ledger.actions = self.ledger.actions, []
+        parts.timers.run_due(now)
+        if parts.can_dispatch:
+            self._dispatch()
+        actions, parts.ledger.actions = parts.ledger.actions, []
         return actions
 
     def next_wakeup(self) -> float | None:
         """Return when the pool needs a Tick at the latest."""
-        return self.timers.next_due()
+        return self.parts.timers.next_due()
 
     def view(self) -> PoolView:
         """Return the state of the pool for status pages."""
-        return self.ledger.view(self.queue.waiting)
+        return self.parts.ledger.view(self.parts.queue.waiting)
+
+    def usable(self) -> list[Upstream]:
+        """Return the upstreams that take new attempts, busy ones included."""
+        return [u for u in self.parts.ledger.upstreams.values() if u.slots]
+
+    def versions_behind(self, item: Item, upstream: Upstream) -> int:
+        """Return how many versions the upstream is behind for the item's model."""
+        return self.parts.freshness.versions_behind(item, upstream)
 
     def _submit(self, event: Submit, now: float) -> None:
-        work = event.work
-        if work.work_id in self.ledger.items:
+        parts, ledger, work = self.parts, self.parts.ledger, event.work
+        if work.work_id in ledger.items:
             return
-        repeated = self.ledger.repeated_end(work)
+        repeated = ledger.repeated_end(work)
         if repeated is not None:
-            self.ledger.actions.append(repeated)
+            ledger.actions.append(repeated)
+            return
+        item = ledger.add(work, now)
+        upstreams = ledger.upstreams.values()
+        charge = parts.charge(item)
+        refusal = parts.admission.check(item, charge, parts.queue, upstreams, now)
+        if refusal is not None:
+            ledger.refuse(item, refusal.code, refusal.retry_after)
             return
-        item = self.ledger.add(work, now)
         if item.deadline is not None:
-            self.timers.at(item.deadline, lambda _: self._pass_deadline(item))
-        self._enqueue(item)
+            parts.timers.at(item.deadline, lambda _: self._pass_deadline(item))
+        parts.enqueue(item)
 
     def _pass_deadline(self, item: Item) -> None:
-        if self.ledger.is_held(item):
-            self._refuse(item, "deadline_passed")
+        if self.parts.ledger.is_held(item):
+            self.parts.refuse(item, "deadline_passed")
 
     def _withdraw(self, event: Withdraw, now: float) -> None:
-        item = self.ledger.items.get(event.work_id)
+        item = self.parts.ledger.items.get(event.work_id)
         if item is not None:
-            self._refuse(item, "cancelled")
-
-    def _progress(self, event: AttemptProgress, now: float) -> None:
-        attempt = self.ledger.attempts.get(event.attempt_id)
-        if attempt is not None:
-            self._receive(attempt, event.tokens)
-
-    def _finished(self, event: AttemptFinished, now: float) -> None:
-        attempt = self.ledger.attempts.get(event.attempt_id)
-        if attempt is not None:
-            self._receive(attempt, event.tokens)
-            self.ledger.finish(attempt)
-
-    def _failed(self, event: AttemptFailed, now: float) -> None:
-        attempt = self.ledger.attempts.get(event.attempt_id)
-        if attempt is not None:
-            self._receive(attempt, event.tokens)
-            self.ledger.release(attempt)
-            self._fail(attempt, event.failure)
-
-    def _receive(self, attempt: Attempt, tokens: int) -> None:
-        attempt.tokens = max(attempt.tokens, tokens)
-        attempt.item.received = max(attempt.item.received, tokens)
-
-    def _fail(self, attempt: Attempt, failure: Failure) -> None:
-        item = attempt.item
-        item.avoid = attempt.upstream.upstream_id
-        ran = failure in {Failure.BROKEN, Failure.ERRORED}
-        if ran:
-            item.failures += 1
-            errored = failure is Failure.ERRORED
-            item.note_run(Ran.RAN if errored else Ran.MAY_HAVE_RUN)
-        if item.attempts:
-            return
-        spent = item.failures >= self.document.retries.attempts
-        if ran and (spent or not item.work.repeatable):
-            broken = failure is Failure.BROKEN
-            self._refuse(item, "upstream_broken" if broken else "upstream_error")
-        else:
-            self._enqueue(item)
-
-    def _upstream_state(self, event: UpstreamState, now: float) -> None:
-        upstream = self.ledger.upstreams.get(event.upstream)
-        if upstream is not None:
-            upstream.reported = event.availability
-            self._refresh_upstreams()
-
-    def _version_report(self, event: VersionReport, now: float) -> None:
-        upstream = self.ledger.upstreams.get(event.upstream)
-        if upstream is not None:
-            upstream.versions[event.model] = event.version
-            self.can_dispatch = True
-
-    def _version_announced(self, event: VersionAnnounced, now: float) -> None:
-        known = self.newest.get(event.model, event.version)
-        self.newest[event.model] = max(known, event.version)
-
-    def _document_changed(self, event: DocumentChanged, now: float) -> None:
-        self.document = event.document
-        self.queue.change_document(event.document)
-        self.ledger.list_upstreams(event.document)
-        self._refresh_upstreams()
-
-    def _refresh_upstreams(self) -> None:
-        for upstream in self.ledger.upstreams.values():
-            available = upstream.availability() is Availability.AVAILABLE
-            upstream.slots = upstream.entry.capacity if available else 0
-        self.can_dispatch = True
-
-    def _refuse(self, item: Item, code: str) -> None:
-        self.queue.remove(item)
-        self.ledger.refuse(item, code)
-
-    def _enqueue(self, item: Item) -> None:
-        self.queue.push(item, item.cost() - item.received)
-        self.can_dispatch = True
-
-    def _released(self, attempt: Attempt) -> None:
-        self.can_dispatch = True
-        item = attempt.item
-        if not item.attempts:
-            produced = attempt.tokens - attempt.resume_from
-            self.queue.settle(item, item.work.prompt_tokens + produced)
-
-    def _dispatch(self, now: float) -> None:
-        while self.queue.waiting and self._start_next(now):
+            self.parts.refuse(item, "cancelled")
+
+    def _dispatch(self) -> None:
+        self.parts.can_dispatch = False
+        self.parts.weights.plan(self.parts.now)
+        while self.parts.queue.waiting and self._start_next():
             pass
 
-    def _start_next(self, now: float) -> bool:
-        free = [u for u in self.ledger.upstreams.values() if u.is_free()]
+    def _start_next(self) -> bool:
+        free = [u for u in self.parts.ledger.upstreams.values() if u.is_free()]
         if not free:
             return False
-        for lane in self.queue.lanes():
+        for lane in self.parts.queue.lanes():
             upstream = self._choose(lane.head(), free)
             if upstream is not None:
-                self.ledger.start(self.queue.take(lane), upstream, now)
+                item = self.parts.queue.take(lane)
+                self.outcomes.started(self.parts.start(item, upstream))
                 return True
         return False
 
+    def _start_hedge(self, item: Item, excluded: set[Upstream]) -> bool:
+        upstreams = self.parts.ledger.upstreams.values()
+        free = [u for u in upstreams if u.is_free() and u not in excluded]
+        upstream = self._choose(item, free)
+        if upstream is None:
+            return False
+        self.outcomes.started(self.parts.start(item, upstream, hedge=True))
+        return True
+
     def _choose(self, item: Item, free: list[Upstream]) -> Upstream | None:
-        limit = self.document.limits.tokens_in_flight
+        parts = self.parts
+        limit = parts.document.limits.tokens_in_flight
         cost = item.cost()
-        fit = [u for u in free if u.has_room(cost, limit) and self._is_fresh(item, u)]
-        if not fit:
-            return None
-        avoid = item.avoid
-        return min(fit, key=lambda u: (u.upstream_id == avoid, u.tokens_in_flight))
-
-    def _is_fresh(self, item: Item, upstream: Upstream) -> bool:
-        work = item.work
-        version = upstream.versions.get(work.model)
-        if self.document.kind is not ServiceKind.TRAINING or not item.is_sample:
-            return work.min_version <= (version or 0)
-        if version is None or version < work.min_version:
-            return False
-        bound = work.staleness_bound
-        bound = self.document.staleness_bound if bound is None else bound
-        return self.newest.get(work.model, version) - version <= bound
+        oldest = parts.freshness.oldest_allowed(item, parts.now)
+        may_run = parts.freshness.may_run
+        fit = [u for u in free if u.has_room(cost, limit) and may_run(item, u, oldest)]
+        if not item.work.repeatable:
+            fit = self._without_probes(fit)
+        return parts.routing.choose(item, fit, self, parts.now) if fit else None
+
+    def _without_probes(self, fit: list[Upstream]) -> list[Upstream]:
+        # A probe is likely to fail, which ends work that must not repeat.
+        probing = HealthState.PROBING
+        if all(u.health.state is probing for u in self.usable()):
+            return fit
+        return [u for u in fit if u.health.state is not probing]
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/ledger.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/ledger.py
@@ -19,7 +19,7 @@
     Work,
     WorkKind,
 )
-from .state import Attempt, Item, Upstream
+from .state import Attempt, HealthState, Item, Upstream
 
 # Ends of work that must not repeat are remembered so that a late duplicate of
 # its submission does not run it again.
@@ -73,6 +73,7 @@
             submitted=now,
             deadline=self._deadline(work, now),
             received=work.resume_tokens,
+            oldest=work.oldest_version,
             past_runs=Ran.MAY_HAVE_RUN if resumed else Ran.NOT_RUN,
         )
         self.items[work.work_id] = item
@@ -99,6 +100,7 @@
             upstream=upstream,
             started=now,
             cost=item.cost(),
+            expected=item.charge,
             resume_from=item.received,
             tokens=item.received,
             hedge=hedge,
@@ -107,6 +109,8 @@
         self.attempts[attempt.attempt_id] = attempt
         upstream.attempts[attempt.attempt_id] = attempt
         upstream.tokens_in_flight += attempt.cost
+        upstream.expected_tokens += attempt.expected
+        upstream.starts += 1
         work_id, upstream_id = item.work.work_id, upstream.upstream_id
         self.actions.append(
             StartAttempt(attempt.attempt_id, work_id, upstream_id, item.received, hedge)
@@ -120,6 +124,7 @@
         del self.attempts[attempt.attempt_id]
         del upstream.attempts[attempt.attempt_id]
         upstream.tokens_in_flight -= attempt.cost
+        upstream.expected_tokens -= attempt.expected
         self.on_release(attempt)
         self._forget_unlisted(upstream)
 
@@ -173,7 +178,8 @@
 
 def _view(upstream: Upstream) -> UpstreamView:
     availability = upstream.availability()
-    if availability is Availability.AVAILABLE and not upstream.slots:
+    ejected = upstream.health.state is HealthState.EJECTED
+    if availability is Availability.AVAILABLE and ejected:
         availability = Availability.EJECTED
     return UpstreamView(
         upstream.upstream_id,
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
@@ -1,5 +1,8 @@
 """Hold the state of work items, attempts and upstreams of a pool."""
 
+import math
+from collections import deque
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -14,6 +17,10 @@
     from .fair_queue import Lane
 
 
+# Plain services send no tokens while they work; only their deadline bounds them.
+PLAIN_DIALECTS = frozenset({"plain"})
+
+
 class Item(msgspec.Struct, eq=False, kw_only=True):
     """Hold a work item from its submission to its end."""
 
@@ -22,6 +29,8 @@
     submitted: float
     deadline: float | None = None
     received: int = 0
+    oldest: Version | None = None
+    tries: int = 0
     failures: int = 0
     past_runs: Ran = Ran.NOT_RUN
     queued: bool = False
@@ -59,24 +68,66 @@
     upstream: "Upstream"
     started: float
     cost: int
+    expected: int
     resume_from: int = 0
     tokens: int = 0
+    last_token: float = -math.inf
     hedge: bool = False
 
+    def silent_since(self, now: float) -> float:
+        """Return since when the attempt has sent no token, swaps left out."""
+        swap_end = min(now, self.upstream.swap_until)
+        return max(self.started, self.last_token, swap_end)
+
+
+class HealthState(StrEnum):
+    """Name how much work an upstream is trusted with."""
+
+    HEALTHY = "healthy"
+    EJECTED = "ejected"
+    PROBING = "probing"
+    RAMPING = "ramping"
+
+
+class HealthRecord(msgspec.Struct, eq=False):
+    """Hold the health of one upstream; the epoch outdates its older timers."""
+
+    state: HealthState = HealthState.HEALTHY
+    epoch: int = 0
+    failures: int = 0
+    ejections: int = 0
+    ejected_at: float = -math.inf
+    paused: bool = False
+    paused_until: float = -math.inf
+    ramp_step: int = 0
+    probes: int = 0
+    pace_s: float | None = None
+    strikes: int = 0
+
 
 class Upstream(msgspec.Struct, eq=False, kw_only=True):
     """Hold what a pool knows about an upstream.
 
     `slots` is the number of attempts that may run at once; it is zero while the
-    upstream takes no new attempt.
+    upstream takes no new attempt. `expected_tokens` is what the own attempts have
+    yet to process, `foreign` the number of other attempts at time `foreign_at`,
+    and `history` the number of own attempts from a time on. A swap of weights may
+    pause the upstream until `swap_until`.
     """
 
     entry: UpstreamEntry
     upstream_id: UpstreamId
+    health: HealthRecord = msgspec.field(default_factory=HealthRecord)
     slots: int = 0
     listed: bool = True
     reported: Availability = Availability.AVAILABLE
     tokens_in_flight: int = 0
+    expected_tokens: int = 0
+    foreign: float = 0.0
+    foreign_at: float = 0.0
+    starts: int = 0
+    swap_until: float = -math.inf
+    history: deque[tuple[float, int]] = msgspec.field(default_factory=deque)
     attempts: dict[AttemptId, Attempt] = {}
     versions: dict[ModelName, Version] = {}
 
@@ -88,6 +139,10 @@
             return Availability.DRAINING
         return self.reported
 
+    def is_engine(self) -> bool:
+        """Tell whether the upstream streams tokens and loads versions."""
+        return self.entry.dialect not in PLAIN_DIALECTS
+
     def is_free(self) -> bool:
         """Tell whether one more attempt may start."""
         return len(self.attempts) < self.slots
--- a/packages/fulmarpulley-core/tests/pool/pool_fixtures.py
+++ b/packages/fulmarpulley-core/tests/pool/pool_fixtures.py
@@ -13,12 +13,14 @@
     Action,
     AttemptFailed,
     AttemptFinished,
+    AttemptProgress,
     Event,
     Failure,
     PoolSettings,
     Refuse,
     StartAttempt,
     Submit,
+    Tick,
     VersionReport,
     Work,
     WorkKind,
@@ -43,11 +45,14 @@
 
 
 def document(
-    names: Iterable[str] | Iterable[UpstreamEntry] = ("u1", "u2"),
+    names: Iterable[str | UpstreamEntry] = ("u1", "u2"),
     kind: ServiceKind = ServiceKind.DESK,
+    capacity: int = 2,
     **fields: object,
 ) -> ServiceDocument:
-    entries = [upstream(n) if isinstance(n, str) else n for n in names]
+    entries = [
+        upstream(n, capacity=capacity) if isinstance(n, str) else n for n in names
+    ]
     return ServiceDocument(name="s", kind=kind, model="m", upstreams=entries, **fields)  # type: ignore[arg-type]
 
 
@@ -87,6 +92,12 @@
         for name in names:
             self.send(VersionReport(UpstreamId(name), MODEL, Version(version)))
 
+    def progress(
+        self, attempt: AttemptId, tokens: int, version: int | None = None
+    ) -> list[Action]:
+        label = None if version is None else Version(version)
+        return self.send(AttemptProgress(attempt, tokens, label))
+
     def finish(self, attempt: AttemptId, tokens: int = 10) -> list[Action]:
         return self.send(AttemptFinished(attempt, tokens))
 
@@ -102,3 +113,13 @@
 
 def refusals(actions: Iterable[Action]) -> list[Refuse]:
     return [action for action in actions if isinstance(action, Refuse)]
+
+
+def run(driver: Driver, seconds: float) -> list[StartAttempt]:
+    """Lets time pass, with a tick at every wakeup, and returns the starts."""
+    until, started = driver.now + seconds, []
+    while (due := driver.pool.next_wakeup()) is not None and due <= until:
+        driver.now = due
+        started += starts(driver.send(Tick()))
+    driver.now = until
+    return started
