Add folds of configuration, steps and membership

The node needs stable interfaces of the core state machines to build on. Add the configuration fold, the step book and the failure detector.

--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/bitmaps.py
@@ -0,0 +1,43 @@
+"""Hold sets of slots as integers; bit n stands for slot n."""
+
+import base64
+import binascii
+from collections.abc import Iterable, Iterator
+
+
+class BitmapError(ValueError):
+    """Report a bitmap that cannot be decoded or names slots that do not exist."""
+
+
+def decode_bitmap(text: str, slots: int) -> int:
+    """Decode base64 of little-endian bytes; raise BitmapError on a wrong bitmap."""
+    try:
+        bits = int.from_bytes(base64.b64decode(text, validate=True), "little")
+    except (binascii.Error, ValueError) as error:
+        raise BitmapError(f"held is not base64: {error}") from None
+    if bits >> slots:
+        raise BitmapError(f"held names slots beyond the {slots} of the step")
+    return bits
+
+
+def encode_bitmap(bits: int) -> str:
+    """Encode a bitmap as base64 of little-endian bytes."""
+    return base64.b64encode(
+        bits.to_bytes(-(-bits.bit_length() // 8), "little")
+    ).decode()
+
+
+def slots_of(bits: int) -> Iterator[int]:
+    """Yield the slots of a bitmap in ascending order."""
+    data = bits.to_bytes(-(-bits.bit_length() // 8), "little")
+    for place, byte in enumerate(data):
+        if byte:
+            yield from (place * 8 + bit for bit in range(8) if byte >> bit & 1)
+
+
+def bitmap_of(slots: Iterable[int]) -> int:
+    """Return the bitmap of some slots."""
+    bits = 0
+    for slot in slots:
+        bits |= 1 << slot
+    return bits
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/choices.py
@@ -0,0 +1,37 @@
+"""Make seeded random choices by hash, because core has no randomness of its own."""
+
+from typing import TypeVar
+
+import xxhash
+
+T = TypeVar("T")
+
+
+class Choices:
+    """Return the same sequence of choices for the same seed."""
+
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+        self._count = 0
+
+    def below(self, bound: int) -> int:
+        """Return a number from 0 to bound - 1."""
+        self._count += 1
+        data = self._count.to_bytes(8, "little")
+        return xxhash.xxh64_intdigest(data, self.seed & (1 << 64) - 1) % bound
+
+    def shuffle(self, items: list[T]) -> None:
+        """Shuffle a list in place."""
+        for place in range(len(items) - 1, 0, -1):
+            other = self.below(place + 1)
+            items[place], items[other] = items[other], items[place]
+
+    def some(self, items: list[T], count: int) -> list[T]:
+        """Return up to `count` different items."""
+        pool = list(items)
+        chosen: list[T] = []
+        while pool and len(chosen) < count:
+            place = self.below(len(pool))
+            pool[place], pool[-1] = pool[-1], pool[place]
+            chosen.append(pool.pop())
+        return chosen
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/configuration.py
@@ -0,0 +1,312 @@
+"""Fold the `config` stream into the accepted document of each service.
+
+A change is accepted if and only if its base revision is the current one. Neither
+the content of the document nor the record id has a say, so that readers with
+different software or different starting points agree. A second copy of an accepted
+change always fails this test, because its base is below the new revision.
+
+A reader whose stream starts late cannot judge a change until it knows the service's
+revision at some offset at or after the start. Snapshots give it: `as_of` says for
+which offset the statement holds, however late the snapshot itself was appended, so
+raced and doubled snapshots say nothing that contradicts the fold. The list of
+services in a snapshot tells which services do not exist yet, and when all are known.
+"""
+
+from typing import Any
+
+import msgspec
+
+from fulmarpulley_schema.generated.http import EditOutcome, HistoryEntry
+from fulmarpulley_schema.generated.records import Record, RecordKind, Snapshot
+
+from .edits import EditHistory, EditResult
+from .ids import Offset, RecordId, Revision, ServiceName
+
+
+class Accepted(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the accepted document of a service; it may be unreadable to this node."""
+
+    service: ServiceName
+    revision: Revision
+    author: str
+    document: Any
+    record_id: RecordId = RecordId("")
+
+
+class DocumentAccepted(msgspec.Struct, frozen=True):
+    """Report a document that is newer than the one known before."""
+
+    accepted: Accepted
+
+
+class EditDecided(msgspec.Struct, frozen=True):
+    """Report the outcome of a change record read from the stream."""
+
+    result: EditResult
+
+
+class RecordIgnored(msgspec.Struct, frozen=True):
+    """Report a record without the fields that the fold needs."""
+
+    offset: Offset
+    reason: str
+
+
+ConfigEvent = DocumentAccepted | EditDecided | RecordIgnored
+
+
+class _Change(msgspec.Struct, frozen=True):
+    # Looser than records.Change, so that a later version of the program may extend
+    # the record and nodes of both versions still accept the same changes.
+    service: ServiceName
+    base_revision: int
+    author: str = ""
+    document: Any = None
+
+
+class _Pending(msgspec.Struct, frozen=True):
+    offset: Offset
+    record_id: RecordId
+    change: _Change
+
+
+class ConfigFold:
+    """Fold records in offset order; offsets start at 1 and are dense."""
+
+    def __init__(self) -> None:
+        self.offset = Offset(0)
+        self.first: Offset | None = None
+        self._folded: dict[ServiceName, Accepted] = {}
+        self._learned: dict[ServiceName, Accepted] = {}
+        self._pending: dict[ServiceName, list[_Pending]] = {}
+        self._roster: frozenset[str] | None = None
+        self._edits = EditHistory()
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether every service that exists at `offset` is known."""
+        return self._roster is not None and self._roster <= self._folded.keys()
+
+    def accepted(self, service: ServiceName) -> Accepted | None:
+        """Return the newest accepted document known, from the log or a peer."""
+        folded, learned = self._folded.get(service), self._learned.get(service)
+        if folded is None or (learned and learned.revision > folded.revision):
+            return learned
+        return folded
+
+    def services(self) -> list[ServiceName]:
+        """List the services with a known document."""
+        return sorted(self._folded.keys() | self._learned.keys())
+
+    def history(self, service: ServiceName) -> list[HistoryEntry]:
+        """List the last edits of a service that were read, oldest first."""
+        return self._edits.of(service)
+
+    def outcome_of(self, record_id: RecordId) -> EditResult | None:
+        """Return the outcome of an edit, or None while it is not decided."""
+        known = self._edits.result(record_id)
+        if known is not None:
+            return known
+        for accepted in self._folded.values():
+            # A snapshot may be all that is left of a change.
+            if record_id and accepted.record_id == record_id:
+                return _result(record_id, accepted.service, accepted, True)
+        return None
+
+    def start_at(self, first_offset: Offset) -> None:
+        """Note the first offset that the log still keeps.
+
+        Without a gap to what was read this has no effect. After a gap all known
+        documents stay, but no change is judged until snapshots bridge the gap.
+        """
+        if self.first is not None and first_offset <= self.offset + 1:
+            return
+        for accepted in self._folded.values():
+            self._keep_learned(accepted)
+        self.first = Offset(max(first_offset, 1))
+        self.offset = Offset(self.first - 1)
+        self._folded.clear()
+        self._pending.clear()
+        self._roster = frozenset() if self.first == 1 else None
+
+    def apply(self, offset: Offset, record: Record) -> list[ConfigEvent]:
+        """Fold one record; records at or below `offset` have no effect."""
+        if not self._advance(offset):
+            return []
+        try:
+            return self._apply_body(offset, record)
+        except msgspec.ValidationError as error:
+            return [RecordIgnored(offset, str(error))]
+
+    def skip(self, offset: Offset, reason: str) -> list[ConfigEvent]:
+        """Pass over a record whose frame cannot be decoded."""
+        return [RecordIgnored(offset, reason)] if self._advance(offset) else []
+
+    def learn(self, accepted: Accepted) -> list[ConfigEvent]:
+        """Take a document from a peer; an older one than known has no effect."""
+        before = self.accepted(accepted.service)
+        self._keep_learned(accepted)
+        return self._raised(accepted.service, before)
+
+    def adopt(self, documents: list[Accepted], as_of: Offset) -> list[ConfigEvent]:
+        """Take the whole state of a complete peer that folded up to `as_of`."""
+        if as_of > self.offset or self.first is None:
+            self.start_at(Offset(as_of + 1))
+        services = [item.service for item in documents]
+        events: list[ConfigEvent] = []
+        for item in documents:
+            events += self._bridge(item, as_of)
+        if not self.complete:
+            events += self._set_roster(services, as_of)
+        return events
+
+    def documents(self) -> list[Accepted]:
+        """List the folded documents, to be adopted by a peer as of `offset`."""
+        return [self._folded[service] for service in sorted(self._folded)]
+
+    def snapshots(self) -> list[Snapshot]:
+        """State every service as of `offset`; empty unless the fold is complete."""
+        if not self.complete:
+            return []
+        services = [str(service) for service in sorted(self._folded)]
+        return [
+            Snapshot(
+                service=item.service,
+                revision=item.revision,
+                author=item.author,
+                document=item.document,
+                as_of=self.offset,
+                change_id=item.record_id,
+                services=services,
+            )
+            for item in self.documents()
+        ]
+
+    def _advance(self, offset: Offset) -> bool:
+        if self.first is None or offset > self.offset + 1:
+            self.start_at(offset)
+        if offset <= self.offset:
+            return False
+        self.offset = offset
+        return True
+
+    def _apply_body(self, offset: Offset, record: Record) -> list[ConfigEvent]:
+        if record.kind is RecordKind.CHANGE:
+            change = msgspec.convert(record.body, _Change)
+            pending = _Pending(offset, RecordId(record.record_id), change)
+            return self._apply_change(pending)
+        if record.kind is RecordKind.SNAPSHOT:
+            return self._apply_snapshot(offset, msgspec.convert(record.body, Snapshot))
+        return [RecordIgnored(offset, f"unexpected kind {record.kind}")]
+
+    def _apply_change(self, pending: _Pending) -> list[ConfigEvent]:
+        service = pending.change.service
+        if service in self._folded or self._is_new(service):
+            return self._judge(pending)
+        self._pending.setdefault(service, []).append(pending)
+        return []
+
+    def _is_new(self, service: ServiceName) -> bool:
+        return self._roster is not None and service not in self._roster
+
+    def _judge(self, pending: _Pending) -> list[ConfigEvent]:
+        change, service = pending.change, pending.change.service
+        current = self._folded.get(service)
+        accept = change.base_revision == (current.revision if current else 0)
+        if not accept:
+            return self._record(pending, current, False)
+        before = self.accepted(service)
+        new = Accepted(
+            service=service,
+            revision=Revision(pending.offset),
+            author=change.author,
+            document=change.document,
+            record_id=pending.record_id,
+        )
+        self._folded[service] = new
+        return self._record(pending, new, True) + self._raised(service, before)
+
+    def _record(
+        self, pending: _Pending, winner: Accepted | None, accept: bool
+    ) -> list[ConfigEvent]:
+        service, record_id = pending.change.service, pending.record_id
+        if not accept and self.outcome_of(record_id) is not None:
+            return []
+        result = _result(record_id, service, winner, accept)
+        entry = HistoryEntry(
+            offset=pending.offset,
+            record_id=record_id,
+            author=pending.change.author,
+            base_revision=pending.change.base_revision,
+            outcome=result.outcome,
+        )
+        self._edits.add(entry, result)
+        return [EditDecided(result)]
+
+    def _apply_snapshot(self, offset: Offset, snapshot: Snapshot) -> list[ConfigEvent]:
+        if snapshot.as_of >= offset or snapshot.revision > snapshot.as_of:
+            return [RecordIgnored(offset, "snapshot states offsets not yet written")]
+        as_of = Offset(snapshot.as_of)
+        item = Accepted(
+            service=ServiceName(snapshot.service),
+            revision=Revision(snapshot.revision),
+            author=snapshot.author,
+            document=snapshot.document,
+            record_id=RecordId(snapshot.change_id),
+        )
+        events = self._bridge(item, as_of)
+        if self._roster is None and snapshot.services:
+            events += self._set_roster(snapshot.services, as_of)
+        return events
+
+    def _bridge(self, item: Accepted, as_of: Offset) -> list[ConfigEvent]:
+        if self.first is None or as_of < self.first - 1:
+            # Too old to judge changes by, yet the document was accepted once.
+            return self.learn(item)
+        if item.service in self._folded or self._is_new(item.service):
+            return []
+        before = self.accepted(item.service)
+        self._folded[item.service] = item
+        events = self._raised(item.service, before)
+        return events + self._replay(item.service, as_of)
+
+    def _set_roster(self, services: list[Any], as_of: Offset) -> list[ConfigEvent]:
+        if self.first is None or as_of < self.first - 1:
+            return []
+        self._roster = frozenset(services)
+        events: list[ConfigEvent] = []
+        for service in sorted(self._pending.keys() - self._roster):
+            events += self._replay(service, as_of)
+        return events
+
+    def _replay(self, service: ServiceName, as_of: Offset) -> list[ConfigEvent]:
+        events: list[ConfigEvent] = []
+        for pending in self._pending.pop(service, []):
+            if pending.offset > as_of:
+                events += self._judge(pending)
+        return events
+
+    def _raised(
+        self, service: ServiceName, before: Accepted | None
+    ) -> list[ConfigEvent]:
+        now = self.accepted(service)
+        if now is None or (before and now.revision <= before.revision):
+            return []
+        return [DocumentAccepted(now)]
+
+    def _keep_learned(self, accepted: Accepted) -> None:
+        known = self._learned.get(accepted.service)
+        if known is None or accepted.revision > known.revision:
+            self._learned[accepted.service] = accepted
+
+
+def _result(
+    record_id: RecordId, service: ServiceName, winner: Accepted | None, accept: bool
+) -> EditResult:
+    return EditResult(
+        record_id=record_id,
+        service=service,
+        outcome=EditOutcome.ACCEPTED if accept else EditOutcome.CONFLICT,
+        revision=winner.revision if winner else Revision(0),
+        author=winner.author if winner else "",
+    )
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/member_view.py
@@ -0,0 +1,134 @@
+"""Hold one node's view of the members and merge statements about them."""
+
+import math
+
+from fulmarpulley_schema.generated.peer import MemberState, MemberUpdate
+from fulmarpulley_schema.generated.settings import MembershipSettings
+
+from .ids import NodeId
+from .members import Member, UpdateQueue, overrides
+
+# A dead member that the instance list does not name is forgotten after this time;
+# old gossip about it has ended long before.
+FORGET_S = 300.0
+# A suspected member still takes work: most suspicions are refuted.
+_TAKES_WORK = {MemberState.ALIVE, MemberState.SUSPECT}
+
+
+class MemberView:
+    """Hold the members by id; `changes` counts the changes of the live set."""
+
+    def __init__(self, settings: MembershipSettings, me: Member) -> None:
+        self.settings = settings
+        self.me = me
+        self.members: dict[NodeId, Member] = {me.node_id: me}
+        self.queue = UpdateQueue()
+        self.queue.add(me.node_id)
+        self.dead: set[NodeId] = set()
+        self.suspects: dict[NodeId, float] = {}
+        self.added: list[NodeId] = []
+        self.changes = 0
+        self._alive: list[Member] | None = None
+
+    def alive(self) -> list[Member]:
+        """List the members that take work: alive or merely suspected."""
+        if self._alive is None:
+            members = self.members.values()
+            self._alive = [m for m in members if m.state in _TAKES_WORK]
+        return self._alive
+
+    def merge(self, update: MemberUpdate, now: float) -> None:
+        """Take a statement from gossip."""
+        node_id = NodeId(update.node_id)
+        if node_id == self.me.node_id:
+            self._refute(update)
+            return
+        member = self.members.get(node_id)
+        if member is None:
+            # A death that is news to this node needs no entry.
+            if update.state is not MemberState.DEAD:
+                self._add(update, now)
+        elif overrides(update, member):
+            member.absorb(update, now)
+            self._state_changed(member, now)
+
+    def seed(self, listed: list[MemberUpdate], now: float) -> None:
+        """Take the instance list; members that it stops naming are suspected."""
+        names = {NodeId(update.node_id) for update in listed}
+        for update in listed:
+            member = self.members.get(NodeId(update.node_id))
+            if member is None:
+                member = self._add(update, now)
+            member.listed = True
+            leaving = update.state is MemberState.LEAVING
+            if leaving and member.state is MemberState.ALIVE:
+                self._set_state(member, MemberState.LEAVING, now)
+        for member in self.members.values():
+            if member.listed and member.node_id not in names:
+                member.listed = False
+                self.suspect(member, now)
+
+    def suspect(self, member: Member, now: float) -> None:
+        """Start a suspicion of a member."""
+        if member.state in {MemberState.ALIVE, MemberState.LEAVING}:
+            self._set_state(member, MemberState.SUSPECT, now)
+
+    def leave(self, now: float) -> None:
+        """State that this node is leaving."""
+        self.me.incarnation += 1
+        self._set_state(self.me, MemberState.LEAVING, now)
+
+    def suspicion_s(self) -> float:
+        """Return how long a suspicion may be refuted, in seconds."""
+        digits = max(1.0, math.log10(len(self.members)))
+        return self.settings.suspicion_periods * digits * self.settings.period_s
+
+    def end_suspicions(self, now: float) -> None:
+        """Declare the members dead whose suspicion nobody refuted in time."""
+        due = [n for n, deadline in self.suspects.items() if now >= deadline]
+        for node_id in due:
+            self._set_state(self.members[node_id], MemberState.DEAD, now)
+
+    def restart_suspicions(self, now: float) -> None:
+        """Give every suspicion its full time again."""
+        for node_id in self.suspects:
+            self.suspects[node_id] = now + self.suspicion_s()
+
+    def forget(self, now: float) -> None:
+        """Drop old dead members that the instance list does not name."""
+        for node_id in list(self.dead):
+            member = self.members[node_id]
+            if not member.listed and now - member.since >= FORGET_S:
+                del self.members[node_id]
+                self.dead.discard(node_id)
+                self.queue.discard(node_id)
+
+    def _refute(self, update: MemberUpdate) -> None:
+        if overrides(update, self.me):
+            self.me.incarnation = update.incarnation + 1
+            self.queue.add(self.me.node_id)
+
+    def _add(self, update: MemberUpdate, now: float) -> Member:
+        member = Member.from_update(update, now)
+        self.members[member.node_id] = member
+        self.added.append(member.node_id)
+        self._state_changed(member, now)
+        return member
+
+    def _set_state(self, member: Member, state: MemberState, now: float) -> None:
+        if member is self.me and state is not MemberState.LEAVING:
+            return
+        member.state = state
+        member.since = now
+        self._state_changed(member, now)
+
+    def _state_changed(self, member: Member, now: float) -> None:
+        self.queue.add(member.node_id)
+        self.suspects.pop(member.node_id, None)
+        self.dead.discard(member.node_id)
+        if member.state is MemberState.SUSPECT:
+            self.suspects[member.node_id] = now + self.suspicion_s()
+        elif member.state is MemberState.DEAD:
+            self.dead.add(member.node_id)
+        self._alive = None
+        self.changes += 1
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/membership.py
@@ -0,0 +1,247 @@
+"""Detect failed members with probes and gossip, at a constant cost per node.
+
+A member that answers no direct and no indirect probe within a period is suspected,
+and declared dead when nobody refutes that in time. A member refutes by raising its
+incarnation. The instance list adds members; a member that it drops is suspected, so
+that a lagging list removes no member that still answers.
+"""
+
+import msgspec
+
+from fulmarpulley_schema.generated.peer import (
+    MemberState,
+    MemberUpdate,
+    MessageKind,
+    Probe,
+)
+from fulmarpulley_schema.generated.settings import MembershipSettings
+
+from .choices import Choices
+from .ids import NodeId, Offset
+from .member_view import MemberView
+from .members import Member
+
+# One dead but listed member is probed every so many periods, so that the two sides
+# of a healed partition find each other.
+DEAD_PROBE_PERIODS = 5
+# Probes on behalf of others that are remembered at a time.
+MAX_RELAYED = 64
+
+
+class Outbound(msgspec.Struct, frozen=True):
+    """Carry a message to a member."""
+
+    target: NodeId
+    address: str
+    kind: MessageKind
+    message: Probe
+
+
+class _Awaited(msgspec.Struct):
+    target: NodeId
+    sequence: int
+    indirect_at: float
+    indirect_sent: bool = False
+
+
+class _Relayed(msgspec.Struct, frozen=True):
+    sender: NodeId
+    sequence: int
+
+
+class Membership:
+    """Detect failures for one node; `self_member` describes the node itself."""
+
+    def __init__(
+        self, settings: MembershipSettings, self_member: MemberUpdate, seed: int
+    ) -> None:
+        self.settings = settings
+        self.me = Member.from_update(self_member)
+        self.config_offset = Offset(0)
+        self.furthest: NodeId | None = None
+        self.furthest_offset = Offset(0)
+        self.view = MemberView(settings, self.me)
+        self._choices = Choices(seed)
+        self._order: list[NodeId] = []
+        self._awaited: _Awaited | None = None
+        self._relayed: dict[int, _Relayed] = {}
+        self._sequence = 0
+        self._period = 0
+        self._next_period: float | None = None
+
+    @property
+    def changes(self) -> int:
+        """Return a number that grows whenever a member changes its state."""
+        return self.view.changes
+
+    def members(self) -> list[Member]:
+        """List all members that are known, dead ones included."""
+        return list(self.view.members.values())
+
+    def member(self, node_id: NodeId) -> Member | None:
+        """Return a member by its id."""
+        return self.view.members.get(node_id)
+
+    def alive(self) -> list[Member]:
+        """List the members that take work, this node included."""
+        return self.view.alive()
+
+    def next_wakeup(self) -> float | None:
+        """Return when `tick` has something to do, or None before the first tick."""
+        times = [] if self._next_period is None else [self._next_period]
+        if self._awaited is not None and not self._awaited.indirect_sent:
+            times.append(self._awaited.indirect_at)
+        times += self.view.suspects.values()
+        return min(times, default=None)
+
+    def seed(self, listed: list[MemberUpdate], now: float) -> None:
+        """Take the nodes that the instance list names."""
+        self.view.seed(listed, now)
+
+    def leave(self, now: float) -> list[Outbound]:
+        """Tell some members at once that this node leaves; gossip tells the rest."""
+        self.view.leave(now)
+        others = [member for member in self.alive() if member is not self.me]
+        chosen = self._choices.some(others, self.settings.indirect_probes)
+        return [self._send(m, MessageKind.PROBE, self._count()) for m in chosen]
+
+    def handle(self, kind: MessageKind, message: Probe, now: float) -> list[Outbound]:
+        """Take a probe, an answer to one, or a request to probe another member."""
+        for update in message.updates:
+            self.view.merge(update, now)
+        sender = self.member(NodeId(message.sender))
+        if sender is None:
+            return []
+        self._note_offset(sender, Offset(message.config_offset))
+        if kind is MessageKind.PROBE:
+            return [self._send(sender, MessageKind.PROBE_ACK, message.sequence)]
+        if kind is MessageKind.PROBE_REQUEST:
+            return self._relay(sender, message)
+        if kind is MessageKind.PROBE_ACK:
+            return self._acknowledge(sender, message)
+        return []
+
+    def tick(self, now: float) -> list[Outbound]:
+        """Start periods, ask others to probe, and let suspicions end."""
+        due = now if self._next_period is None else self._next_period
+        if now - due > self.settings.period_s:
+            # Answers that came during a pause of this process are still unread, so
+            # silence proves nothing.
+            self._awaited = None
+            self.view.restart_suspicions(now)
+        outbound = self._ask_others(now)
+        self.view.end_suspicions(now)
+        if now >= due:
+            self._next_period = now + self.settings.period_s
+            outbound += self._start_period(now)
+        return outbound
+
+    def _start_period(self, now: float) -> list[Outbound]:
+        if self._awaited is not None:
+            silent = self.member(self._awaited.target)
+            self._awaited = None
+            if silent is not None:
+                self.view.suspect(silent, now)
+        self._period += 1
+        self.view.forget(now)
+        target = self._next_target()
+        if target is None:
+            return self._probe_dead()
+        sequence = self._count()
+        timeout = now + self.settings.probe_timeout_s
+        self._awaited = _Awaited(target.node_id, sequence, timeout)
+        probe = self._send(target, MessageKind.PROBE, sequence)
+        return [probe, *self._probe_dead()]
+
+    def _next_target(self) -> Member | None:
+        for node_id in self.view.added:
+            place = self._choices.below(len(self._order) + 1)
+            self._order.insert(place, node_id)
+        self.view.added.clear()
+        for _ in range(2):
+            while self._order:
+                member = self.member(self._order.pop())
+                if member is not None and member.state is not MemberState.DEAD:
+                    return member
+            self._order = [n for n in self.view.members if n != self.me.node_id]
+            self._choices.shuffle(self._order)
+        return None
+
+    def _probe_dead(self) -> list[Outbound]:
+        if self._period % DEAD_PROBE_PERIODS:
+            return []
+        dead = sorted(self.view.dead)
+        listed = [m for node_id in dead if (m := self.view.members[node_id]).listed]
+        chosen = self._choices.some(listed, 1)
+        return [self._send(m, MessageKind.PROBE, self._count()) for m in chosen]
+
+    def _ask_others(self, now: float) -> list[Outbound]:
+        awaited = self._awaited
+        if awaited is None or awaited.indirect_sent or now < awaited.indirect_at:
+            return []
+        awaited.indirect_sent = True
+        helpers = [
+            member
+            for member in self.view.members.values()
+            if member.state is MemberState.ALIVE
+            and member.node_id not in {self.me.node_id, awaited.target}
+        ]
+        chosen = self._choices.some(helpers, self.settings.indirect_probes)
+        kind = MessageKind.PROBE_REQUEST
+        return [self._send(m, kind, awaited.sequence, awaited.target) for m in chosen]
+
+    def _relay(self, sender: Member, message: Probe) -> list[Outbound]:
+        target = self.member(NodeId(message.target))
+        if target is None:
+            return []
+        sequence = self._count()
+        self._relayed[sequence] = _Relayed(sender.node_id, message.sequence)
+        if len(self._relayed) > MAX_RELAYED:
+            del self._relayed[next(iter(self._relayed))]
+        return [self._send(target, MessageKind.PROBE, sequence)]
+
+    def _acknowledge(self, sender: Member, message: Probe) -> list[Outbound]:
+        relayed = self._relayed.pop(message.sequence, None)
+        if relayed is not None:
+            asker = self.member(relayed.sender)
+            kind = MessageKind.PROBE_ACK
+            if asker is None:
+                return []
+            return [self._send(asker, kind, relayed.sequence, sender.node_id)]
+        awaited = self._awaited
+        if awaited is not None and awaited.sequence == message.sequence:
+            self._awaited = None
+        return []
+
+    def _note_offset(self, sender: Member, offset: Offset) -> None:
+        sender.config_offset = max(sender.config_offset, offset)
+        known = self.member(self.furthest) if self.furthest is not None else None
+        lost = known is None or known.state is MemberState.DEAD
+        if lost or offset > self.furthest_offset:
+            self.furthest, self.furthest_offset = sender.node_id, offset
+
+    def _count(self) -> int:
+        self._sequence += 1
+        return self._sequence
+
+    def _send(
+        self, member: Member, kind: MessageKind, sequence: int, target: str = ""
+    ) -> Outbound:
+        chosen: list[NodeId] = []
+        if kind is not MessageKind.PROBE_ACK:
+            # Lets the receiver answer although it has not heard of this node yet.
+            chosen.append(self.me.node_id)
+        if member.state is not MemberState.ALIVE:
+            # Lets the receiver refute what is believed of it.
+            chosen.append(member.node_id)
+        room = self.settings.updates_per_message - len(chosen)
+        queued = self.view.queue.choose(len(self.view.members), room)
+        chosen += [node_id for node_id in queued if node_id not in chosen]
+        message = Probe(
+            sender=self.me.node_id,
+            sequence=sequence,
+            target=target,
+            config_offset=self.config_offset,
+            updates=[self.view.members[node_id].update() for node_id in chosen],
+        )
+        return Outbound(member.node_id, member.peer_address, kind, message)
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/step_book.py
@@ -0,0 +1,206 @@
+"""Hold the open steps of one trainer and the pace of its versions."""
+
+import msgspec
+
+from fulmarpulley_schema.generated.http import Sample, StepOpen, StepTake
+
+from .bitmaps import decode_bitmap
+from .ids import ServiceName, StepNumber, TrainerId, Version, WorkId
+from .step_actions import StepAction, Taken
+from .steps import Step
+
+# A step whose trainer has said nothing for this long is dropped; the trainer opens it
+# again. Longer than the 23 minutes in which all samples of a step complete.
+STEP_IDLE_S = 3600.0
+# Weight of the newest observation in the averages of intervals and durations.
+PACE_WEIGHT = 0.2
+
+
+class OpenStep(msgspec.Struct, frozen=True):
+    """Carry a step and its finished samples to the next home."""
+
+    number: StepNumber
+    body: StepOpen
+    bound: int
+    samples: list[Sample]
+
+
+class Pace:
+    """Estimate when the next version comes and how long a sample takes, in seconds."""
+
+    def __init__(self) -> None:
+        self.announced: float | None = None
+        self.interval: float | None = None
+        self.generation: float | None = None
+
+    def version_came(self, now: float) -> None:
+        """Note a new version."""
+        if self.announced is not None:
+            self.interval = _average(self.interval, now - self.announced)
+        self.announced = now
+
+    def sample_took(self, seconds: float) -> None:
+        """Note the duration of one sample."""
+        self.generation = _average(self.generation, seconds)
+
+    def replace_at(self) -> float | None:
+        """Return when replacements must start to be ready before the next version."""
+        if self.announced is None or self.interval is None:
+            return None
+        return max(
+            self.announced, self.announced + self.interval - (self.generation or 0)
+        )
+
+
+class StepBook:
+    """Hold the open steps of a trainer; `home` differs between starts of a node."""
+
+    def __init__(self, service: ServiceName, trainer: TrainerId, home: str) -> None:
+        self.service = service
+        self.trainer = trainer
+        self.home = home
+        self.version = Version(0)
+        self.steps: dict[StepNumber, Step] = {}
+        self.pace = Pace()
+        self._bodies: dict[StepNumber, StepOpen] = {}
+        self._heard: dict[StepNumber, float] = {}
+        self._replaced = Version(-1)
+        self._opened = 0
+
+    def open(
+        self, number: StepNumber, body: StepOpen, bound: int, now: float
+    ) -> list[StepAction]:
+        """Open a step or state it again; raise BitmapError on a wrong bitmap.
+
+        An open with other content replaces the step. `bound` is the body's staleness
+        bound, or the document's when the body names none.
+        """
+        slots = len(body.groups) * body.samples_per_group
+        held = decode_bitmap(body.held, slots)
+        actions = self.version_announced(Version(body.version), now)
+        step = self.steps.get(number)
+        if step is not None and not step.same_content(body):
+            actions += step.withdraw_all()
+            step = None
+        if step is None:
+            step = self._new_step(number, body, bound)
+        self._heard[number] = now
+        return actions + step.set_bound(bound, now) + step.state_held(held, now)
+
+    def take(self, number: StepNumber, body: StepTake, now: float) -> Taken | None:
+        """Hand over samples, or return None for an unknown step."""
+        step = self.steps.get(number)
+        if step is None:
+            return None
+        held = decode_bitmap(body.held, step.slots)
+        self._heard[number] = now
+        actions = self.version_announced(Version(body.version), now)
+        taken = step.take(held, body.max_samples, now)
+        return Taken(taken.batch, actions + taken.actions)
+
+    def close(self, number: StepNumber) -> list[StepAction]:
+        """Forget a step and withdraw its work."""
+        step = self.steps.pop(number, None)
+        self._bodies.pop(number, None)
+        self._heard.pop(number, None)
+        return step.withdraw_all() if step is not None else []
+
+    def sample_ready(
+        self, number: StepNumber, work_id: WorkId, sample: Sample, now: float
+    ) -> list[StepAction]:
+        """Keep a finished, scored sample of a step."""
+        step = self.steps.get(number)
+        if step is None:
+            return []
+        started = step.started_at(sample.slot, work_id)
+        if started is not None:
+            self.pace.sample_took(now - started)
+        return step.sample_ready(work_id, sample, now)
+
+    def work_failed(
+        self,
+        number: StepNumber,
+        slot: int,
+        work_id: WorkId,
+        now: float,
+        retry_after: float | None = None,
+    ) -> list[StepAction]:
+        """Note that a work item ended without a sample."""
+        step = self.steps.get(number)
+        return step.work_failed(slot, work_id, now, retry_after) if step else []
+
+    def version_announced(self, version: Version, now: float) -> list[StepAction]:
+        """Note the trainer's current version; an older one has no effect."""
+        if version <= self.version:
+            return []
+        self.version = version
+        self.pace.version_came(now)
+        actions: list[StepAction] = []
+        for step in self.steps.values():
+            actions += step.set_version(version, now)
+        return actions
+
+    def restore(self, handed: OpenStep, now: float) -> list[StepAction]:
+        """Take over a step and its samples from a leaving home."""
+        actions: list[StepAction] = []
+        step = self.steps.get(handed.number)
+        if step is None:
+            actions = self.open(handed.number, handed.body, handed.bound, now)
+            step = self.steps[handed.number]
+        if step.same_content(handed.body):
+            actions += step.restore(handed.samples)
+        return actions
+
+    def open_steps(self) -> list[OpenStep]:
+        """List the steps and samples that a leaving home hands over."""
+        found = []
+        for number, step in self.steps.items():
+            body = msgspec.structs.replace(
+                self._bodies[number], held=step.held_text(), version=step.version
+            )
+            found.append(OpenStep(number, body, step.bound, step.samples()))
+        return found
+
+    def tick(self, now: float) -> list[StepAction]:
+        """Retry failed work, replace expiring samples and drop idle steps."""
+        actions: list[StepAction] = []
+        idle = [n for n, heard in self._heard.items() if now - heard >= STEP_IDLE_S]
+        for number in idle:
+            actions += self.close(number)
+        for step in self.steps.values():
+            actions += step.retry(now)
+        replace_at = self._replace_at()
+        if replace_at is not None and now >= replace_at:
+            self._replaced = self.version
+            for step in self.steps.values():
+                actions += step.replace_expiring(now)
+        return actions
+
+    def next_wakeup(self) -> float | None:
+        """Return when `tick` has something to do."""
+        times = [heard + STEP_IDLE_S for heard in self._heard.values()]
+        times += [t for s in self.steps.values() if (t := s.next_retry()) is not None]
+        replace_at = self._replace_at()
+        if replace_at is not None:
+            times.append(replace_at)
+        return min(times, default=None)
+
+    def _replace_at(self) -> float | None:
+        if self._replaced == self.version:
+            return None
+        if not any(step.has_expiring() for step in self.steps.values()):
+            return None
+        return self.pace.replace_at()
+
+    def _new_step(self, number: StepNumber, body: StepOpen, bound: int) -> Step:
+        self._opened += 1
+        place = f"{self.service}/{self.trainer}/{number}"
+        step = Step(number, body, bound, f"{place}/{self.home}-{self._opened}")
+        step.version = max(step.version, self.version)
+        self.steps[number] = step
+        self._bodies[number] = body
+        return step
+
+
+def _average(known: float | None, value: float) -> float:
+    return value if known is None else known + PACE_WEIGHT * (value - known)
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/steps.py
@@ -0,0 +1,307 @@
+"""Track the slots of one training step: wanted, in work, ready, held.
+
+The trainer's statement, in an open or a take, is the whole truth about what it
+holds. A slot is work for somebody exactly when it is not held, not ready, not in
+work and not waiting for a retry; every statement restores this rule, so nothing is
+lost with a response. Sets of slots are integers, so that a statement about 16,384
+slots costs a few operations on 2 KiB, and other events touch single slots only.
+"""
+
+import heapq
+from enum import StrEnum
+
+import msgspec
+
+from fulmarpulley_schema.generated.http import Sample, SampleBatch, StepOpen
+
+from .bitmaps import bitmap_of, encode_bitmap, slots_of
+from .ids import StepNumber, Version, WorkId
+from .step_actions import (
+    GenerateSample,
+    SamplesReady,
+    StepAction,
+    Taken,
+    WithdrawSample,
+)
+
+# Pause before a failed sample is tried again when the pool names no time.
+RETRY_S = 1.0
+
+
+class SlotState(StrEnum):
+    """Name the state of a slot."""
+
+    HELD = "held"
+    READY = "ready"
+    IN_WORK = "in_work"
+    DELAYED = "delayed"
+    DROPPED = "dropped"
+
+
+class _Ready(msgspec.Struct, frozen=True):
+    sample: Sample
+    oldest: Version
+
+
+class Step:
+    """Hold one open step; `prefix` makes its work ids unique among all homes."""
+
+    def __init__(
+        self, number: StepNumber, body: StepOpen, bound: int, prefix: str
+    ) -> None:
+        self.number = number
+        self.groups = body.groups
+        self.samples_per_group = body.samples_per_group
+        self.max_tokens = body.max_tokens
+        self.bound = bound
+        self.prefix = prefix
+        self.slots = len(body.groups) * body.samples_per_group
+        self.version = Version(body.version)
+        self.held = 0
+        self._all = (1 << self.slots) - 1
+        self._ready: dict[int, _Ready] = {}
+        self._ready_bits = 0
+        self._by_version: dict[Version, dict[int, None]] = {}
+        self._work: dict[int, WorkId] = {}
+        self._started: dict[int, float] = {}
+        self._work_bits = 0
+        self._delayed: list[tuple[float, int]] = []
+        self._delayed_bits = 0
+        self._handed_bits = 0
+        self._generation = 0
+
+    @property
+    def finished(self) -> bool:
+        """Tell whether the trainer holds every slot."""
+        return self.held == self._all
+
+    @property
+    def ready_count(self) -> int:
+        """Return how many samples wait to be taken or confirmed."""
+        return len(self._ready)
+
+    def state_of(self, slot: int) -> SlotState:
+        """Return the state of a slot; a ready slot may also be in work."""
+        bit = 1 << slot
+        if self.held & bit:
+            return SlotState.HELD
+        if self._ready_bits & bit:
+            return SlotState.READY
+        if self._work_bits & bit:
+            return SlotState.IN_WORK
+        return SlotState.DELAYED if self._delayed_bits & bit else SlotState.DROPPED
+
+    def same_content(self, body: StepOpen) -> bool:
+        """Tell whether an open asks for the samples that this step is about."""
+        return (
+            self.samples_per_group == body.samples_per_group
+            and self.max_tokens == body.max_tokens
+            and self.groups == body.groups
+        )
+
+    def samples(self) -> list[Sample]:
+        """List the ready samples, to be handed to the next home."""
+        return [ready.sample for ready in self._ready.values()]
+
+    def held_text(self) -> str:
+        """Return the bitmap of the held slots as base64."""
+        return encode_bitmap(self.held)
+
+    def set_bound(self, bound: int, now: float) -> list[StepAction]:
+        """Change the staleness bound and drop the samples beyond it."""
+        if bound == self.bound:
+            return []
+        self.bound = bound
+        return self._drop_expired(now)
+
+    def state_held(self, held: int, now: float) -> list[StepAction]:
+        """Take the trainer's statement of what it holds; generate what is missing."""
+        self.held = held & self._all
+        self._handed_bits = 0
+        for slot in slots_of(self.held & self._ready_bits):
+            self._drop_ready(slot)
+        actions = self._withdraw(self.held & self._work_bits)
+        busy = self.held | self._ready_bits | self._work_bits | self._delayed_bits
+        return actions + self._generate(self._all & ~busy, now)
+
+    def take(self, held: int, limit: int, now: float) -> Taken:
+        """Hand over up to `limit` samples, those that expire first in front."""
+        actions = self.state_held(held, now)
+        slots = self._first_ready(limit)
+        self._handed_bits = bitmap_of(slots)
+        missing = self.slots - self.held.bit_count() - len(slots)
+        samples = [self._ready[slot].sample for slot in slots]
+        return Taken(SampleBatch(samples=samples, missing=missing), actions)
+
+    def set_version(self, version: Version, now: float) -> list[StepAction]:
+        """Note the trainer's current version and drop the samples that expired."""
+        if version <= self.version:
+            return []
+        self.version = version
+        return self._drop_expired(now)
+
+    def sample_ready(
+        self, work_id: WorkId, sample: Sample, now: float
+    ) -> list[StepAction]:
+        """Keep a finished, scored sample; results of unknown work are dropped."""
+        slot = sample.slot
+        if self._work.get(slot) != work_id:
+            return []
+        self._end_work(slot)
+        oldest = oldest_version(sample)
+        if oldest is None or not self._fresh(oldest):
+            if self._ready_bits >> slot & 1:
+                return []
+            if oldest is None:
+                return self._delay(slot, now + RETRY_S)
+            return self._generate(1 << slot, now)
+        return self._keep(sample, oldest)
+
+    def restore(self, samples: list[Sample]) -> list[StepAction]:
+        """Keep samples that a leaving home had finished."""
+        actions: list[StepAction] = []
+        for sample in samples:
+            oldest = oldest_version(sample)
+            if oldest is None or not self._fresh(oldest) or sample.slot >= self.slots:
+                continue
+            bit = 1 << sample.slot
+            if (self.held | self._ready_bits) & bit:
+                continue
+            actions += self._withdraw(self._work_bits & bit)
+            actions += self._keep(sample, oldest)
+        return actions
+
+    def work_failed(
+        self, slot: int, work_id: WorkId, now: float, retry_after: float | None = None
+    ) -> list[StepAction]:
+        """Note that a work item ended without a sample; it is retried later."""
+        if self._work.get(slot) != work_id:
+            return []
+        self._end_work(slot)
+        if self._ready_bits >> slot & 1:
+            return []
+        return self._delay(
+            slot, now + (RETRY_S if retry_after is None else retry_after)
+        )
+
+    def retry(self, now: float) -> list[StepAction]:
+        """Generate the delayed slots whose time has come."""
+        actions: list[StepAction] = []
+        while self._delayed and self._delayed[0][0] <= now:
+            slot = heapq.heappop(self._delayed)[1]
+            self._delayed_bits &= ~(1 << slot)
+            busy = self.held | self._ready_bits | self._work_bits
+            actions += self._generate(1 << slot & ~busy, now)
+        return actions
+
+    def replace_expiring(self, now: float) -> list[StepAction]:
+        """Generate replacements of the samples that the next version expires.
+
+        A sample that was handed over is probably held already. With a bound of 0 a
+        replacement would expire together with the sample.
+        """
+        expiring = self._by_version.get(Version(self.version - self.bound))
+        if not self.bound or not expiring:
+            return []
+        busy = self._work_bits | self._handed_bits | self._delayed_bits
+        bits = bitmap_of(list(expiring)) & ~busy
+        return self._generate(bits, now, Version(self.version - self.bound + 1))
+
+    def has_expiring(self) -> bool:
+        """Tell whether the next version expires ready samples."""
+        return bool(self._by_version.get(Version(self.version - self.bound)))
+
+    def next_retry(self) -> float | None:
+        """Return when a delayed slot is due."""
+        return self._delayed[0][0] if self._delayed else None
+
+    def started_at(self, slot: int, work_id: WorkId) -> float | None:
+        """Return when the work in progress of a slot was started."""
+        return self._started[slot] if self._work.get(slot) == work_id else None
+
+    def withdraw_all(self) -> list[StepAction]:
+        """Withdraw all work in progress."""
+        return self._withdraw(self._work_bits)
+
+    def _drop_expired(self, now: float) -> list[StepAction]:
+        expired: list[int] = []
+        for oldest in sorted(self._by_version):
+            if self._fresh(oldest):
+                break
+            expired += self._by_version[oldest]
+        for slot in expired:
+            self._drop_ready(slot)
+        # The trainer may hold a slot that was handed over; its next statement
+        # tells, and generates the slot when it was lost.
+        bits = bitmap_of(expired) & ~(self._handed_bits | self._work_bits)
+        return self._generate(bits & ~self._delayed_bits, now)
+
+    def _fresh(self, oldest: Version) -> bool:
+        return self.version - oldest <= self.bound
+
+    def _first_ready(self, limit: int) -> list[int]:
+        slots: list[int] = []
+        for oldest in sorted(self._by_version):
+            for slot in self._by_version[oldest]:
+                if len(slots) == limit:
+                    return slots
+                slots.append(slot)
+        return slots
+
+    def _keep(self, sample: Sample, oldest: Version) -> list[StepAction]:
+        slot = sample.slot
+        known = self._ready.get(slot)
+        if known is not None:
+            if known.oldest >= oldest:
+                return []
+            self._drop_ready(slot)
+        self._ready[slot] = _Ready(sample, oldest)
+        self._ready_bits |= 1 << slot
+        self._by_version.setdefault(oldest, {})[slot] = None
+        return [SamplesReady(self.number)]
+
+    def _drop_ready(self, slot: int) -> None:
+        oldest = self._ready.pop(slot).oldest
+        self._ready_bits &= ~(1 << slot)
+        bucket = self._by_version[oldest]
+        del bucket[slot]
+        if not bucket:
+            del self._by_version[oldest]
+
+    def _generate(
+        self, bits: int, now: float, min_version: Version | None = None
+    ) -> list[StepAction]:
+        if not bits:
+            return []
+        self._work_bits |= bits
+        lowest = Version(max(0, self.version - self.bound))
+        wanted = lowest if min_version is None else min_version
+        actions: list[StepAction] = []
+        for slot in slots_of(bits):
+            self._generation += 1
+            work_id = WorkId(f"{self.prefix}/{slot}/{self._generation}")
+            self._work[slot] = work_id
+            self._started[slot] = now
+            actions.append(GenerateSample(work_id, self.number, slot, wanted))
+        return actions
+
+    def _withdraw(self, bits: int) -> list[StepAction]:
+        actions: list[StepAction] = []
+        for slot in slots_of(bits):
+            actions.append(WithdrawSample(self._work[slot]))
+            self._end_work(slot)
+        return actions
+
+    def _end_work(self, slot: int) -> None:
+        del self._work[slot], self._started[slot]
+        self._work_bits &= ~(1 << slot)
+
+    def _delay(self, slot: int, until: float) -> list[StepAction]:
+        heapq.heappush(self._delayed, (until, slot))
+        self._delayed_bits |= 1 << slot
+        return []
+
+
+def oldest_version(sample: Sample) -> Version | None:
+    """Return the oldest version that produced a sample, or None without labels."""
+    return Version(min(span.version for span in sample.spans)) if sample.spans else None
