Plan the handover of finished samples

A leaving node keeps finished samples that the next home would otherwise generate again. Send each open step with its samples to the next home by rendezvous hash, in messages of at most 4 MiB of samples.

--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/handover.py
@@ -0,0 +1,92 @@
+"""Decide what a leaving node hands over, and to which peer.
+
+Finished samples go to the next home of their step. Claims need no handover, because
+the next home replays them, and the leaving node finishes the requests that it runs.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from fulmarpulley_schema.generated.http import Sample, StepOpen
+from fulmarpulley_schema.generated.peer import Handover
+
+from .ids import NodeId, Region, ServiceName, StepNumber, TrainerId
+from .placement import Located, home_of
+from .step_book import OpenStep, StepBook
+
+# Half of the 8 MiB that a message may have; the other half is left to the prompts.
+SAMPLES_BYTES = 4 * 1024 * 1024
+# Estimated size of a sample without its text and spans, and of a span.
+SAMPLE_BYTES = 128
+SPAN_BYTES = 32
+
+
+class Parcel(msgspec.Struct, frozen=True):
+    """Carry one message to the next home."""
+
+    target: NodeId
+    message: Handover
+
+
+def step_key(service: ServiceName, trainer: TrainerId) -> str:
+    """Return the placement key of a trainer's steps."""
+    return f"{service}/{trainer}"
+
+
+def plan_handover(
+    me: NodeId,
+    alive: Iterable[Located],
+    books: Iterable[StepBook],
+    region: Region | None = None,
+) -> list[Parcel]:
+    """List what to send; empty when no other node is alive."""
+    others = [node for node in alive if node.node_id != me]
+    parcels: list[Parcel] = []
+    for book in books:
+        target = home_of(step_key(book.service, book.trainer), others, region)
+        if target is not None:
+            for step in book.open_steps():
+                parcels += _parcels(target, book, step)
+    return parcels
+
+
+def open_step_of(message: Handover) -> OpenStep:
+    """Return the step that a peer handed over; raise ValidationError if malformed."""
+    return OpenStep(
+        number=StepNumber(message.step),
+        body=msgspec.convert(message.open, StepOpen),
+        bound=message.bound,
+        samples=msgspec.convert(message.samples, list[Sample]),
+    )
+
+
+def _parcels(target: NodeId, book: StepBook, step: OpenStep) -> list[Parcel]:
+    body = msgspec.to_builtins(step.body)
+    return [
+        Parcel(
+            target,
+            Handover(
+                service=book.service,
+                trainer=book.trainer,
+                step=step.number,
+                bound=step.bound,
+                open=body,
+                samples=msgspec.to_builtins(samples),
+            ),
+        )
+        for samples in _chunks(step.samples)
+    ]
+
+
+def _chunks(samples: list[Sample]) -> list[list[Sample]]:
+    chunks: list[list[Sample]] = [[]]
+    room = SAMPLES_BYTES
+    for sample in samples:
+        size = SAMPLE_BYTES + SPAN_BYTES * len(sample.spans) + len(sample.text.encode())
+        if size > room and chunks[-1]:
+            chunks.append([])
+            room = SAMPLES_BYTES
+        chunks[-1].append(sample)
+        room -= size
+    return chunks
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/membership.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/membership.py
@@ -86,6 +86,11 @@
         """List the members that take work, this node included."""
         return self.view.alive()
 
+    def present(self) -> list[Member]:
+        """List the members that are not dead; leaving ones still finish their work."""
+        members = self.view.members.values()
+        return [m for m in members if m.state is not MemberState.DEAD]
+
     def next_wakeup(self) -> float | None:
         """Return when `tick` has something to do, or None before the first tick."""
         times = [] if self._next_period is None else [self._next_period]
