Decide claims and answers of one partition

Requests that are not repeatable run only under a claim that is the current one in the log.

A claim record says whether its request is repeatable: an open repeatable claim may be replaced by a later one, otherwise a lost holder would block a key that is safe to run again. An outcome not_run that overtakes its claim in the log keeps the claim from competing later.

--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/claim_log.py
@@ -0,0 +1,175 @@
+"""Fold the records of one claim partition; a pure function of the stream.
+
+Every reader that began at or below the offset of an issued key has read every claim
+that could exist for it, so all such readers agree on the current claim.
+"""
+
+import heapq
+from typing import Any
+
+import msgspec
+
+from fulmarpulley_schema.generated.records import ClaimEntry, OutcomeEntry, OutcomeKind
+
+from .claim_messages import KeyOf
+from .ids import Offset, Partition, RequestKey, ServiceName
+from .request_keys import parse_key
+
+# An outcome replaces one that says less about the same claim.
+_SAYS = {
+    None: 0,
+    OutcomeKind.MAY_HAVE_RUN: 1,
+    OutcomeKind.RAN: 2,
+    OutcomeKind.ANSWERED: 3,
+}
+
+
+class Standing(msgspec.Struct):
+    """Hold the current claim of a key, and the ids of all claims that were seen."""
+
+    expires_below: Offset
+    current: ClaimEntry | None = None
+    outcome: OutcomeKind | None = None
+    answer: dict[str, Any] | None = None
+    orphaned: bool = False
+    seen: set[str] = msgspec.field(default_factory=set)
+
+    @property
+    def open(self) -> bool:
+        """Tell whether the current claim may still get an outcome."""
+        return self.current is not None and _SAYS[self.outcome] < 2
+
+
+class ClaimLog:
+    """Hold the standing of each key; `start` is the first offset of the reader."""
+
+    def __init__(self, partition: Partition) -> None:
+        self.partition = partition
+        self.start: Offset | None = None
+        self.offset = Offset(0)
+        self.first = Offset(0)
+        self.keys: dict[KeyOf, Standing] = {}
+        self.open: dict[KeyOf, str] = {}
+        self._expiry: list[tuple[Offset, str, str]] = []
+
+    def set_first(self, first: Offset) -> list[KeyOf]:
+        """Note the first offset that the stream keeps; return the expired keys."""
+        self.first = max(self.first, first)
+        if self.start is None or first > self.offset + 1:
+            self.start = first
+            self.offset = Offset(first - 1)
+        return self._expire()
+
+    def advance(self, offset: Offset) -> bool:
+        """Move to an offset; return False if it was read before."""
+        if self.start is None or offset > self.offset + 1:
+            self.set_first(offset)
+        if offset <= self.offset:
+            return False
+        self.offset = offset
+        return True
+
+    def expired(self, key: str) -> bool:
+        """Tell whether claims for an issued key may be missing from the stream."""
+        issued = parse_key(key)
+        low = max(self.first, self.start or Offset(0))
+        return issued is not None and issued.offset < low
+
+    def forged(self, key: str) -> bool:
+        """Tell whether a key names offsets or a partition it cannot come from."""
+        issued = parse_key(key)
+        if issued is None:
+            return False
+        return issued.partition != self.partition or issued.offset > self.offset
+
+    def claim(self, entry: ClaimEntry) -> bool:
+        """Fold a claim; return whether it is now the current one for the first time.
+
+        Only the first copy of a claim competes: a copy that comes after the claim
+        lost or was closed would bind the key to a claim that nobody runs.
+        """
+        key = key_of(entry)
+        standing = self._standing(key)
+        if entry.claim_id in standing.seen:
+            return False
+        standing.seen.add(entry.claim_id)
+        if not self._free_for(standing, entry):
+            return False
+        standing.current = entry
+        standing.outcome = None
+        standing.answer = None
+        standing.orphaned = False
+        self.open[key] = entry.claim_id
+        if parse_key(entry.key) is None:
+            standing.expires_below = self.offset
+        return True
+
+    def outcome(self, entry: OutcomeEntry) -> bool:
+        """Fold an outcome; return whether it says something new of its key."""
+        key = key_of(entry)
+        not_run = entry.outcome is OutcomeKind.NOT_RUN
+        standing = self.keys.get(key)
+        if standing is None or not self._is_current(standing, entry):
+            if not_run and not self.expired(entry.key):
+                # The outcome overtook its claim, which is not to compete any more.
+                self._standing(key).seen.add(entry.claim_id)
+            return False
+        if not_run:
+            return self._close(key, standing)
+        if _SAYS[entry.outcome] <= _SAYS[standing.outcome]:
+            return False
+        standing.outcome = entry.outcome
+        standing.answer = entry.answer
+        if not standing.open:
+            self.open.pop(key, None)
+        return True
+
+    def _is_current(self, standing: Standing, entry: OutcomeEntry) -> bool:
+        current = standing.current
+        return current is not None and current.claim_id == entry.claim_id
+
+    def _close(self, key: KeyOf, standing: Standing) -> bool:
+        if not standing.open:
+            return False
+        standing.current = None
+        standing.outcome = None
+        self.open.pop(key, None)
+        return True
+
+    def _free_for(self, standing: Standing, entry: ClaimEntry) -> bool:
+        if self.forged(entry.key) or self.expired(entry.key):
+            return False
+        current = standing.current
+        if current is None:
+            return True
+        # The new holder runs the request again; the answer of either will do.
+        unanswered = standing.outcome is not OutcomeKind.ANSWERED
+        return unanswered and current.repeatable and entry.repeatable
+
+    def _standing(self, key: KeyOf) -> Standing:
+        standing = self.keys.get(key)
+        if standing is None:
+            issued = parse_key(key.key)
+            below = issued.offset if issued is not None else self.offset
+            standing = self.keys[key] = Standing(below)
+            heapq.heappush(self._expiry, (below, key.service, key.key))
+        return standing
+
+    def _expire(self) -> list[KeyOf]:
+        expired: list[KeyOf] = []
+        while self._expiry and self._expiry[0][0] < self.first:
+            _, service, text = heapq.heappop(self._expiry)
+            key = KeyOf(ServiceName(service), RequestKey(text))
+            below = self.keys[key].expires_below
+            if below >= self.first:
+                heapq.heappush(self._expiry, (below, service, text))
+                continue
+            del self.keys[key]
+            self.open.pop(key, None)
+            expired.append(key)
+        return expired
+
+
+def key_of(entry: ClaimEntry | OutcomeEntry) -> KeyOf:
+    """Return the key that an entry is about."""
+    return KeyOf(ServiceName(entry.service), RequestKey(entry.key))
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/claims.py
@@ -0,0 +1,294 @@
+"""Decide who runs a request: the claims and answers of one partition.
+
+A request that is not repeatable runs only after its holder has read its own claim
+back as the current one. Another claim can follow only after an outcome `not_run`,
+which only a holder that never hands the request over records. A report of `not_run`
+speaks for the claim under which it is made.
+"""
+
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from fulmarpulley_schema.generated.http import Ran
+from fulmarpulley_schema.generated.records import (
+    ClaimEntry,
+    Claims,
+    OutcomeEntry,
+    OutcomeKind,
+    Outcomes,
+    Record,
+    RecordKind,
+)
+
+from .claim_log import ClaimLog, Standing, key_of
+from .claim_messages import (
+    AppendClaim,
+    ClaimDecision,
+    ClaimEvent,
+    ClaimRefused,
+    ClaimWon,
+    Ended,
+    KeyChanged,
+    KeyOf,
+    OwnClaim,
+    OwnState,
+    RecordOutcome,
+    RecordUnreadable,
+    RefuseKey,
+    ReturnAnswer,
+    WaitForOutcome,
+)
+from .ids import NodeId, Offset, Partition, RequestKey
+from .own_claims import OwnClaims, stored_outcome
+from .request_keys import IssuedKey, parse_key
+
+_BAD_KEY = RefuseKey("bad_request", Ran.NOT_RUN)
+_EXPIRED = RefuseKey("key_expired", Ran.MAY_HAVE_RUN)
+_MAY_HAVE_RUN = RefuseKey("upstream_broken", Ran.MAY_HAVE_RUN)
+_RAN = RefuseKey("upstream_error", Ran.RAN)
+
+
+class ClaimTable:
+    """Decide for one node; `start_id` differs between all tables ever made."""
+
+    def __init__(self, partition: Partition, node_id: NodeId, start_id: str) -> None:
+        self.node_id = node_id
+        self.log = ClaimLog(partition)
+        self.own = OwnClaims(node_id, start_id)
+        self._alive: frozenset[NodeId] | None = None
+
+    @property
+    def offset(self) -> Offset:
+        """Return the last offset that was read."""
+        return self.log.offset
+
+    def issue_key(self, random_text: str) -> RequestKey | None:
+        """Issue a key, or return None before the stream was read for the first time."""
+        if self.log.start is None:
+            return None
+        next_offset = Offset(self.log.offset + 1)
+        return IssuedKey(self.log.partition, next_offset, random_text).text()
+
+    def request(
+        self, key: KeyOf, fingerprint: str, repeatable: bool = False
+    ) -> ClaimDecision:
+        """Decide on a request; the requests that wait ask again after KeyChanged."""
+        issued = parse_key(key.key)
+        if issued is None and not repeatable:
+            return _BAD_KEY
+        if issued is not None and issued.partition != self.log.partition:
+            return _BAD_KEY
+        if self._fingerprint(key) not in {None, fingerprint}:
+            return RefuseKey("key_reused", Ran.NOT_RUN)
+        known = self._known(key, repeatable)
+        if known is not None:
+            return known
+        if self.log.expired(key.key):
+            return _EXPIRED
+        own = self.own.add(key, fingerprint, repeatable)
+        return AppendClaim(own.entry, run_at_once=repeatable)
+
+    def fetch(self, key: KeyOf) -> ClaimDecision:
+        """Tell what is known of a key without claiming it."""
+        known = self._known(key, False)
+        if known is not None:
+            return known
+        if self.log.expired(key.key):
+            return _EXPIRED
+        if self.log.start is None:
+            return RefuseKey("log_unavailable", Ran.MAY_HAVE_RUN)
+        return RefuseKey("unknown_key", Ran.NOT_RUN)
+
+    def begin(self, claim_id: str) -> bool:
+        """Note that the request is handed to a pool home; False forbids to do so."""
+        own = self.own.get(claim_id)
+        if own is None or own.state is not OwnState.WON:
+            return False
+        if self.log.expired(own.key.key):
+            return False
+        own.state = OwnState.RUNNING
+        return True
+
+    def cancel_append(self, claim_id: str) -> None:
+        """Drop a claim that was never handed to the log client."""
+        own = self.own.get(claim_id)
+        if own is not None and own.state is OwnState.PENDING:
+            self.own.drop(own)
+
+    def abandon(self, claim_id: str) -> Ended:
+        """Give a claim up; only a request that was not begun is `not_run`."""
+        return self.own.abandon(claim_id)
+
+    def finish(
+        self,
+        claim_id: str,
+        outcome: OutcomeKind,
+        answer: dict[str, Any] | None = None,
+    ) -> Ended:
+        """Note the end of a running request.
+
+        `not_run` is for a request that its only pool home refused as not run.
+        """
+        return self.own.finish(claim_id, outcome, answer)
+
+    def set_first(self, first: Offset) -> list[ClaimEvent]:
+        """Note the first offset that the stream still keeps."""
+        before = self.log.first
+        events: list[ClaimEvent] = [KeyChanged(k) for k in self.log.set_first(first)]
+        if self.log.first == before:
+            return events
+        # A claim of an expired key may be among the records that nobody can read.
+        for own in self.own.ended_or_pending():
+            if self.log.expired(own.key.key):
+                self.own.drop(own)
+                if own.state is OwnState.PENDING:
+                    events.append(ClaimRefused(own.key, own.entry.claim_id, _EXPIRED))
+        return events
+
+    def members_changed(self, present: Iterable[NodeId]) -> list[ClaimEvent]:
+        """Note the nodes that are not dead; claims of the others may have run."""
+        self._alive = frozenset(present)
+        events: list[ClaimEvent] = []
+        for key, claim_id in list(self.log.open.items()):
+            current = self.log.keys[key].current
+            if current is not None and current.holder not in self._alive:
+                events += self.orphan(key, claim_id)
+        return events
+
+    def orphan(self, key: KeyOf, claim_id: str) -> list[ClaimEvent]:
+        """Note that the holder is gone, or that it does not know its claim."""
+        standing = self.log.keys.get(key)
+        if standing is None or standing.current is None or standing.orphaned:
+            return []
+        if standing.current.claim_id != claim_id or claim_id in self.own:
+            return []
+        standing.orphaned = True
+        return [KeyChanged(key)]
+
+    def apply(self, offset: Offset, record: Record) -> list[ClaimEvent]:
+        """Fold one record of the stream."""
+        events: list[ClaimEvent] = []
+        if self.log.start is None or offset > self.log.offset + 1:
+            events = self.set_first(offset)
+        if not self.log.advance(offset):
+            return events
+        try:
+            return events + self._apply_body(record)
+        except msgspec.ValidationError as error:
+            return [*events, RecordUnreadable(f"offset {offset}: {error}")]
+
+    def _apply_body(self, record: Record) -> list[ClaimEvent]:
+        events: list[ClaimEvent] = []
+        if record.kind is RecordKind.CLAIMS:
+            for claim in msgspec.convert(record.body, Claims).entries:
+                events += self._apply_claim(claim)
+        elif record.kind is RecordKind.OUTCOMES:
+            for outcome in msgspec.convert(record.body, Outcomes).entries:
+                events += self._apply_outcome(outcome)
+        return events
+
+    def _apply_claim(self, entry: ClaimEntry) -> list[ClaimEvent]:
+        current = self.log.claim(entry)
+        own = self.own.get(entry.claim_id)
+        if own is None:
+            return [KeyChanged(key_of(entry))] if current else []
+        if own.read:
+            return []
+        own.read = True
+        return self._apply_won(own) if current else self._apply_lost(own)
+
+    def _apply_won(self, own: OwnClaim) -> list[ClaimEvent]:
+        if own.state is OwnState.PENDING:
+            own.state = OwnState.WON
+            return [ClaimWon(own.key, own.entry.claim_id)]
+        if own.state is OwnState.RUNNING:
+            return []
+        # The outcome was appended before its claim, where it did not count.
+        return [RecordOutcome(stored_outcome(own))]
+
+    def _apply_lost(self, own: OwnClaim) -> list[ClaimEvent]:
+        claim_id, state = own.entry.claim_id, own.state
+        if state not in {OwnState.PENDING, OwnState.ABANDONED}:
+            return []
+        self.own.drop(own)
+        if state is OwnState.ABANDONED:
+            return []
+        if self.log.expired(own.key.key):
+            return [ClaimRefused(own.key, claim_id, _EXPIRED)]
+        if self.log.forged(own.key.key):
+            return [ClaimRefused(own.key, claim_id, _BAD_KEY)]
+        return [KeyChanged(own.key)]
+
+    def _apply_outcome(self, entry: OutcomeEntry) -> list[ClaimEvent]:
+        changed = self.log.outcome(entry)
+        own = self.own.get(entry.claim_id)
+        if own is not None and _is_stored(own, entry, changed):
+            self.own.drop(own)
+        return [KeyChanged(key_of(entry))] if changed else []
+
+    def _fingerprint(self, key: KeyOf) -> str | None:
+        standing = self.log.keys.get(key)
+        if standing is not None and standing.current is not None:
+            return standing.current.fingerprint
+        own = self.own.newest(key)
+        return own.entry.fingerprint if own is not None else None
+
+    def _known(self, key: KeyOf, repeatable: bool) -> ClaimDecision | None:
+        standing = self.log.keys.get(key)
+        current = standing.current if standing is not None else None
+        if standing is not None and standing.answer is not None:
+            return ReturnAnswer(standing.answer)
+        own = self.own.newest(key)
+        if own is not None:
+            decision = self._known_here(own, repeatable)
+            if decision is not None:
+                return decision
+        if standing is None or current is None:
+            return None
+        return self._known_from_log(standing, current, repeatable)
+
+    def _known_here(self, own: OwnClaim, repeatable: bool) -> ClaimDecision | None:
+        if own.state is not OwnState.FINISHED:
+            return WaitForOutcome(self.node_id, own.entry.claim_id)
+        if own.answer is not None:
+            return ReturnAnswer(own.answer)
+        if repeatable:
+            return None
+        return _MAY_HAVE_RUN if own.outcome is OutcomeKind.MAY_HAVE_RUN else _RAN
+
+    def _known_from_log(
+        self, standing: Standing, current: ClaimEntry, repeatable: bool
+    ) -> ClaimDecision | None:
+        holder = NodeId(current.holder)
+        if standing.outcome is OutcomeKind.ANSWERED:
+            # The answer is larger than the log takes; only its holder has it.
+            if not self._gone(standing, current) and holder != self.node_id:
+                return WaitForOutcome(holder, current.claim_id)
+            return None if repeatable else _RAN
+        if standing.outcome is OutcomeKind.RAN:
+            return None if repeatable else _RAN
+        waits = standing.outcome is None and not self._gone(standing, current)
+        if waits:
+            return WaitForOutcome(holder, current.claim_id)
+        return None if repeatable else _MAY_HAVE_RUN
+
+    def _gone(self, standing: Standing, current: ClaimEntry) -> bool:
+        if current.claim_id in self.own:
+            return False
+        holder = NodeId(current.holder)
+        # An own claim of an earlier start of this node has no holder any more.
+        dead = self._alive is not None and holder not in self._alive
+        if holder == self.node_id or dead:
+            # What was reported once stays reported, although the holder may return.
+            standing.orphaned = True
+        return standing.orphaned
+
+
+def _is_stored(own: OwnClaim, entry: OutcomeEntry, changed: bool) -> bool:
+    if entry.outcome is OutcomeKind.NOT_RUN:
+        return own.state is OwnState.ABANDONED
+    if not changed or entry.outcome is OutcomeKind.MAY_HAVE_RUN:
+        return False
+    return own.answer is None or entry.answer is not None
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/own_claims.py
@@ -0,0 +1,139 @@
+"""Hold the claims of one node in one partition, and answers too large for the log."""
+
+from collections import OrderedDict
+from typing import Any
+
+import msgspec
+
+from fulmarpulley_schema.generated.http import Ran
+from fulmarpulley_schema.generated.records import ClaimEntry, OutcomeEntry, OutcomeKind
+
+from .claim_messages import Ended, KeyOf, OwnClaim, OwnState
+from .ids import NodeId
+
+# Larger answers stay in the memory of the holder; they would slow every reader.
+STORED_ANSWER_BYTES = 16 * 1024
+# Memory for finished claims of one partition; the oldest are dropped first.
+KEPT_BYTES = 1024 * 1024
+# Estimated size of a finished claim without its answer.
+CLAIM_BYTES = 512
+
+_NOT_BEGUN = {OwnState.PENDING, OwnState.WON}
+_RAN = {
+    OutcomeKind.NOT_RUN: Ran.NOT_RUN,
+    OutcomeKind.MAY_HAVE_RUN: Ran.MAY_HAVE_RUN,
+    OutcomeKind.RAN: Ran.RAN,
+    OutcomeKind.ANSWERED: Ran.RAN,
+}
+
+
+class OwnClaims:
+    """Hold own claims by id, and the newest one of each key."""
+
+    def __init__(self, node_id: NodeId, start_id: str) -> None:
+        self.node_id = node_id
+        self.start_id = start_id
+        self.claims: dict[str, OwnClaim] = {}
+        self._newest: dict[KeyOf, str] = {}
+        self._kept: OrderedDict[str, int] = OrderedDict()
+        self._kept_bytes = 0
+        self._count = 0
+
+    def __contains__(self, claim_id: object) -> bool:
+        return claim_id in self.claims
+
+    def get(self, claim_id: str) -> OwnClaim | None:
+        """Return an own claim by its id."""
+        return self.claims.get(claim_id)
+
+    def newest(self, key: KeyOf) -> OwnClaim | None:
+        """Return the newest own claim of a key that is not given up."""
+        claim_id = self._newest.get(key)
+        return self.claims[claim_id] if claim_id is not None else None
+
+    def ended_or_pending(self) -> list[OwnClaim]:
+        """List the claims whose request is not about to run."""
+        busy = {OwnState.WON, OwnState.RUNNING}
+        return [own for own in self.claims.values() if own.state not in busy]
+
+    def add(self, key: KeyOf, fingerprint: str, repeatable: bool) -> OwnClaim:
+        """Make a claim; a repeatable request runs from the start."""
+        self._count += 1
+        entry = ClaimEntry(
+            service=key.service,
+            key=key.key,
+            fingerprint=fingerprint,
+            holder=self.node_id,
+            claim_id=f"{self.node_id}.{self.start_id}.{self._count}",
+            repeatable=repeatable,
+        )
+        state = OwnState.RUNNING if repeatable else OwnState.PENDING
+        own = OwnClaim(entry, state)
+        self.claims[entry.claim_id] = own
+        self._newest[key] = entry.claim_id
+        return own
+
+    def drop(self, own: OwnClaim) -> None:
+        """Forget a claim."""
+        claim_id = own.entry.claim_id
+        self.claims.pop(claim_id, None)
+        self._kept_bytes -= self._kept.pop(claim_id, 0)
+        self._unlist(own)
+
+    def abandon(self, claim_id: str) -> Ended:
+        """Give up a claim that was not begun."""
+        own = self.claims.get(claim_id)
+        if own is None or own.state not in _NOT_BEGUN:
+            return Ended(Ran.MAY_HAVE_RUN)
+        return self._give_up(own)
+
+    def finish(
+        self, claim_id: str, outcome: OutcomeKind, answer: dict[str, Any] | None
+    ) -> Ended:
+        """Note the end of a running request, or more about one that may have run."""
+        own = self.claims.get(claim_id)
+        if own is None or not _may_finish(own):
+            return Ended(Ran.MAY_HAVE_RUN)
+        if outcome is OutcomeKind.NOT_RUN:
+            return self._give_up(own)
+        own.state = OwnState.FINISHED
+        own.outcome = outcome
+        own.answer = answer
+        self._keep(own)
+        return Ended(_RAN[outcome], stored_outcome(own))
+
+    def _give_up(self, own: OwnClaim) -> Ended:
+        own.state = OwnState.ABANDONED
+        own.outcome = OutcomeKind.NOT_RUN
+        self._unlist(own)
+        return Ended(Ran.NOT_RUN, stored_outcome(own))
+
+    def _unlist(self, own: OwnClaim) -> None:
+        if self._newest.get(own.key) == own.entry.claim_id:
+            del self._newest[own.key]
+
+    def _keep(self, own: OwnClaim) -> None:
+        claim_id = own.entry.claim_id
+        size = CLAIM_BYTES + answer_bytes(own.answer)
+        self._kept_bytes += size - self._kept.pop(claim_id, 0)
+        self._kept[claim_id] = size
+        while self._kept_bytes > KEPT_BYTES and len(self._kept) > 1:
+            self.drop(self.claims[next(iter(self._kept))])
+
+
+def stored_outcome(own: OwnClaim) -> OutcomeEntry:
+    """Return the outcome to append; it carries the answer unless that is too large."""
+    small = answer_bytes(own.answer) <= STORED_ANSWER_BYTES
+    return own.outcome_entry(own.answer if small else None)
+
+
+def answer_bytes(answer: dict[str, Any] | None) -> int:
+    """Return the encoded size of an answer."""
+    return 0 if answer is None else len(msgspec.json.encode(answer))
+
+
+def _may_finish(own: OwnClaim) -> bool:
+    if own.state is OwnState.RUNNING:
+        return True
+    finished = own.state is OwnState.FINISHED
+    return finished and own.outcome is OutcomeKind.MAY_HAVE_RUN
