--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/configuration.py
@@ -0,0 +1,232 @@
+"""Read, serve and edit the service documents."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from aiomisc import Service
+from fulmarpulley_core.configuration import (
+    Accepted,
+    ConfigEvent,
+    ConfigFold,
+    DocumentAccepted,
+    EditDecided,
+    EditResult,
+    RecordIgnored,
+)
+from fulmarpulley_core.ids import NodeId, Offset, RecordId, Revision, ServiceName
+from fulmarpulley_schema.generated.document import ServiceDocument
+from fulmarpulley_schema.generated.peer import (
+    ConfigPull,
+    ConfigPush,
+    MessageKind,
+    PeerDocument,
+)
+from fulmarpulley_schema.generated.upstream import LogPage
+from result import Err, Ok
+
+from .documents import read_document
+from .log_client import PAGE_RECORDS, LogClient, read_record
+from .members import Members
+from .observe.events import log_event
+from .observe.metrics import Metrics
+from .peers import PeerLinks
+from .progress import wait_event
+from .tasks import TaskGroup
+
+CONFIG_STREAM = "config"
+PULL_PERIOD_S = 0.5
+PULL_DEADLINE_S = 2.0
+
+
+class InForce(msgspec.Struct, frozen=True):
+    """Hold the document that is in force on this node."""
+
+    revision: Revision
+    document: ServiceDocument
+
+
+class Configuration(Service):
+    """Own the fold of the `config` stream."""
+
+    def __init__(
+        self, log: LogClient, peers: PeerLinks, members: Members, metrics: Metrics
+    ) -> None:
+        super().__init__()
+        self.log = log
+        self.peers = peers
+        self.members = members
+        self.metrics = metrics
+        self.fold = ConfigFold()
+        self.in_force: dict[ServiceName, InForce] = {}
+        self.problems: dict[ServiceName, str] = {}
+        self.listeners: list[Callable[[ServiceName], None]] = []
+        self.caught_up = False
+        self.snapshot_read = 0.0
+        self.changed = asyncio.Event()
+        self.tasks = TaskGroup()
+        peers.handle(MessageKind.CONFIG_PULL, ConfigPull, self._serve_pull)
+
+    async def start(self) -> None:
+        """Start reading the log and the peers."""
+        self.tasks.spawn(self._tail())
+        self.tasks.spawn(self._pull())
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop all tasks."""
+        await self.tasks.stop()
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether all accepted documents were known at one time."""
+        return self.fold.complete and self.caught_up
+
+    def document(self, service: str) -> ServiceDocument | None:
+        """Return the document in force on this node."""
+        state = self.in_force.get(ServiceName(service))
+        return state.document if state is not None else None
+
+    def documents(self) -> list[ServiceDocument]:
+        """List the documents in force on this node."""
+        return [state.document for state in self.in_force.values()]
+
+    async def wait_outcome(self, record_id: str, seconds: float) -> EditResult | None:
+        """Wait until an edit is read back from the log."""
+        deadline = asyncio.get_running_loop().time() + seconds
+        while True:
+            result = self.fold.outcome_of(RecordId(record_id))
+            left = deadline - asyncio.get_running_loop().time()
+            if result is not None or left <= 0:
+                return result
+            await wait_event(self.changed, left)
+
+    async def _tail(self) -> None:
+        async for page in self.log.tail(CONFIG_STREAM, 1):
+            if isinstance(page, Ok):
+                self._take_page(page.ok_value)
+
+    def _take_page(self, page: LogPage) -> None:
+        if page.first > self.fold.offset + 1 or self.fold.first is None:
+            self.fold.start_at(Offset(page.first))
+        for item in page.records:
+            offset = Offset(item.offset)
+            record = read_record(item.data)
+            if isinstance(record, Ok):
+                self._take_events(self.fold.apply(offset, record.ok_value))
+                if record.ok_value.kind == "snapshot":
+                    self.snapshot_read = asyncio.get_running_loop().time()
+            else:
+                self._take_events(self.fold.skip(offset, record.err_value))
+        if len(page.records) < PAGE_RECORDS:
+            self.caught_up = True
+        self._advanced()
+
+    def _advanced(self) -> None:
+        self.members.note_config_offset(self.fold.offset)
+        self.metrics.config_offset.set({}, self.fold.offset)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _take_events(self, events: list[ConfigEvent]) -> None:
+        for event in events:
+            if isinstance(event, DocumentAccepted):
+                self._put_in_force(event.accepted)
+            elif isinstance(event, EditDecided):
+                log_event(
+                    "edit_decided",
+                    service=event.result.service,
+                    record_id=event.result.record_id,
+                    outcome=event.result.outcome.value,
+                    revision=event.result.revision,
+                )
+            elif isinstance(event, RecordIgnored):
+                log_event(
+                    "config_record_ignored", offset=event.offset, reason=event.reason
+                )
+
+    def _put_in_force(self, accepted: Accepted) -> None:
+        service = accepted.service
+        read = read_document(service, accepted.document)
+        if isinstance(read, Err):
+            problem = "; ".join(f"{f.path}: {f.message}" for f in read.err_value)
+            self.problems[service] = problem
+            log_event(
+                "document_unreadable",
+                service=service,
+                revision=accepted.revision,
+                reason=problem,
+            )
+            return
+        self.problems.pop(service, None)
+        self.in_force[service] = InForce(accepted.revision, read.ok_value)
+        log_event("document_in_force", service=service, revision=accepted.revision)
+        for listener in self.listeners:
+            listener(service)
+
+    async def _pull(self) -> None:
+        while True:
+            node = self._pull_from()
+            if node is not None:
+                await self._pull_once(node)
+            await asyncio.sleep(PULL_PERIOD_S)
+
+    def _pull_from(self) -> NodeId | None:
+        core = self.members.core
+        behind = core.furthest_offset > self.fold.offset
+        if behind and core.furthest is not None:
+            return core.furthest
+        if self.complete:
+            return None
+        others = self.members.others()
+        if not others:
+            return None
+        turn = int(asyncio.get_running_loop().time() / PULL_PERIOD_S)
+        return others[turn % len(others)].node_id
+
+    async def _pull_once(self, node: NodeId) -> None:
+        request = ConfigPull(offset=self.fold.offset)
+        done = await self.peers.call(
+            node, MessageKind.CONFIG_PULL, request, ConfigPush, PULL_DEADLINE_S
+        )
+        if isinstance(done, Err):
+            return
+        push = done.ok_value
+        documents = [_accepted(item) for item in push.documents]
+        newer = push.offset > self.fold.offset or not self.complete
+        if push.complete and newer:
+            self._take_events(self.fold.adopt(documents, Offset(push.offset)))
+            self.caught_up = True
+            log_event("config_adopted", peer=node, offset=push.offset)
+        else:
+            for item in documents:
+                self._take_events(self.fold.learn(item))
+        self._advanced()
+
+    async def _serve_pull(self, request: ConfigPull) -> ConfigPush:
+        known = (self.fold.accepted(name) for name in self.fold.services())
+        documents = [
+            PeerDocument(
+                service=item.service,
+                revision=item.revision,
+                author=item.author,
+                record_id=item.record_id,
+                document=item.document,
+            )
+            for item in known
+            if item is not None and isinstance(item.document, dict)
+        ]
+        if self.complete and request.offset >= self.fold.offset > 0:
+            documents = []
+        return ConfigPush(
+            offset=self.fold.offset, complete=self.complete, documents=documents
+        )
+
+
+def _accepted(item: PeerDocument) -> Accepted:
+    return Accepted(
+        service=ServiceName(item.service),
+        revision=Revision(item.revision),
+        author=item.author,
+        document=item.document,
+        record_id=RecordId(item.record_id),
+    )
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/documents.py
@@ -0,0 +1,35 @@
+"""Read and check service documents."""
+
+from typing import Any
+
+from fulmarpulley_schema.codec import convert
+from fulmarpulley_schema.generated.document import ServiceDocument
+from fulmarpulley_schema.generated.http import Finding
+from result import Err, Ok, Result
+
+from .upstreams import upstream_dialects
+
+
+def read_document(
+    service: str, document: Any
+) -> Result[ServiceDocument, list[Finding]]:
+    """Return a document that this node can put in force, or all its faults."""
+    done = convert(document, ServiceDocument)
+    if isinstance(done, Err):
+        return done
+    findings = list(_findings(service, done.ok_value))
+    return Err(findings) if findings else Ok(done.ok_value)
+
+
+def _findings(service: str, document: ServiceDocument) -> list[Finding]:
+    findings = []
+    if document.name != service:
+        message = f"name is {document.name!r}, but the document is of {service!r}"
+        findings.append(Finding(path="$.name", message=message))
+    for index, entry in enumerate(document.upstreams):
+        if entry.dialect not in upstream_dialects:
+            known = ", ".join(upstream_dialects)
+            message = f"unknown dialect {entry.dialect!r}; use one of: {known}"
+            path = f"$.upstreams[{index}].dialect"
+            findings.append(Finding(path=path, message=message))
+    return findings
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/editing.py
@@ -0,0 +1,144 @@
+"""Publish edits of documents and schedule snapshots of them."""
+
+import asyncio
+
+from aiomisc import Service
+from fulmarpulley_core.configuration import EditResult
+from fulmarpulley_core.ids import RecordId, ServiceName
+from fulmarpulley_schema.generated.http import (
+    DocumentEdit,
+    DocumentState,
+    EditOutcome,
+    Ran,
+)
+from fulmarpulley_schema.generated.peer import Refusal
+from fulmarpulley_schema.generated.records import Change, RecordKind
+from fulmarpulley_schema.generated.settings import NodeSettings
+from result import Err, Ok, Result
+
+from .configuration import CONFIG_STREAM, Configuration
+from .errors import ErrorCode, refusal
+from .locate import Locator
+from .log_client import LogClient, new_record
+from .observe.events import log_event
+from .platform.dialects import PlatformFailure
+from .tasks import TaskGroup
+
+# Time for which an accepted append may take to be read back.
+READ_BACK_S = 10.0
+# Time for which an append without an answer is looked for in the log.
+LOST_ANSWER_S = 3.0
+SNAPSHOT_CHECK_S = 1.0
+_NOT_APPENDED = (PlatformFailure.RATE_LIMITED, PlatformFailure.UNAVAILABLE)
+
+
+class Editing(Service):
+    """Append changes and snapshots to the `config` stream."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        log: LogClient,
+        configuration: Configuration,
+        locator: Locator,
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.log = log
+        self.configuration = configuration
+        self.locator = locator
+        self.tasks = TaskGroup()
+
+    async def start(self) -> None:
+        """Start the schedule of snapshots."""
+        self.tasks.spawn(self._snapshots())
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop the schedule of snapshots."""
+        await self.tasks.stop()
+
+    async def publish(
+        self, service: str, edit: DocumentEdit
+    ) -> Result[DocumentState, Refusal]:
+        """Append an edit and return its outcome once it is read back.
+
+        An edit with a known record_id is not appended again.
+        """
+        known = self.configuration.fold.outcome_of(RecordId(edit.record_id))
+        if known is not None:
+            return self._outcome(service, edit, known)
+        body = Change(
+            service=service,
+            base_revision=edit.base_revision,
+            author=edit.author,
+            document=edit.document,
+        )
+        record = new_record(RecordKind.CHANGE, body, edit.record_id)
+        done = await self.log.append(CONFIG_STREAM, record)
+        if isinstance(done, Err) and done.err_value in _NOT_APPENDED:
+            return Err(_unavailable(done.err_value, Ran.NOT_RUN))
+        wait = READ_BACK_S if isinstance(done, Ok) else LOST_ANSWER_S
+        result = await self.configuration.wait_outcome(edit.record_id, wait)
+        if result is not None:
+            return self._outcome(service, edit, result)
+        reason = done.err_value if isinstance(done, Err) else PlatformFailure.TIMED_OUT
+        return Err(_unavailable(reason, Ran.MAY_HAVE_RUN))
+
+    def state(self, service: str) -> DocumentState | None:
+        """Return the accepted document of a service."""
+        accepted = self.configuration.fold.accepted(ServiceName(service))
+        if accepted is None:
+            return None
+        return DocumentState(
+            service=service,
+            revision=accepted.revision,
+            author=accepted.author,
+            document=accepted.document,
+        )
+
+    def _outcome(
+        self, service: str, edit: DocumentEdit, result: EditResult
+    ) -> Result[DocumentState, Refusal]:
+        if result.outcome is EditOutcome.ACCEPTED:
+            state = DocumentState(
+                service=service,
+                revision=result.revision,
+                author=edit.author,
+                document=edit.document,
+                outcome=EditOutcome.ACCEPTED,
+            )
+            return Ok(state)
+        message = (
+            f"revision {result.revision} by {result.author!r} is current,"
+            f" not base revision {edit.base_revision}"
+        )
+        return Err(refusal(ErrorCode.CONFLICT, message))
+
+    async def _snapshots(self) -> None:
+        interval = self.settings.log_budget.retention_s / 2
+        while True:
+            await asyncio.sleep(min(SNAPSHOT_CHECK_S, interval / 2))
+            configuration = self.configuration
+            is_home = self.locator.config_home() == self.settings.node_id
+            age = asyncio.get_running_loop().time() - configuration.snapshot_read
+            # snapshot_read is 0 after a start: the age of the snapshots in the log
+            # is unknown, so new ones are due at once.
+            due = not configuration.snapshot_read or age >= interval
+            if is_home and due and configuration.complete and self.log.healthy:
+                await self._append_snapshots()
+
+    async def _append_snapshots(self) -> None:
+        snapshots = self.configuration.fold.snapshots()
+        for snapshot in snapshots:
+            record = new_record(RecordKind.SNAPSHOT, snapshot)
+            done = await self.log.append(CONFIG_STREAM, record)
+            if isinstance(done, Err):
+                return
+        if snapshots:
+            self.configuration.snapshot_read = asyncio.get_running_loop().time()
+            log_event("snapshots_appended", services=len(snapshots))
+
+
+def _unavailable(reason: PlatformFailure, ran: Ran) -> Refusal:
+    message = f"the log did not confirm the edit ({reason}); send it again"
+    return refusal(ErrorCode.LOG_UNAVAILABLE, message, ran)
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/errors.py
@@ -0,0 +1,105 @@
+"""Name the error codes, their HTTP status and what they say about the request."""
+
+from collections.abc import Sequence
+from enum import StrEnum
+
+from fulmarpulley_schema.generated.http import ErrorBody, Finding, Ran
+from fulmarpulley_schema.generated.peer import Refusal
+
+
+class ErrorCode(StrEnum):
+    """Name why a request failed."""
+
+    BAD_REQUEST = "bad_request"
+    TOO_LARGE = "too_large"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_KEY = "unknown_key"
+    UNKNOWN_STEP = "unknown_step"
+    KEY_REUSED = "key_reused"
+    KEY_EXPIRED = "key_expired"
+    CONFLICT = "conflict"
+    DEADLINE_PASSED = "deadline_passed"
+    OVERLOADED = "overloaded"
+    NO_UPSTREAM = "no_upstream"
+    LOG_UNAVAILABLE = "log_unavailable"
+    UPSTREAM_BROKEN = "upstream_broken"
+    UPSTREAM_ERROR = "upstream_error"
+    CANCELLED = "cancelled"
+    NOT_READY = "not_ready"
+    SHUTTING_DOWN = "shutting_down"
+
+
+STATUS = {
+    ErrorCode.BAD_REQUEST: 400,
+    ErrorCode.TOO_LARGE: 413,
+    ErrorCode.UNKNOWN_SERVICE: 404,
+    ErrorCode.UNKNOWN_KEY: 404,
+    ErrorCode.UNKNOWN_STEP: 404,
+    ErrorCode.KEY_REUSED: 409,
+    ErrorCode.KEY_EXPIRED: 410,
+    ErrorCode.CONFLICT: 409,
+    ErrorCode.DEADLINE_PASSED: 504,
+    ErrorCode.OVERLOADED: 503,
+    ErrorCode.NO_UPSTREAM: 503,
+    ErrorCode.LOG_UNAVAILABLE: 503,
+    ErrorCode.UPSTREAM_BROKEN: 502,
+    ErrorCode.UPSTREAM_ERROR: 502,
+    ErrorCode.CANCELLED: 409,
+    ErrorCode.NOT_READY: 503,
+    ErrorCode.SHUTTING_DOWN: 503,
+}
+DEFAULT_RAN = {
+    ErrorCode.KEY_EXPIRED: Ran.MAY_HAVE_RUN,
+    ErrorCode.UPSTREAM_BROKEN: Ran.MAY_HAVE_RUN,
+    ErrorCode.UPSTREAM_ERROR: Ran.RAN,
+}
+RETRY_AFTER_S = 1.0
+
+
+class RequestError(Exception):
+    """Carry an error body to the edge that answers the request."""
+
+    def __init__(self, refusal: Refusal, findings: Sequence[Finding] = ()) -> None:
+        super().__init__(f"{refusal.code}: {refusal.message}")
+        self.refusal = refusal
+        self.findings = list(findings)
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status."""
+        return STATUS[ErrorCode(self.refusal.code)]
+
+    def body(self) -> ErrorBody:
+        """Return the error body of section 8 of the design."""
+        return ErrorBody(
+            code=self.refusal.code,
+            message=self.refusal.message,
+            ran=Ran(self.refusal.ran),
+            retry_after_s=self.refusal.retry_after_s,
+            findings=self.findings,
+        )
+
+
+def refusal(
+    code: ErrorCode,
+    message: str,
+    ran: Ran | None = None,
+    retry_after_s: float | None = None,
+) -> Refusal:
+    """Build a refusal; `ran` and the retry time default to those of the code."""
+    if retry_after_s is None and STATUS[code] == 503:
+        retry_after_s = RETRY_AFTER_S
+    state = ran or DEFAULT_RAN.get(code, Ran.NOT_RUN)
+    return Refusal(
+        code=code.value, message=message, ran=state.value, retry_after_s=retry_after_s
+    )
+
+
+def error(
+    code: ErrorCode,
+    message: str,
+    ran: Ran | None = None,
+    findings: Sequence[Finding] = (),
+) -> RequestError:
+    """Build the exception of an error code."""
+    return RequestError(refusal(code, message, ran), findings)
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/attempts.py
@@ -0,0 +1,113 @@
+"""Run the attempts of a pool at its upstreams."""
+
+from collections.abc import Callable
+
+from fulmarpulley_core.ids import AttemptId, Version
+from fulmarpulley_core.pool.messages import (
+    AttemptFailed,
+    AttemptFinished,
+    AttemptProgress,
+    Event,
+    Failure,
+    WorkKind,
+)
+from result import Err, Ok, Result
+
+from ..observe.events import log_event
+from ..observe.metrics import Metrics
+from ..progress import spans_of
+from ..tasks import TaskGroup
+from ..upstreams.dialects import Attempt, AttemptEnd, UpstreamDialect
+from .pool_work import AttemptBuffer
+
+
+class AttemptRunner:
+    """Own the attempts in flight."""
+
+    def __init__(self, post: Callable[[Event], None], metrics: Metrics) -> None:
+        self.post = post
+        self.metrics = metrics
+        self.buffers: dict[AttemptId, AttemptBuffer] = {}
+        self.tasks = TaskGroup()
+
+    def start(
+        self, buffer: AttemptBuffer, dialect: UpstreamDialect, stall_s: float
+    ) -> None:
+        """Start an attempt."""
+        self.buffers[buffer.attempt_id] = buffer
+        buffer.task = self.tasks.spawn(self._run(buffer, dialect, stall_s))
+
+    def cancel(self, attempt_id: AttemptId, dialect: UpstreamDialect | None) -> None:
+        """Close the connection of an attempt and tell the upstream."""
+        buffer = self.buffers.pop(attempt_id, None)
+        if buffer is None or buffer.task is None:
+            return
+        buffer.task.cancel()
+        self._count(buffer, "cancelled")
+        if dialect is not None:
+            self.tasks.spawn(dialect.cancel(attempt_id))
+
+    async def _run(
+        self, buffer: AttemptBuffer, dialect: UpstreamDialect, stall_s: float
+    ) -> None:
+        submit = buffer.work.submit
+        attempt = Attempt(
+            request_id=buffer.attempt_id,
+            key=submit.work_id,
+            model=submit.model,
+            prompt=submit.prompt,
+            prefix=submit.prefix,
+            max_tokens=submit.max_tokens,
+            priority=submit.priority,
+            seed=submit.seed,
+            stall_s=stall_s,
+            resume=list(buffer.tokens),
+        )
+        done = await dialect.run(attempt, lambda t, v: self._token(buffer, t, v))
+        self._finish(buffer, self._checked(buffer, done))
+
+    def _token(self, buffer: AttemptBuffer, token: str, version: int | None) -> None:
+        buffer.add(token, version)
+        # One progress event is on its way at a time; it carries the newest count.
+        if not buffer.reported:
+            buffer.reported = True
+            newest = None if version is None else Version(version)
+            tokens = len(buffer.tokens)
+            self.post(AttemptProgress(buffer.attempt_id, tokens, newest))
+
+    def _checked(
+        self, buffer: AttemptBuffer, done: Result[None, AttemptEnd]
+    ) -> Result[None, AttemptEnd]:
+        unlabelled = None in buffer.versions
+        if isinstance(done, Ok) and unlabelled and _is_sample(buffer):
+            reason = "the upstream reports no weight version"
+            return Err(AttemptEnd(Failure.BROKEN, reason))
+        return done
+
+    def _finish(self, buffer: AttemptBuffer, done: Result[None, AttemptEnd]) -> None:
+        attempt_id, tokens = buffer.attempt_id, len(buffer.tokens)
+        if isinstance(done, Ok):
+            self._count(buffer, "finished")
+            spans = spans_of(buffer.versions)
+            self.post(AttemptFinished(attempt_id, tokens, spans))
+            return
+        end = done.err_value
+        self._count(buffer, end.failure.value)
+        log_event(
+            "attempt_failed",
+            service=buffer.work.submit.service,
+            work=buffer.work.submit.work_id,
+            upstream=buffer.upstream,
+            outcome=end.failure.value,
+            tokens=tokens,
+            reason=end.reason,
+        )
+        self.post(AttemptFailed(attempt_id, end.failure, tokens, end.retry_after_s))
+
+    def _count(self, buffer: AttemptBuffer, outcome: str) -> None:
+        service = buffer.work.submit.service
+        self.metrics.attempts.inc({"service": service, "outcome": outcome})
+
+
+def _is_sample(buffer: AttemptBuffer) -> bool:
+    return buffer.work.submit.kind == WorkKind.SAMPLE.value
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
@@ -0,0 +1,293 @@
+"""Drive the dispatcher of one pool shard."""
+
+import asyncio
+from typing import Protocol
+
+import msgspec
+from fulmarpulley_core.ids import AttemptId, ModelName, UpstreamId, Version, WorkId
+from fulmarpulley_core.pool.dispatcher import Pool
+from fulmarpulley_core.pool.messages import (
+    Action,
+    AttemptFailed,
+    AttemptFinished,
+    AttemptProgress,
+    CancelAttempt,
+    DocumentChanged,
+    Event,
+    Finish,
+    Order,
+    PoolSettings,
+    PoolView,
+    Refuse,
+    StartAttempt,
+    Submit,
+    Tick,
+    VersionAnnounced,
+    Withdraw,
+)
+from fulmarpulley_schema.generated.document import ServiceDocument
+from fulmarpulley_schema.generated.http import Ran
+from fulmarpulley_schema.generated.peer import WorkPoll, WorkState, WorkSubmit
+
+from ..errors import ErrorCode, refusal
+from ..locate import shard_upstreams
+from ..observe.events import log_event
+from ..observe.metrics import Metrics
+from ..tasks import TaskGroup
+from .attempts import AttemptRunner
+from .pool_work import AttemptBuffer, PoolWork, WorkTable, to_work
+from .upstream_watch import UpstreamWatch
+
+IDLE_TICK_S = 1.0
+
+
+class Surroundings(Protocol):
+    """Define what a pool home asks of its node."""
+
+    metrics: Metrics
+
+    def upstream_leaving(self, upstream: str) -> bool:
+        """Tell whether the instance list says that an upstream leaves."""
+
+    async def fence(self, service: str, shard: int, above: int) -> int | None:
+        """Return the fencing number of a pool, or None without the log."""
+
+
+class PoolHome:
+    """Own the dispatcher, work and upstream connections of one pool shard."""
+
+    def __init__(
+        self, document: ServiceDocument, shard: int, node: Surroundings, seed: int
+    ) -> None:
+        self.node = node
+        self.service = document.name
+        self.shard = shard
+        self.document = shard_document(document, shard)
+        self.pool = Pool(self.document, PoolSettings(), seed)
+        self.works = WorkTable()
+        self.inbox: asyncio.Queue[Event] = asyncio.Queue()
+        self.attempts = AttemptRunner(self.inbox.put_nowait, node.metrics)
+        self.watches: dict[UpstreamId, UpstreamWatch] = {}
+        self.watch_tasks: dict[UpstreamId, asyncio.Task[None]] = {}
+        self.tasks = TaskGroup()
+        self.leaving = False
+        self.fence_above = 0
+
+    def start(self) -> None:
+        """Start to dispatch."""
+        self._watch_upstreams()
+        self.tasks.spawn(self._run())
+
+    async def stop(self) -> None:
+        """Cut all attempts and close all connections."""
+        await self.tasks.stop()
+        await self.attempts.tasks.stop()
+        for watch in self.watches.values():
+            await watch.close()
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether no work is in progress."""
+        return not self.works.active
+
+    def submit(self, message: WorkSubmit) -> WorkState:
+        """Take a work item; a known one is not run again."""
+        known = self.works.get(message.work_id)
+        if known is not None:
+            return known.progress.state(_held(message))
+        if self.leaving:
+            text = "the pool home is leaving; submit to the next one"
+            refused = refusal(ErrorCode.SHUTTING_DOWN, text)
+            return WorkState(done=True, refusal=refused)
+        now = asyncio.get_running_loop().time()
+        work = PoolWork(message, now)
+        self.works.add(work)
+        self.inbox.put_nowait(Submit(to_work(message, now)))
+        return work.progress.state(_held(message))
+
+    async def poll(self, message: WorkPoll) -> WorkState:
+        """Wait for more tokens of a work item."""
+        work = self.works.get(message.work_id)
+        if work is None:
+            return WorkState(known=False)
+        progress = work.progress
+        return await progress.wait(message.have, message.wait_s, message.linger_s)
+
+    def withdraw(self, work_id: str) -> None:
+        """Stop a work item that nobody waits for, or forget its end."""
+        if WorkId(work_id) in self.works.active:
+            self.inbox.put_nowait(Withdraw(WorkId(work_id)))
+        else:
+            self.works.forget(work_id)
+
+    def change_document(self, document: ServiceDocument) -> None:
+        """Put a new document in force."""
+        self.document = shard_document(document, self.shard)
+        self._watch_upstreams()
+        self.inbox.put_nowait(DocumentChanged(self.document))
+
+    def announce(self, model: str, version: int) -> None:
+        """Take a version that a trainer published."""
+        self.inbox.put_nowait(VersionAnnounced(ModelName(model), Version(version)))
+
+    def list_changed(self) -> None:
+        """Take a change of the instance list at once."""
+        for watch in self.watches.values():
+            watch.report_availability()
+
+    def leave(self) -> None:
+        """Stop taking work, and give back work that no upstream has started."""
+        self.leaving = True
+        for work in list(self.works.active.values()):
+            if work.started is None:
+                text = "the pool home is leaving; submit to the next one"
+                work.progress.refuse(refusal(ErrorCode.SHUTTING_DOWN, text))
+                self.inbox.put_nowait(Withdraw(WorkId(work.submit.work_id)))
+
+    def view(self) -> PoolView:
+        """Return the state of the pool."""
+        return self.pool.view()
+
+    async def _run(self) -> None:
+        while True:
+            event = await self._next_event()
+            now = asyncio.get_running_loop().time()
+            if isinstance(event, AttemptProgress):
+                event = self._newest(event)
+            actions = self.pool.handle(event, now)
+            for action in actions:
+                self._act(action, now)
+            if isinstance(event, AttemptFinished | AttemptFailed):
+                self.attempts.buffers.pop(event.attempt_id, None)
+
+    async def _next_event(self) -> Event:
+        if not self.inbox.empty():
+            return self.inbox.get_nowait()
+        wakeup = self.pool.next_wakeup()
+        now = asyncio.get_running_loop().time()
+        wait = IDLE_TICK_S if wakeup is None else min(wakeup - now, IDLE_TICK_S)
+        try:
+            async with asyncio.timeout(max(wait, 0.001)):
+                return await self.inbox.get()
+        except TimeoutError:
+            return Tick()
+
+    def _newest(self, event: AttemptProgress) -> AttemptProgress:
+        buffer = self.attempts.buffers.get(event.attempt_id)
+        if buffer is None:
+            return event
+        buffer.reported = False
+        version = buffer.versions[-1] if buffer.versions else None
+        newest = None if version is None else Version(version)
+        return AttemptProgress(event.attempt_id, len(buffer.tokens), newest)
+
+    def _act(self, action: Action, now: float) -> None:
+        if isinstance(action, StartAttempt):
+            self._start_attempt(action, now)
+        elif isinstance(action, CancelAttempt):
+            self._cancel(action.attempt_id)
+        elif isinstance(action, Order):
+            self.tasks.spawn(self._order(action))
+        elif isinstance(action, Finish):
+            self._finish(action, now)
+        else:
+            self._refuse(action)
+
+    def _start_attempt(self, action: StartAttempt, now: float) -> None:
+        work = self.works.active[action.work_id]
+        if work.started is None:
+            work.started = now
+            labels = {"service": self.service, "tenant": work.submit.tenant}
+            self.node.metrics.queue_wait.observe(labels, now - work.submitted)
+        buffer = AttemptBuffer(
+            action.attempt_id, work, action.upstream, action.resume_from
+        )
+        if not action.hedge:
+            work.lead = action.attempt_id
+        watch = self.watches[action.upstream]
+        self.attempts.start(buffer, watch.dialect, self.document.stall_s)
+
+    def _cancel(self, attempt_id: AttemptId) -> None:
+        buffer = self.attempts.buffers.get(attempt_id)
+        if buffer is not None:
+            watch = self.watches.get(buffer.upstream)
+            self.attempts.cancel(attempt_id, watch.dialect if watch else None)
+
+    def _finish(self, action: Finish, now: float) -> None:
+        work = self.works.active[action.work_id]
+        self.attempts.buffers[action.attempt_id].win()
+        self.works.end(work)
+        log_event(
+            "work_finished",
+            service=self.service,
+            work=action.work_id,
+            upstream=work.progress.upstream,
+            tokens=len(work.progress.tokens),
+            seconds=now - work.submitted,
+        )
+
+    def _refuse(self, action: Refuse) -> None:
+        work = self.works.active.get(action.work_id)
+        if work is None:
+            return
+        message = f"the pool refused the request: {action.code}"
+        refused = refusal(
+            ErrorCode(action.code), message, action.ran, action.retry_after
+        )
+        work.progress.refuse(refused)
+        self.works.end(work)
+        if action.code == ErrorCode.CANCELLED.value and action.ran is Ran.NOT_RUN:
+            return
+        log_event(
+            "work_refused",
+            service=self.service,
+            work=action.work_id,
+            outcome=action.code,
+            ran=action.ran.value,
+        )
+
+    async def _order(self, order: Order) -> None:
+        watch = self.watches.get(order.upstream)
+        if watch is None:
+            return
+        fence = await self.node.fence(self.service, self.shard, self.fence_above)
+        source = ""
+        if order.source is not None and order.source in self.watches:
+            source = self.watches[order.source].entry.address
+        newest = await watch.order(order, fence, source)
+        if newest is not None:
+            self.fence_above = max(self.fence_above, newest)
+
+    def _watch_upstreams(self) -> None:
+        entries = {UpstreamId(entry.id): entry for entry in self.document.upstreams}
+        for upstream, entry in entries.items():
+            known = self.watches.get(upstream)
+            if known is not None and known.entry.address == entry.address:
+                known.entry = entry
+                continue
+            if upstream in self.watch_tasks:
+                self.watch_tasks.pop(upstream).cancel()
+            watch = UpstreamWatch(
+                entry,
+                self.inbox.put_nowait,
+                self.node.upstream_leaving,
+                self.node.metrics,
+            )
+            self.watches[upstream] = watch
+            self.watch_tasks[upstream] = self.tasks.spawn(watch.poll())
+        for upstream in self.watches.keys() - entries.keys():
+            if upstream in self.watch_tasks:
+                self.watch_tasks.pop(upstream).cancel()
+
+
+def shard_document(document: ServiceDocument, shard: int) -> ServiceDocument:
+    """Return the document with the upstreams of one shard only."""
+    return msgspec.structs.replace(
+        document, upstreams=shard_upstreams(document, shard)
+    )
+
+
+def _held(message: WorkSubmit) -> int:
+    return 0 if message.resume is None else len(message.resume.tokens)
+
+
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/upstream_watch.py
@@ -0,0 +1,134 @@
+"""Poll the load of one upstream and give it the orders of its pool."""
+
+import asyncio
+from collections.abc import Callable
+
+from fulmarpulley_core.ids import ModelName, UpstreamId, Version
+from fulmarpulley_core.pool.messages import (
+    Availability,
+    Event,
+    LoadReport,
+    Order,
+    OrderFinished,
+    UpstreamState,
+    VersionReport,
+)
+from fulmarpulley_schema.generated.document import UpstreamEntry
+from fulmarpulley_schema.generated.upstream import (
+    LoadBody,
+    OrderAction,
+    OrderRequest,
+)
+from result import Err, Ok
+
+from ..observe.events import log_event
+from ..observe.metrics import Metrics
+from ..upstreams import upstream_dialects
+
+LOAD_PERIOD_S = 0.25
+# Load reports lag; a version that is not reported after this time is not served.
+READ_BACK_S = 5.0
+
+
+class UpstreamWatch:
+    """Own the connections to one upstream."""
+
+    def __init__(
+        self,
+        entry: UpstreamEntry,
+        post: Callable[[Event], None],
+        is_leaving: Callable[[str], bool],
+        metrics: Metrics,
+    ) -> None:
+        self.entry = entry
+        self.upstream = UpstreamId(entry.id)
+        self.post = post
+        self.is_leaving = is_leaving
+        self.metrics = metrics
+        self.dialect = upstream_dialects.get(entry.dialect)(entry)
+        self.versions: dict[str, int] = {}
+        self.draining = False
+        self.availability: Availability | None = None
+
+    async def poll(self) -> None:
+        """Report load, versions and availability for ever."""
+        while True:
+            done = await self.dialect.load()
+            if isinstance(done, Ok) and done.ok_value is not None:
+                self._take_load(done.ok_value)
+            self.report_availability()
+            await asyncio.sleep(LOAD_PERIOD_S)
+
+    def report_availability(self) -> None:
+        """Report whether the list or the upstream itself stops new work."""
+        state = Availability.AVAILABLE
+        if self.is_leaving(self.entry.id):
+            state = Availability.LEAVING
+        elif self.draining:
+            state = Availability.DRAINING
+        if state is not self.availability:
+            self.availability = state
+            log_event("upstream_state", upstream=self.entry.id, state=state.value)
+            self.post(UpstreamState(self.upstream, state))
+
+    async def order(self, order: Order, fence: int | None, source: str) -> int | None:
+        """Give an order; return the newest fencing number when it was refused."""
+        if fence is None and self.entry.checks_fencing:
+            self._order_ended(order, False, "no fencing number without the log")
+            return None
+        request = OrderRequest(
+            order_id=order.order_id,
+            action=OrderAction.LOAD,
+            model=order.model,
+            version=order.version,
+            fence=fence or 0,
+            source=source,
+        )
+        done = await self.dialect.order(request)
+        if isinstance(done, Err):
+            self._order_ended(order, False, done.err_value.reason)
+            return done.err_value.newest_fence
+        served = await self._read_back(order)
+        self._order_ended(order, served, "" if served else "version not reported")
+        return None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.dialect.close()
+
+    def _take_load(self, load: LoadBody) -> None:
+        report = LoadReport(
+            self.upstream, load.running, load.queued, load.cache_used, load.age_s
+        )
+        self.post(report)
+        self.draining = load.draining
+        for model, version in load.versions.items():
+            if self.versions.get(model) != version:
+                self.versions[model] = version
+                self.post(
+                    VersionReport(self.upstream, ModelName(model), Version(version))
+                )
+
+    async def _read_back(self, order: Order) -> bool:
+        deadline = asyncio.get_running_loop().time() + READ_BACK_S
+        while asyncio.get_running_loop().time() < deadline:
+            done = await self.dialect.load()
+            if isinstance(done, Ok) and done.ok_value is not None:
+                self._take_load(done.ok_value)
+                if self.versions.get(order.model, -1) >= order.version:
+                    return True
+            await asyncio.sleep(LOAD_PERIOD_S / 4)
+        return False
+
+    def _order_ended(self, order: Order, ok: bool, reason: str) -> None:
+        outcome = "ok" if ok else "failed"
+        self.metrics.orders.inc({"upstream": self.entry.id, "outcome": outcome})
+        log_event(
+            "order_ended",
+            upstream=self.entry.id,
+            model=order.model,
+            version=order.version,
+            outcome=outcome,
+            reason=reason,
+        )
+        self.post(OrderFinished(order.order_id, ok))
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/locate.py
@@ -0,0 +1,64 @@
+"""Find the home nodes of keys, pools and trainers."""
+
+from collections import Counter
+
+from fulmarpulley_core.ids import NodeId, Region
+from fulmarpulley_core.placement import home_of, rank_nodes, shard_count, shard_of
+from fulmarpulley_schema.generated.document import ServiceDocument, UpstreamEntry
+
+from .members import Members
+
+
+class Locator:
+    """Find homes in the current membership view."""
+
+    def __init__(self, members: Members) -> None:
+        self.members = members
+
+    def pool_home(self, document: ServiceDocument, shard: int) -> NodeId | None:
+        """Return the home of a pool shard, in the region of its upstreams."""
+        key = f"{document.name}/pool-{shard}"
+        return home_of(key, self.members.homes(), pool_region(document))
+
+    def step_home(self, document: ServiceDocument, trainer: str) -> NodeId | None:
+        """Return the home of the steps of a trainer."""
+        key = f"{document.name}/{trainer}"
+        return home_of(key, self.members.homes(), pool_region(document))
+
+    def next_step_home(self, document: ServiceDocument, trainer: str) -> NodeId | None:
+        """Return the step home without this node."""
+        others = [m for m in self.members.homes() if m.node_id != self.members.node_id]
+        key = f"{document.name}/{trainer}"
+        ranked = rank_nodes(key, others, pool_region(document))
+        return ranked[0] if ranked else None
+
+    def partition_home(self, partition: int) -> NodeId | None:
+        """Return the home of a claim partition."""
+        return home_of(f"partition-{partition}", self.members.homes())
+
+    def config_home(self) -> NodeId | None:
+        """Return the node that schedules snapshots."""
+        return home_of("config", self.members.homes())
+
+
+def pool_region(document: ServiceDocument) -> Region | None:
+    """Return the region with the most upstreams, the first by name among equals."""
+    counts = Counter(entry.region for entry in document.upstreams)
+    if not counts:
+        return None
+    return Region(min(counts, key=lambda region: (-counts[region], region)))
+
+
+def shards_of(document: ServiceDocument) -> int:
+    """Return how many pool shards a service has."""
+    return shard_count(len(document.upstreams))
+
+
+def work_shard(document: ServiceDocument, prefix: str) -> int:
+    """Return the pool shard of a prompt."""
+    return shard_of(prefix, shards_of(document))
+
+
+def shard_upstreams(document: ServiceDocument, shard: int) -> list[UpstreamEntry]:
+    """Return the upstreams of one shard."""
+    return document.upstreams[shard :: shards_of(document)]
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/members.py
@@ -0,0 +1,191 @@
+"""Run failure detection and gossip, and read the instance list."""
+
+import asyncio
+from collections.abc import Callable
+
+from aiomisc import Service
+from fulmarpulley_core.ids import NodeId, Offset
+from fulmarpulley_core.members import Member
+from fulmarpulley_core.membership import Membership, Outbound
+from fulmarpulley_schema.generated.peer import (
+    MemberState,
+    MemberUpdate,
+    MessageKind,
+    Probe,
+)
+from fulmarpulley_schema.generated.settings import NodeSettings
+from fulmarpulley_schema.generated.upstream import (
+    Instance,
+    InstanceKind,
+    InstanceState,
+)
+from result import Ok
+
+from .observe.events import log_event
+from .observe.metrics import Metrics
+from .peers import PeerLinks
+from .platform import instance_list_dialects
+from .tasks import TaskGroup
+
+LIST_PERIOD_S = 1.0
+IDLE_S = 0.2
+_PROBES = (MessageKind.PROBE, MessageKind.PROBE_ACK, MessageKind.PROBE_REQUEST)
+
+
+class Members(Service):
+    """Own the membership view of this node."""
+
+    def __init__(
+        self, settings: NodeSettings, peers: PeerLinks, metrics: Metrics, seed: int
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.peers = peers
+        self.metrics = metrics
+        self.node_id = NodeId(settings.node_id)
+        self.core = Membership(settings.membership, own_update(settings), seed)
+        dialect = instance_list_dialects.get(settings.instance_list.dialect)
+        self.instance_list = dialect(settings.instance_list)
+        self.leaving_upstreams: frozenset[str] = frozenset()
+        self.list_read = False
+        self.listeners: list[Callable[[], None]] = []
+        self.tasks = TaskGroup()
+        self._known: frozenset[NodeId] = frozenset()
+        peers.address_of = self.address_of
+        for kind in _PROBES:
+            peers.handle(kind, Probe, _Receiver(self, kind).receive)
+
+    async def start(self) -> None:
+        """Start probing and reading the instance list."""
+        self.tasks.spawn(self._tick())
+        self.tasks.spawn(self._read_list())
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop all tasks."""
+        await self.tasks.stop()
+        await self.instance_list.close()
+
+    def homes(self) -> list[Member]:
+        """List the nodes that may be homes, this one included unless it leaves."""
+        return self.core.alive()
+
+    def others(self) -> list[Member]:
+        """List the other nodes that are not known to be dead."""
+        return [
+            member
+            for member in self.core.members()
+            if member.node_id != self.node_id and member.state is not MemberState.DEAD
+        ]
+
+    def is_gone(self, node: NodeId) -> bool:
+        """Tell whether a node is dead or unknown."""
+        member = self.core.member(node)
+        return member is None or member.state is MemberState.DEAD
+
+    def address_of(self, node: NodeId) -> str | None:
+        """Return the peer address of a node."""
+        member = self.core.member(node)
+        return member.peer_address if member is not None else None
+
+    def note_config_offset(self, offset: Offset) -> None:
+        """Set the offset that heartbeats carry."""
+        self.core.config_offset = offset
+
+    async def leave(self) -> None:
+        """Gossip that this node is leaving."""
+        await self._send(self.core.leave(self._now()))
+        self._notify()
+
+    async def receive(self, kind: MessageKind, message: Probe) -> None:
+        """Take one gossip message."""
+        await self._send(self.core.handle(kind, message, self._now()))
+        self._notify()
+
+    async def _tick(self) -> None:
+        while True:
+            outbound = self.core.tick(self._now())
+            self._notify()
+            await self._send(outbound)
+            wakeup = self.core.next_wakeup()
+            wait = IDLE_S if wakeup is None else wakeup - self._now()
+            await asyncio.sleep(min(max(wait, 0.01), IDLE_S))
+
+    async def _read_list(self) -> None:
+        while True:
+            done = await self.instance_list.read()
+            if isinstance(done, Ok):
+                await self._take_list(done.ok_value)
+            elif self.list_read:
+                log_event("instance_list_failed", reason=done.err_value.value)
+            await asyncio.sleep(LIST_PERIOD_S)
+
+    async def _take_list(self, instances: list[Instance]) -> None:
+        self.list_read = True
+        nodes = [to_update(i) for i in instances if i.kind is InstanceKind.NODE]
+        outbound = self.core.seed(nodes, self._now())
+        leaving = frozenset(
+            i.id
+            for i in instances
+            if i.kind is InstanceKind.UPSTREAM and i.state is InstanceState.LEAVING
+        )
+        changed, self.leaving_upstreams = leaving != self.leaving_upstreams, leaving
+        await self._send(outbound)
+        self._notify(changed)
+
+    async def _send(self, outbound: list[Outbound]) -> None:
+        for item in outbound:
+            # A peer that does not take the message must not hold up the others.
+            self.tasks.spawn(self.peers.send(item.address, item.kind, item.message))
+
+    def _notify(self, force: bool = False) -> None:
+        known = frozenset(member.node_id for member in self.homes())
+        if known == self._known and not force:
+            return
+        if known != self._known:
+            log_event("members_changed", members=",".join(sorted(known)))
+        self._known = known
+        self.metrics.members.set({}, len(known))
+        for listener in self.listeners:
+            listener()
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+class _Receiver:
+    """Bind a message kind to the membership service."""
+
+    def __init__(self, members: Members, kind: MessageKind) -> None:
+        self.members = members
+        self.kind = kind
+
+    async def receive(self, message: Probe) -> None:
+        """Pass one message on."""
+        await self.members.receive(self.kind, message)
+
+
+def own_update(settings: NodeSettings) -> MemberUpdate:
+    """Describe this node to other members."""
+    return MemberUpdate(
+        node_id=settings.node_id,
+        state=MemberState.ALIVE,
+        incarnation=0,
+        peer_address=f"{settings.peer.host}:{settings.peer.port}",
+        http_address=f"http://{settings.http.host}:{settings.http.port}",
+        data_centre=settings.data_centre,
+        region=settings.region,
+    )
+
+
+def to_update(instance: Instance) -> MemberUpdate:
+    """Turn an entry of the instance list into a member update."""
+    leaving = instance.state is InstanceState.LEAVING
+    return MemberUpdate(
+        node_id=instance.id,
+        state=MemberState.LEAVING if leaving else MemberState.ALIVE,
+        incarnation=0,
+        peer_address=instance.peer_address,
+        http_address=instance.address,
+        data_centre=instance.data_centre,
+        region=instance.region,
+    )
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Write log events and measure."""
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/observe/events.py
@@ -0,0 +1,79 @@
+"""Write one key=value line per event and keep the newest events for operators."""
+
+import asyncio
+import sys
+from collections import deque
+from typing import Any, TextIO
+
+from eliot import add_destinations, log_message
+
+RECENT_EVENTS = 256
+SUBSCRIBER_QUEUE = 1024
+_ELIOT_FIELDS = frozenset({"task_uuid", "task_level", "message_type"})
+
+
+class EventFeed:
+    """Keep recent events and pass new ones to subscribers."""
+
+    def __init__(self) -> None:
+        self.recent: deque[dict[str, Any]] = deque(maxlen=RECENT_EVENTS)
+        self.subscribers: set[asyncio.Queue[dict[str, Any]]] = set()
+
+    def publish(self, event: dict[str, Any]) -> None:
+        """Pass an event on; a subscriber with a full queue misses it."""
+        self.recent.append(event)
+        for queue in self.subscribers:
+            if not queue.full():
+                queue.put_nowait(event)
+
+    def subscribe(self) -> asyncio.Queue[dict[str, Any]]:
+        """Return a queue of new events."""
+        queue: asyncio.Queue[dict[str, Any]] = asyncio.Queue(SUBSCRIBER_QUEUE)
+        self.subscribers.add(queue)
+        return queue
+
+    def unsubscribe(self, queue: asyncio.Queue[dict[str, Any]]) -> None:
+        """Stop passing events to a queue."""
+        self.subscribers.discard(queue)
+
+
+class LineDestination:
+    """Write eliot messages as lines of key=value pairs."""
+
+    def __init__(self, stream: TextIO, feed: EventFeed, node_id: str) -> None:
+        self.stream = stream
+        self.feed = feed
+        self.node_id = node_id
+
+    def __call__(self, message: dict[str, Any]) -> None:
+        """Write one message."""
+        fields = {"event": message.get("message_type", "eliot"), "node": self.node_id}
+        fields |= {k: v for k, v in message.items() if k not in _ELIOT_FIELDS}
+        self.stream.write(format_line(fields) + "\n")
+        self.stream.flush()
+        self.feed.publish(fields)
+
+
+def format_line(fields: dict[str, Any]) -> str:
+    """Return key=value pairs; values with spaces or quotes are quoted."""
+    return " ".join(f"{key}={_value(value)}" for key, value in fields.items())
+
+
+def start_logging(node_id: str, feed: EventFeed) -> None:
+    """Send all events of this process to standard error and the feed."""
+    add_destinations(LineDestination(sys.stderr, feed, node_id))
+
+
+def log_event(event: str, **fields: Any) -> None:
+    """Write one event."""
+    log_message(event, **fields)
+
+
+def _value(value: Any) -> str:
+    text = f"{value:.6f}" if isinstance(value, float) else str(value)
+    if text and not any(c in text for c in ' "=\n'):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+    return f'"{escaped}"'
+
+
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/peer_link.py
@@ -0,0 +1,122 @@
+"""Keep one connection to another node and notice when it goes silent."""
+
+import asyncio
+
+import zmq
+import zmq.asyncio
+from fulmarpulley_schema.generated.peer import MessageKind
+
+# Polls between nodes return within 1 s, so a healthy link is never silent for 2 s
+# while a call is outstanding.
+SILENCE_S = 2.0
+UNUSED_S = 60.0
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 1000
+
+
+class CallFailure(Exception):
+    """Report a failed call and whether its message left this node."""
+
+    def __init__(self, sent: bool, replied: bool = False) -> None:
+        super().__init__(f"sent={sent} replied={replied}")
+        self.sent = sent
+        self.replied = replied
+
+
+def new_socket(context: zmq.asyncio.Context, kind: int) -> zmq.asyncio.Socket:
+    """Open a socket with the limits that all sockets between nodes share."""
+    socket = context.socket(kind)
+    socket.setsockopt(zmq.LINGER, 0)
+    socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+    # A message for a peer that is not connected waits here, not in a queue that
+    # would deliver it long after its call was given up.
+    socket.setsockopt(zmq.IMMEDIATE, 1)
+    socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+    socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+    return socket
+
+
+class PeerLink:
+    """Own the DEALER socket to one address and its outstanding calls."""
+
+    def __init__(self, context: zmq.asyncio.Context, address: str) -> None:
+        self.context = context
+        self.address = address
+        self.loop = asyncio.get_running_loop()
+        self.calls: dict[bytes, asyncio.Future[bytes]] = {}
+        self.last_used = self.loop.time()
+        self.heard = self.last_used
+        self._open()
+
+    async def send(self, frames: list[bytes], timeout_s: float) -> bool:
+        """Send frames; return False when no connection took them in time."""
+        self.last_used = self.loop.time()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.socket.send_multipart(frames)
+        except (TimeoutError, zmq.ZMQError, asyncio.CancelledError):
+            if (task := asyncio.current_task()) is not None and task.cancelling():
+                raise
+            return False
+        return True
+
+    async def call(
+        self, call_id: bytes, frames: list[bytes], deadline_s: float
+    ) -> bytes:
+        """Send a call and return the payload of its reply, or raise CallFailure."""
+        started = self.loop.time()
+        if not await self.send(frames, min(deadline_s, SILENCE_S)):
+            raise CallFailure(sent=False)
+        if not self.calls:
+            self.heard = self.loop.time()
+        answer = self.calls[call_id] = self.loop.create_future()
+        try:
+            async with asyncio.timeout_at(started + deadline_s):
+                return await answer
+        except TimeoutError:
+            raise CallFailure(sent=True) from None
+        finally:
+            self.calls.pop(call_id, None)
+
+    def replace_if_silent(self) -> bool:
+        """Open a new connection when calls are outstanding on a silent one."""
+        if not self.calls or self.loop.time() - self.heard < SILENCE_S:
+            return False
+        self._shut()
+        self._open()
+        return True
+
+    def unused(self) -> bool:
+        """Tell whether the link was not used for a long time."""
+        return not self.calls and self.loop.time() - self.last_used > UNUSED_S
+
+    def close(self) -> None:
+        """Close the connection for good."""
+        self._shut()
+
+    def _open(self) -> None:
+        self.socket = new_socket(self.context, zmq.DEALER)
+        self.socket.connect(f"tcp://{self.address}")
+        self.heard = self.loop.time()
+        self.reader = self.loop.create_task(self._read(self.socket))
+
+    def _shut(self) -> None:
+        self.reader.cancel()
+        self.socket.close(linger=0)
+        failed, self.calls = self.calls, {}
+        for answer in failed.values():
+            if not answer.done():
+                answer.set_exception(CallFailure(sent=True))
+
+    async def _read(self, socket: zmq.asyncio.Socket) -> None:
+        while True:
+            kind, call_id, payload = await socket.recv_multipart()
+            self.heard = self.loop.time()
+            answer = self.calls.get(call_id)
+            if answer is None or answer.done():
+                continue
+            if kind == MessageKind.REPLY.value.encode():
+                answer.set_result(payload)
+            else:
+                answer.set_exception(CallFailure(sent=True, replied=True))
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/peers.py
@@ -0,0 +1,187 @@
+"""Exchange messages with other nodes over pyzmq."""
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
+from enum import StrEnum
+from typing import Any, TypeVar
+
+import msgspec
+import zmq
+import zmq.asyncio
+from aiomisc import Service
+from fulmarpulley_core.ids import NodeId
+from fulmarpulley_schema.codec import from_msgpack, to_msgpack
+from fulmarpulley_schema.generated.peer import MessageKind
+from fulmarpulley_schema.generated.settings import NodeSettings
+from result import Err, Ok, Result
+
+from .observe.events import log_event
+from .observe.metrics import Metrics
+from .peer_link import CallFailure, PeerLink, new_socket
+
+T = TypeVar("T", bound=msgspec.Struct)
+Handler = Callable[[Any], Awaitable[msgspec.Struct | None]]
+AddressOf = Callable[[NodeId], str | None]
+
+LINK_CHECK_S = 0.5
+
+
+class PeerError(StrEnum):
+    """Name why a call to a node failed, by what may have happened there."""
+
+    NOT_SENT = "not_sent"
+    NO_REPLY = "no_reply"
+    FAILED = "failed"
+
+
+class Handling(msgspec.Struct, frozen=True):
+    """Hold the handler of a message kind and the type of its payload."""
+
+    payload: type[msgspec.Struct]
+    handler: Handler
+
+
+class PeerLinks(Service):
+    """Own the sockets to and from other nodes."""
+
+    def __init__(self, settings: NodeSettings, metrics: Metrics) -> None:
+        super().__init__()
+        self.settings = settings
+        self.metrics = metrics
+        self.address_of: AddressOf = lambda _node: None
+        self.handlers: dict[MessageKind, Handling] = {}
+        self.links: dict[str, PeerLink] = {}
+        self.call_ids = itertools.count(1)
+        self.zmq_context: zmq.asyncio.Context | None = None
+        self.router: zmq.asyncio.Socket | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Bind the socket for other nodes."""
+        listen = self.settings.peer
+        self.zmq_context = zmq.asyncio.Context()
+        self.router = new_socket(self.zmq_context, zmq.ROUTER)
+        self.router.bind(f"tcp://{listen.host}:{listen.port}")
+        self._spawn(self._serve(self.router))
+        self._spawn(self._check_links())
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Close all sockets and the context."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for link in self.links.values():
+            link.close()
+        if self.router is not None:
+            self.router.close(linger=0)
+        if self.zmq_context is not None:
+            self.zmq_context.term()
+
+    def handle(
+        self, kind: MessageKind, payload: type[msgspec.Struct], handler: Handler
+    ) -> None:
+        """Register the handler of a message kind."""
+        self.handlers[kind] = Handling(payload, handler)
+
+    async def call(
+        self,
+        node: NodeId,
+        kind: MessageKind,
+        payload: msgspec.Struct,
+        reply: type[T],
+        deadline_s: float,
+    ) -> Result[T, PeerError]:
+        """Call a handler of another node, or of this one without a socket."""
+        if node == self.settings.node_id:
+            return await self._call_here(kind, payload)
+        address = self.address_of(node)
+        if address is None:
+            return Err(PeerError.NOT_SENT)
+        done = await self._call_there(address, kind, payload, deadline_s)
+        self.metrics.peer_calls.inc(
+            {"kind": kind.value, "outcome": "ok" if done.is_ok() else "failed"}
+        )
+        if isinstance(done, Err):
+            return Err(done.err_value)
+        try:
+            return Ok(from_msgpack(done.ok_value, reply))
+        except msgspec.DecodeError:
+            return Err(PeerError.FAILED)
+
+    async def send(
+        self, address: str, kind: MessageKind, payload: msgspec.Struct
+    ) -> None:
+        """Send a message that has no reply; it may be lost."""
+        frames = [kind.value.encode(), b"", to_msgpack(payload)]
+        await self._link(address).send(frames, LINK_CHECK_S)
+
+    async def _call_here(
+        self, kind: MessageKind, payload: msgspec.Struct
+    ) -> Result[Any, PeerError]:
+        handling = self.handlers.get(kind)
+        if handling is None:
+            return Err(PeerError.FAILED)
+        return Ok(await handling.handler(payload))
+
+    async def _call_there(
+        self,
+        address: str,
+        kind: MessageKind,
+        payload: msgspec.Struct,
+        deadline_s: float,
+    ) -> Result[bytes, PeerError]:
+        call_id = str(next(self.call_ids)).encode()
+        frames = [kind.value.encode(), call_id, to_msgpack(payload)]
+        try:
+            return Ok(await self._link(address).call(call_id, frames, deadline_s))
+        except CallFailure as failure:
+            if failure.sent:
+                return Err(PeerError.FAILED if failure.replied else PeerError.NO_REPLY)
+            return Err(PeerError.NOT_SENT)
+
+    def _link(self, address: str) -> PeerLink:
+        link = self.links.get(address)
+        if link is None:
+            if self.zmq_context is None:
+                raise RuntimeError("peer links are not started")
+            link = self.links[address] = PeerLink(self.zmq_context, address)
+        return link
+
+    async def _check_links(self) -> None:
+        while True:
+            await asyncio.sleep(LINK_CHECK_S)
+            for link in list(self.links.values()):
+                if link.replace_if_silent():
+                    log_event("peer_link_replaced", address=link.address)
+                if link.unused():
+                    self.links.pop(link.address).close()
+
+    async def _serve(self, router: zmq.asyncio.Socket) -> None:
+        while True:
+            frames = await router.recv_multipart()
+            if len(frames) == 4:
+                self._spawn(self._answer(router, frames))
+
+    async def _answer(self, router: zmq.asyncio.Socket, frames: list[bytes]) -> None:
+        identity, kind, call_id, payload = frames
+        try:
+            handling = self.handlers[MessageKind(kind.decode())]
+            result = await handling.handler(from_msgpack(payload, handling.payload))
+        except Exception as fault:
+            log_event(
+                "peer_message_failed", kind=kind.decode(errors="replace"), error=fault
+            )
+            reply, body = MessageKind.FAILURE, b""
+        else:
+            reply = MessageKind.REPLY
+            body = to_msgpack(result) if result is not None else b""
+        if call_id:
+            await router.send_multipart(
+                [identity, reply.value.encode(), call_id, body]
+            )
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/dialects.py
@@ -0,0 +1,84 @@
+"""Define what the node needs from each service of the platform."""
+
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Protocol
+
+from fulmarpulley_core.registry import Registry
+from fulmarpulley_schema.generated.document import Scoring
+from fulmarpulley_schema.generated.settings import PlatformService
+from fulmarpulley_schema.generated.upstream import Instance, LogPage
+from result import Result
+
+
+class PlatformFailure(StrEnum):
+    """Name why a call to the platform failed.
+
+    Only after `LOST`, `TIMED_OUT` and `MALFORMED` the call may have had its effect.
+    """
+
+    UNAVAILABLE = "unavailable"
+    LOST = "lost"
+    RATE_LIMITED = "rate_limited"
+    TIMED_OUT = "timed_out"
+    MALFORMED = "malformed"
+
+
+class LogDialect(Protocol):
+    """Append to and read from the log."""
+
+    async def append(
+        self, stream: str, record_id: str, data: str
+    ) -> Result[int, PlatformFailure]:
+        """Append one record and return its offset; a failure may have appended."""
+
+    async def read(
+        self, stream: str, start: int, limit: int, wait_s: float
+    ) -> Result[LogPage, PlatformFailure]:
+        """Read a page from an offset on, waiting for a record."""
+
+    async def close(self) -> None:
+        """Close all connections."""
+
+
+class InstanceListDialect(Protocol):
+    """Read the instance list."""
+
+    async def read(self) -> Result[list[Instance], PlatformFailure]:
+        """Return all instances."""
+
+    async def close(self) -> None:
+        """Close all connections."""
+
+
+class ScoringDialect(Protocol):
+    """Score samples."""
+
+    async def score(
+        self, prompt: str, text: str
+    ) -> Result[float, PlatformFailure]:
+        """Return the score of one sample."""
+
+    async def close(self) -> None:
+        """Close all connections."""
+
+
+class WeightStoreDialect(Protocol):
+    """Name the source of weights in an order to an upstream."""
+
+    def source(self, model: str, version: int) -> str:
+        """Return the address from which an upstream reads a version."""
+
+
+log_dialects: Registry[Callable[[PlatformService], LogDialect]] = Registry(
+    "log dialect"
+)
+instance_list_dialects: Registry[Callable[[PlatformService], InstanceListDialect]] = (
+    Registry("instance list dialect")
+)
+scoring_dialects: Registry[Callable[[Scoring], ScoringDialect]] = Registry(
+    "scoring dialect"
+)
+weight_store_dialects: Registry[Callable[[PlatformService], WeightStoreDialect]] = (
+    Registry("weight store dialect")
+)
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/tasks.py
@@ -0,0 +1,41 @@
+"""Run background tasks of a service and report those that fail."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from .observe.events import log_event
+
+
+class TaskGroup:
+    """Own background tasks until they are stopped together."""
+
+    def __init__(self) -> None:
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Start a task; its exception is logged."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    async def stop(self) -> None:
+        """Cancel all tasks and wait for their end."""
+        tasks = [task for task in self.tasks if task is not asyncio.current_task()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        self.tasks.discard(task)
+        if task.cancelled():
+            return
+        fault = task.exception()
+        if fault is not None:
+            name = task.get_coro()
+            log_event("task_failed", task=_name(name), error=repr(fault))
+
+
+def _name(coroutine: Any) -> str:
+    return str(getattr(coroutine, "__qualname__", coroutine))
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/__init__.py
@@ -0,0 +1,6 @@
+"""Register the dialects of upstreams."""
+
+from . import engine, plain
+from .dialects import UpstreamDialect, upstream_dialects
+
+__all__ = ["UpstreamDialect", "engine", "plain", "upstream_dialects"]
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/connection.py
@@ -0,0 +1,122 @@
+"""Send requests that must not be repeated and classify how they fail."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+from fulmarpulley_core.pool.messages import Failure
+from fulmarpulley_schema.codec import to_json
+from msgspec import Struct
+
+from .dialects import AttemptEnd
+
+CONNECT_TIMEOUT_S = 2.0
+CALL_TIMEOUT_S = 5.0
+
+
+class AttemptFailure(Exception):
+    """Carry the end of an attempt out of nested calls."""
+
+    def __init__(self, end: AttemptEnd) -> None:
+        super().__init__(end.reason)
+        self.end = end
+
+
+class Connection:
+    """Own the connections to one upstream."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._session: aiohttp.ClientSession | None = None
+
+    @asynccontextmanager
+    async def post(
+        self, path: str, body: Struct, timeout_s: float
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Send one POST and yield its successful response, or raise AttemptFailure.
+
+        A connection on which anything went wrong is closed, not kept alive.
+        `timeout_s` bounds the silence between two reads.
+        """
+        response = await self.send(path, body, timeout_s)
+        try:
+            check_status(response)
+            yield response
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise _broken(error) from error
+        except AttemptFailure:
+            raise
+        else:
+            if response.content.at_eof():
+                response.release()
+                return
+        finally:
+            if not response.content.at_eof():
+                response.close()
+
+    async def send(
+        self, path: str, body: Struct, timeout_s: float
+    ) -> aiohttp.ClientResponse:
+        """Send one POST and return the response head, or raise AttemptFailure."""
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=timeout_s
+        )
+        try:
+            return await self.session().post(
+                self.address + path,
+                data=to_json(body),
+                headers={"Content-Type": "application/json"},
+                timeout=timeout,
+                allow_redirects=False,
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise AttemptFailure(_end(Failure.NOT_SENT, error)) from error
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise _broken(error) from error
+
+    async def get(self, path: str) -> bytes:
+        """Return the body of a GET; raise aiohttp.ClientError or TimeoutError."""
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        async with self.session().get(
+            self.address + path, timeout=timeout, allow_redirects=False
+        ) as response:
+            response.raise_for_status()
+            return await response.read()
+
+    def session(self) -> aiohttp.ClientSession:
+        """Return the session, opened at the first call."""
+        if self._session is None:
+            connector = aiohttp.TCPConnector(limit=0)
+            self._session = aiohttp.ClientSession(connector=connector)
+        return self._session
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+
+def check_status(response: aiohttp.ClientResponse) -> None:
+    """Raise AttemptFailure unless the response has status 200.
+
+    By the upstream protocol 429 and 503 say that the request was not run.
+    """
+    if response.status == 200:
+        return
+    reason = f"upstream answered with status {response.status}"
+    refused = response.status in {429, 503}
+    failure = Failure.REFUSED if refused else Failure.ERRORED
+    raise AttemptFailure(AttemptEnd(failure, reason, _retry_after(response)))
+
+
+def _retry_after(response: aiohttp.ClientResponse) -> float | None:
+    text = response.headers.get("Retry-After", "")
+    return float(text) if text.isdecimal() else None
+
+
+def _broken(error: BaseException) -> AttemptFailure:
+    return AttemptFailure(_end(Failure.BROKEN, error))
+
+
+def _end(failure: Failure, error: BaseException) -> AttemptEnd:
+    return AttemptEnd(failure, f"{type(error).__name__}: {error}")
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/dialects.py
@@ -0,0 +1,69 @@
+"""Define what a pool home needs from an upstream."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+from fulmarpulley_core.pool.messages import Failure
+from fulmarpulley_core.registry import Registry
+from fulmarpulley_schema.generated.document import UpstreamEntry
+from fulmarpulley_schema.generated.upstream import LoadBody, OrderRequest
+from result import Result
+
+TokenSink = Callable[[str, int | None], None]
+
+
+class Attempt(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe what an upstream is asked to run; retries share the key."""
+
+    request_id: str
+    key: str
+    model: str
+    prompt: str
+    prefix: str
+    max_tokens: int
+    priority: int
+    seed: int
+    stall_s: float
+    resume: list[str] = []
+
+
+class AttemptEnd(msgspec.Struct, frozen=True):
+    """Tell how an attempt failed."""
+
+    failure: Failure
+    reason: str
+    retry_after_s: float | None = None
+
+
+class OrderRefused(msgspec.Struct, frozen=True):
+    """Tell why an upstream did not take an order."""
+
+    reason: str
+    newest_fence: int | None = None
+
+
+class UpstreamDialect(Protocol):
+    """Speak the protocol of one upstream and own its connections."""
+
+    async def run(
+        self, attempt: Attempt, sink: TokenSink
+    ) -> Result[None, AttemptEnd]:
+        """Run an attempt and pass each new token to the sink."""
+
+    async def cancel(self, request_id: str) -> None:
+        """Ask the upstream to stop a request; failures have no effect."""
+
+    async def load(self) -> Result[LoadBody | None, str]:
+        """Return the load, or None where the upstream reports none."""
+
+    async def order(self, order: OrderRequest) -> Result[None, OrderRefused]:
+        """Give an order and wait until it is done."""
+
+    async def close(self) -> None:
+        """Close all connections."""
+
+
+upstream_dialects: Registry[Callable[[UpstreamEntry], UpstreamDialect]] = Registry(
+    "upstream dialect"
+)
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/engine.py
@@ -0,0 +1,158 @@
+"""Speak the dialect of model engines."""
+
+import aiohttp
+import msgspec
+from fulmarpulley_core.pool.messages import Failure
+from fulmarpulley_schema.codec import from_json
+from fulmarpulley_schema.generated.document import UpstreamEntry
+from fulmarpulley_schema.generated.upstream import (
+    CancelRequest,
+    EndEvent,
+    GenerateRequest,
+    LoadBody,
+    OrderRefusal,
+    OrderRequest,
+    TokenEvent,
+)
+from result import Err, Ok, Result
+
+from .connection import CALL_TIMEOUT_S, AttemptFailure, Connection
+from .dialects import (
+    Attempt,
+    AttemptEnd,
+    OrderRefused,
+    TokenSink,
+    upstream_dialects,
+)
+from .event_stream import ServerEvent, StreamFormatError, read_events
+
+# Loading a version takes seconds; an order that takes longer than this has failed.
+ORDER_TIMEOUT_S = 60.0
+
+
+@upstream_dialects.register("engine")
+class EngineDialect:
+    """Own the connections to one engine."""
+
+    def __init__(self, entry: UpstreamEntry) -> None:
+        self.connection = Connection(entry.address)
+
+    async def run(self, attempt: Attempt, sink: TokenSink) -> Result[None, AttemptEnd]:
+        """Run an attempt and pass each new token to the sink."""
+        body = GenerateRequest(
+            request_id=attempt.request_id,
+            model=attempt.model,
+            prompt=attempt.prompt,
+            prefix=attempt.prefix,
+            max_tokens=attempt.max_tokens,
+            priority=attempt.priority,
+            resume_tokens=attempt.resume,
+            seed=attempt.seed,
+        )
+        generation = Generation(len(attempt.resume), sink)
+        try:
+            async with self.connection.post(
+                "/v1/generate", body, attempt.stall_s
+            ) as response:
+                async for event in read_events(response.content.iter_any()):
+                    generation.take(event)
+        except AttemptFailure as failure:
+            return Err(failure.end)
+        return generation.end()
+
+    async def cancel(self, request_id: str) -> None:
+        """Ask the engine to stop a request; failures have no effect."""
+        body = CancelRequest(request_id=request_id)
+        try:
+            async with self.connection.post(
+                "/v1/cancel", body, CALL_TIMEOUT_S
+            ) as response:
+                await response.read()
+        except AttemptFailure:
+            return
+
+    async def load(self) -> Result[LoadBody | None, str]:
+        """Return the load."""
+        try:
+            return Ok(from_json(await self.connection.get("/v1/load"), LoadBody))
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            msgspec.DecodeError,
+            UnicodeError,
+        ) as error:
+            return Err(f"{type(error).__name__}: {error}")
+
+    async def order(self, order: OrderRequest) -> Result[None, OrderRefused]:
+        """Give an order and wait until it is done."""
+        try:
+            response = await self.connection.send("/v1/orders", order, ORDER_TIMEOUT_S)
+            async with response:
+                body = await response.read()
+        except AttemptFailure as failure:
+            return Err(OrderRefused(failure.end.reason))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Err(OrderRefused(f"{type(error).__name__}: {error}"))
+        if response.status == 200:
+            return Ok(None)
+        return Err(_refusal(response.status, body))
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.connection.close()
+
+
+class Generation:
+    """Check that the events of one stream make a whole answer."""
+
+    def __init__(self, resumed: int, sink: TokenSink) -> None:
+        self.count = resumed
+        self.sink = sink
+        self.closed = False
+        self.fault = ""
+
+    def take(self, event: ServerEvent) -> None:
+        """Take one event; raise StreamFormatError on one out of place."""
+        if self.fault or self.closed:
+            self.fault = self.fault or "event after the end of the stream"
+            return
+        try:
+            self._take(event)
+        except (msgspec.DecodeError, StreamFormatError) as error:
+            self.fault = str(error)
+
+    def end(self) -> Result[None, AttemptEnd]:
+        """Tell how the stream ended."""
+        if self.fault:
+            return Err(AttemptEnd(Failure.BROKEN, self.fault))
+        if not self.closed:
+            reason = f"stream ended after {self.count} tokens without an end event"
+            return Err(AttemptEnd(Failure.BROKEN, reason))
+        return Ok(None)
+
+    def _take(self, event: ServerEvent) -> None:
+        if event.name == "token":
+            token = from_json(event.data, TokenEvent)
+            if token.index != self.count:
+                message = f"token {token.index} where {self.count} was expected"
+                raise StreamFormatError(message)
+            self.count += 1
+            self.sink(token.token, token.version)
+        elif event.name == "end":
+            end = from_json(event.data, EndEvent)
+            if end.count != self.count:
+                message = f"end counts {end.count} tokens of {self.count}"
+                raise StreamFormatError(message)
+            if end.reason == "cancelled":
+                raise StreamFormatError("the engine cancelled the request")
+            self.closed = True
+
+
+def _refusal(status: int, body: bytes) -> OrderRefused:
+    reason = f"engine answered the order with status {status}"
+    try:
+        newest = from_json(body, OrderRefusal).newest_fence
+    except (msgspec.DecodeError, UnicodeError):
+        return OrderRefused(reason)
+    return OrderRefused(reason, newest)
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/plain.py
@@ -0,0 +1,60 @@
+"""Speak the dialect of plain services, whose answer is one result."""
+
+import msgspec
+from fulmarpulley_core.pool.messages import Failure
+from fulmarpulley_schema.codec import from_json
+from fulmarpulley_schema.generated.document import UpstreamEntry
+from fulmarpulley_schema.generated.upstream import (
+    LoadBody,
+    OrderRequest,
+    PlainCall,
+    PlainResult,
+)
+from result import Err, Ok, Result
+
+from .connection import AttemptFailure, Connection
+from .dialects import (
+    Attempt,
+    AttemptEnd,
+    OrderRefused,
+    TokenSink,
+    upstream_dialects,
+)
+
+
+@upstream_dialects.register("plain")
+class PlainDialect:
+    """Own the connections to one plain service."""
+
+    def __init__(self, entry: UpstreamEntry) -> None:
+        self.connection = Connection(entry.address)
+
+    async def run(self, attempt: Attempt, sink: TokenSink) -> Result[None, AttemptEnd]:
+        """Make one call and pass its result to the sink as one token."""
+        body = PlainCall(key=attempt.key, body=attempt.prompt)
+        try:
+            async with self.connection.post(
+                "/v1/call", body, attempt.stall_s
+            ) as response:
+                result = from_json(await response.read(), PlainResult)
+        except AttemptFailure as failure:
+            return Err(failure.end)
+        except (msgspec.DecodeError, UnicodeError) as error:
+            return Err(AttemptEnd(Failure.BROKEN, f"unreadable answer: {error}"))
+        sink(result.result, None)
+        return Ok(None)
+
+    async def cancel(self, request_id: str) -> None:
+        """Do nothing; a plain service cannot stop a call."""
+
+    async def load(self) -> Result[LoadBody | None, str]:
+        """Return None; a plain service reports no load."""
+        return Ok(None)
+
+    async def order(self, order: OrderRequest) -> Result[None, OrderRefused]:
+        """Refuse; a plain service takes no orders."""
+        return Err(OrderRefused("a plain service takes no orders"))
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.connection.close()
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/work_client.py
@@ -0,0 +1,207 @@
+"""Follow a work item at its pool home, and submit it again when the home is lost."""
+
+import asyncio
+
+from fulmarpulley_core.ids import NodeId
+from fulmarpulley_schema.generated.http import Ran
+from fulmarpulley_schema.generated.peer import (
+    MessageKind,
+    Refusal,
+    WorkPoll,
+    WorkState,
+    WorkSubmit,
+    WorkWithdraw,
+)
+from msgspec.structs import replace
+from result import Err
+
+from .configuration import Configuration
+from .errors import ErrorCode, refusal
+from .locate import Locator
+from .members import Members
+from .observe.events import log_event
+from .peers import PeerError, PeerLinks
+from .progress import Progress
+from .tasks import TaskGroup
+from .versions import NoReply
+
+# A poll returns within this time, so that a link with calls is never silent for 2 s.
+POLL_WAIT_S = 1.0
+CALL_DEADLINE_S = 2.5
+RETRY_PAUSE_S = 0.1
+# Time after its deadline for which the owner still waits for the pool's own verdict.
+DEADLINE_GRACE_S = 1.0
+# Codes of a home that did not take the work, while another home may take it.
+_TRY_ANOTHER_HOME = frozenset({"shutting_down", "not_ready"})
+
+
+class Delivery:
+    """Follow one work item until it ends; the caller owns the progress."""
+
+    def __init__(
+        self, client: "WorkClient", submit: WorkSubmit, progress: Progress
+    ) -> None:
+        self.client = client
+        self.submit = submit
+        self.progress = progress
+        self.linger_s = 0.02
+        self.sent = False
+        self.home: NodeId | None = None
+        self.started = asyncio.get_running_loop().time()
+
+    async def run(self) -> None:
+        """Submit and poll until the progress has ended."""
+        while not self.progress.done:
+            if self._overdue():
+                self._refuse(ErrorCode.DEADLINE_PASSED, "the deadline has passed")
+                return
+            home = self._place()
+            if home is None:
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            self.home = home
+            if await self._hand_in(home):
+                await self._follow(home)
+            else:
+                await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def _hand_in(self, home: NodeId) -> bool:
+        """Submit the work; return False when it certainly was not submitted."""
+        resume = self.progress.snapshot() if self.progress.tokens else None
+        message = replace(
+            self.submit, resume=resume, deadline_s=self._remaining_s()
+        )
+        done = await self.client.peers.call(
+            home, MessageKind.SUBMIT, message, WorkState, CALL_DEADLINE_S
+        )
+        if isinstance(done, Err):
+            self.sent = self.sent or done.err_value is not PeerError.NOT_SENT
+            return done.err_value is not PeerError.NOT_SENT
+        if self._elsewhere(done.ok_value):
+            return False
+        self.sent = True
+        self.progress.take_state(done.ok_value)
+        return True
+
+    async def _follow(self, home: NodeId) -> None:
+        while not self.progress.done and not self._overdue():
+            done = await self.client.peers.call(
+                home, MessageKind.PROGRESS, self._poll(), WorkState, CALL_DEADLINE_S
+            )
+            if isinstance(done, Err):
+                if self._lost(home):
+                    return
+                await asyncio.sleep(RETRY_PAUSE_S)
+            elif not done.ok_value.known:
+                self._not_known(home)
+                return
+            elif self._elsewhere(done.ok_value):
+                return
+            else:
+                self.progress.take_state(done.ok_value)
+
+    def _poll(self) -> WorkPoll:
+        return WorkPoll(
+            service=self.submit.service,
+            shard=self.submit.shard,
+            work_id=self.submit.work_id,
+            have=len(self.progress.tokens),
+            wait_s=POLL_WAIT_S,
+            linger_s=self.linger_s,
+        )
+
+    def _elsewhere(self, state: WorkState) -> bool:
+        # The home did not run the work and leaves; another home may run it.
+        refused = state.refusal
+        if refused is None or refused.code not in _TRY_ANOTHER_HOME:
+            return False
+        if refused.ran != Ran.NOT_RUN.value:
+            return False
+        self.sent = False
+        return True
+
+    def _lost(self, home: NodeId) -> bool:
+        """Tell whether to give the home up; repeatable work then runs elsewhere."""
+        gone = self.client.members.is_gone(home)
+        moved = self._place() != home
+        if self.submit.repeatable:
+            if gone or moved:
+                log_event("pool_home_lost", work=self.submit.work_id, home=home)
+            return gone or moved
+        if gone:
+            self._broken("the pool home was lost")
+        return gone
+
+    def _not_known(self, home: NodeId) -> None:
+        if not self.submit.repeatable:
+            self._broken("the pool home does not know the request any more")
+        log_event("work_resubmitted", work=self.submit.work_id, home=home)
+
+    def _place(self) -> NodeId | None:
+        document = self.client.configuration.document(self.submit.service)
+        if document is None:
+            return None
+        return self.client.locator.pool_home(document, self.submit.shard)
+
+    def _remaining_s(self) -> float | None:
+        if self.submit.deadline_s is None:
+            return None
+        now = asyncio.get_running_loop().time()
+        return max(0.0, self.started + self.submit.deadline_s - now)
+
+    def _overdue(self) -> bool:
+        if self.submit.deadline_s is None:
+            return False
+        limit = self.submit.deadline_s + (DEADLINE_GRACE_S if self.sent else 0.0)
+        return asyncio.get_running_loop().time() - self.started >= limit
+
+    def _broken(self, message: str) -> None:
+        self.progress.refuse(
+            refusal(ErrorCode.UPSTREAM_BROKEN, message, Ran.MAY_HAVE_RUN)
+        )
+
+    def _refuse(self, code: ErrorCode, message: str) -> None:
+        ran = Ran.MAY_HAVE_RUN if self.sent else Ran.NOT_RUN
+        self.progress.refuse(refusal(code, message, ran))
+
+
+class WorkClient:
+    """Submit work on behalf of its owner."""
+
+    def __init__(
+        self,
+        peers: PeerLinks,
+        members: Members,
+        configuration: Configuration,
+        locator: Locator,
+    ) -> None:
+        self.peers = peers
+        self.members = members
+        self.configuration = configuration
+        self.locator = locator
+        self.tasks = TaskGroup()
+
+    async def run(
+        self, submit: WorkSubmit, progress: Progress, linger_s: float = 0.02
+    ) -> Refusal | None:
+        """Run a work item to its end; a cancelled call withdraws it."""
+        delivery = Delivery(self, submit, progress)
+        delivery.linger_s = linger_s
+        try:
+            await delivery.run()
+        finally:
+            # Also after an answer: the home then forgets it.
+            if delivery.home is not None:
+                self.withdraw(submit, delivery.home)
+        return progress.refusal
+
+    def withdraw(self, submit: WorkSubmit, home: NodeId) -> None:
+        """Tell the pool home that nobody waits for a work item."""
+        message = WorkWithdraw(
+            service=submit.service, shard=submit.shard, work_id=submit.work_id
+        )
+        call = self.peers.call(
+            home, MessageKind.WITHDRAW, message, NoReply, CALL_DEADLINE_S
+        )
+        self.tasks.spawn(call)
+
