Add trainer, caller and fault proxy stand-ins

The failure tests need clients that retry as the error table allows and that record what they saw.

The caller decides by the ran field whether to send again or to fetch by key, and never sends a request that must not be repeated without an issued key. The trainer opens steps, takes with the held slots, drops the answers of abandoned takes and announces a version after each step. The proxy cuts or silences open connections while new ones work.

The trainer and the caller have not run against a node yet.

--- /dev/null
+++ b/testing/src/fulmarpulley_testing/caller_client.py
@@ -0,0 +1,229 @@
+"""Carry one request of a caller to its end, retrying by the error table."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from typing import Literal
+
+import aiohttp
+import msgspec
+
+from fulmarpulley_schema import codec
+from fulmarpulley_schema.generated.http import (
+    Answer,
+    CallerRequest,
+    KeyRequest,
+    Keys,
+    Ran,
+    Span,
+)
+
+from .history import (
+    AttemptAnswered,
+    AttemptFailed,
+    AttemptStarted,
+    Completed,
+    History,
+    Invoked,
+)
+from .node_client import CallError, NodeClient, error_of
+
+Outcome = Literal["answered", "not_run", "unresolved", "gave_up"]
+
+# Errors that no retry of the same request can mend.
+FINAL_CODES = {"bad_request", "too_large", "unknown_service", "key_reused"}
+FETCH_WAIT_S = 1.0
+# Fetches of a request that may have run, before the caller settles for that.
+UNRESOLVED_FETCHES = 6
+
+
+class StreamToken(msgspec.Struct, kw_only=True):
+    """Hold one streamed token of an answer."""
+
+    index: int
+    text: str
+
+
+class StreamEnd(msgspec.Struct, kw_only=True):
+    """Close a streamed answer."""
+
+    count: int
+    spans: list[Span] = []
+    upstream: str = ""
+
+
+class StreamError(msgspec.Struct, kw_only=True):
+    """Close a stream that failed."""
+
+    code: str
+    ran: Ran
+
+
+class Received(msgspec.Struct, kw_only=True):
+    """Hold an answer and the indexes of its streamed tokens."""
+
+    answer: Answer
+    indexes: list[int] | None = None
+
+
+class Invocation:
+    """Run one request until it is answered, refused or given up."""
+
+    def __init__(
+        self, client: NodeClient, history: History, invoked: Invoked, patience_s: float
+    ) -> None:
+        self.client = client
+        self.history = history
+        self.invoked = invoked
+        self.path = f"/v1/services/{invoked.service}"
+        self.request = CallerRequest(
+            input=invoked.input,
+            max_tokens=invoked.max_tokens,
+            repeatable=invoked.repeatable,
+        )
+        self.deadline = time.monotonic() + patience_s
+        self.node = client.choose()
+        self.attempt = 0
+        self.fetch = False
+        self.unresolved = 0
+        self.last_ran: Ran | None = None
+
+    async def run(self) -> Outcome:
+        """Run to the end and record it."""
+        self.history.add(self.invoked)
+        outcome = await self.attempts()
+        ended = Completed(invocation=self.invoked.invocation, outcome=outcome)
+        self.history.add(ended)
+        return outcome
+
+    async def attempts(self) -> Outcome:
+        """Try until an answer, a final error or the end of patience."""
+        while time.monotonic() < self.deadline:
+            try:
+                await self.ensure_key()
+                self.begin()
+                received = await self.receive()
+            except CallError as error:
+                if (outcome := await self.after(error)) is not None:
+                    return outcome
+            else:
+                self.record_answer(received)
+                return "answered"
+        return "not_run" if self.last_ran == Ran.NOT_RUN else "gave_up"
+
+    async def ensure_key(self) -> None:
+        """Get a key for a request that must not be repeated."""
+        if self.request.key is not None or self.request.repeatable:
+            return
+        path = f"{self.path}/keys"
+        body = KeyRequest(count=1)
+        try:
+            keys = await self.client.call(self.node, "POST", path, Keys, body)
+        except CallError as error:
+            # Without a key nothing was sent, so nothing ran.
+            raise CallError(error.code, Ran.NOT_RUN, error.retry_after_s) from error
+        self.request.key = keys.keys[0]
+
+    def begin(self) -> None:
+        """Record the start of an attempt."""
+        self.attempt += 1
+        started = AttemptStarted(
+            invocation=self.invoked.invocation,
+            attempt=self.attempt,
+            fetch=self.fetch,
+            key=self.request.key,
+        )
+        self.history.add(started)
+
+    async def receive(self) -> Received:
+        """Send the request, or fetch its answer by key."""
+        if self.fetch:
+            path = f"{self.path}/requests/{self.request.key}?wait_s={FETCH_WAIT_S}"
+            got = await self.client.call(self.node, "GET", path, Answer)
+            return Received(answer=got)
+        path = f"{self.path}/requests"
+        if self.request.stream:
+            return await self.receive_stream(path)
+        got = await self.client.call(self.node, "POST", path, Answer, self.request)
+        return Received(answer=got)
+
+    async def receive_stream(self, path: str) -> Received:
+        """Send the request and collect its stream."""
+        tokens: list[StreamToken] = []
+        try:
+            async for name, data in self.events(path):
+                if name == "token":
+                    tokens.append(codec.from_json(data, StreamToken))
+                elif name == "end":
+                    return _joined(tokens, codec.from_json(data, StreamEnd))
+                elif name == "error":
+                    error = codec.from_json(data, StreamError)
+                    raise CallError(error.code, error.ran)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise CallError(f"lost: {type(error).__name__}") from error
+        raise CallError("lost: stream without closing event")
+
+    async def events(self, path: str) -> AsyncIterator[tuple[str, bytes]]:
+        """Yield the server-sent events of the answer."""
+        body = codec.to_json(self.request)
+        async with self.client.session.post(
+            self.node + path, data=body, allow_redirects=False
+        ) as response:
+            if response.status >= 300:
+                raise error_of(await response.read(), response.status)
+            name = ""
+            async for line in response.content:
+                if line.startswith(b"event:"):
+                    name = line[6:].strip().decode()
+                elif line.startswith(b"data:"):
+                    yield name, line[5:].strip()
+
+    async def after(self, error: CallError) -> Outcome | None:
+        """Record an error and decide by its `ran` whether to go on."""
+        self.record_failure(error)
+        self.last_ran = error.ran
+        if error.code in FINAL_CODES:
+            return "not_run"
+        if error.code == "key_expired":
+            return "unresolved"
+        if not self.request.repeatable and error.ran not in (None, Ran.NOT_RUN):
+            self.unresolved += 1
+            if self.unresolved >= UNRESOLVED_FETCHES:
+                return "unresolved"
+        # Only a fetch can find out what became of a request that may have run.
+        self.fetch = not self.request.repeatable and error.ran != Ran.NOT_RUN
+        self.node = self.client.choose(avoid=self.node)
+        await asyncio.sleep(min(error.retry_after_s, 1.0))
+        return None
+
+    def record_failure(self, error: CallError) -> None:
+        """Record the error of an attempt."""
+        failed = AttemptFailed(
+            invocation=self.invoked.invocation,
+            attempt=self.attempt,
+            code=error.code,
+            ran=error.ran,
+        )
+        self.history.add(failed)
+
+    def record_answer(self, received: Received) -> None:
+        """Record the answer of an attempt."""
+        answer = received.answer
+        answered = AttemptAnswered(
+            invocation=self.invoked.invocation,
+            attempt=self.attempt,
+            text=answer.text,
+            count=answer.count,
+            spans=answer.spans,
+            upstream=answer.upstream,
+            indexes=received.indexes,
+        )
+        self.history.add(answered)
+
+
+def _joined(tokens: list[StreamToken], end: StreamEnd) -> Received:
+    text = "".join(token.text for token in tokens)
+    answer = Answer(
+        key="", text=text, count=end.count, spans=end.spans, upstream=end.upstream
+    )
+    return Received(answer=answer, indexes=[token.index for token in tokens])
--- /dev/null
+++ b/testing/src/fulmarpulley_testing/fault_proxy.py
@@ -0,0 +1,136 @@
+"""Forward TCP connections with faults."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import defopt
+import msgspec
+from aiohttp import web
+
+from .history import History
+from .serving import LOOPBACK, add_control, pause, reply, serve
+
+CHUNK_BYTES = 65536
+
+
+class ProxyFaults(msgspec.Struct):
+    """Hold the faults of a proxy; 0 switches one off."""
+
+    delay_s: float = 0.0
+    bytes_per_s: float = 0.0
+    refuse: bool = False
+
+
+class Link:
+    """Hold the two connections of one forwarded connection."""
+
+    def __init__(
+        self, inner: asyncio.StreamWriter, outer: asyncio.StreamWriter
+    ) -> None:
+        self.writers = (inner, outer)
+        self.silent = False
+
+    def abort(self) -> None:
+        """Cut both connections without a farewell."""
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+class FaultProxy:
+    """Forward connections to a target."""
+
+    def __init__(self, port: int, target_port: int) -> None:
+        self.faults = ProxyFaults()
+        self.port = port
+        self.target_port = target_port
+        self.links: set[Link] = set()
+
+    async def accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Forward one connection until either side ends."""
+        if self.faults.refuse:
+            writer.transport.abort()
+            return
+        try:
+            target = await asyncio.open_connection(LOOPBACK, self.target_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        link = Link(writer, target[1])
+        self.links.add(link)
+        try:
+            await self.forward_both(link, (reader, writer), target)
+        finally:
+            self.links.discard(link)
+            link.abort()
+
+    async def forward_both(
+        self,
+        link: Link,
+        client: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+        target: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+    ) -> None:
+        """Forward both directions until either ends."""
+        directions = [
+            asyncio.create_task(self.forward(link, client[0], target[1])),
+            asyncio.create_task(self.forward(link, target[0], client[1])),
+        ]
+        await asyncio.wait(directions, return_when=asyncio.FIRST_COMPLETED)
+        for direction in directions:
+            direction.cancel()
+
+    async def forward(
+        self, link: Link, source: asyncio.StreamReader, sink: asyncio.StreamWriter
+    ) -> None:
+        """Forward one direction; a silent link swallows what it reads."""
+        try:
+            while data := await source.read(CHUNK_BYTES):
+                await pause(self.faults.delay_s)
+                if self.faults.bytes_per_s > 0:
+                    await pause(len(data) / self.faults.bytes_per_s)
+                if not link.silent:
+                    sink.write(data)
+                    await sink.drain()
+        except OSError:
+            return
+        # A silent link does not pass on the end of a connection either.
+        if link.silent:
+            await asyncio.Event().wait()
+
+    async def cut(self, _request: web.Request) -> web.Response:
+        """Cut all open connections."""
+        links = list(self.links)
+        for link in links:
+            link.abort()
+        return reply({"links": len(links)})
+
+    async def silence(self, _request: web.Request) -> web.Response:
+        """Silence all open connections for good; new ones work."""
+        links = list(self.links)
+        for link in links:
+            link.silent = True
+        return reply({"links": len(links)})
+
+    async def run(self, _app: web.Application) -> AsyncIterator[None]:
+        """Listen while the application runs."""
+        server = await asyncio.start_server(self.accept, LOOPBACK, self.port)
+        yield
+        server.close()
+        for link in list(self.links):
+            link.abort()
+
+
+def main(*, port: int, target_port: int, control_port: int) -> None:
+    """Forward a loopback port to another one."""
+    proxy = FaultProxy(port, target_port)
+    app = web.Application()
+    app.router.add_post("/control/cut", proxy.cut)
+    app.router.add_post("/control/silence", proxy.silence)
+    app.cleanup_ctx.append(proxy.run)
+    add_control(app, proxy, History())
+    serve(app, control_port)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/testing/src/fulmarpulley_testing/node_client.py
@@ -0,0 +1,79 @@
+"""Call nodes as callers and trainers do, changing the node after a failure."""
+
+import random
+from typing import Any, TypeVar
+
+import aiohttp
+import msgspec
+
+from fulmarpulley_schema import codec
+from fulmarpulley_schema.generated.http import ErrorBody, Ran
+
+T = TypeVar("T", bound=msgspec.Struct)
+
+CONNECT_TIMEOUT_S = 2.0
+READ_TIMEOUT_S = 10.0
+
+
+class CallError(Exception):
+    """Report an error answer, or a lost connection when ran is absent."""
+
+    def __init__(
+        self, code: str, ran: Ran | None = None, retry_after_s: float = 0.1
+    ) -> None:
+        super().__init__(code)
+        self.code = code
+        self.ran = ran
+        self.retry_after_s = retry_after_s
+
+
+class NodeClient:
+    """Call one of several nodes, chosen at random as a balancer does."""
+
+    def __init__(self, nodes: list[str], seed: int) -> None:
+        self.nodes = nodes
+        self.random = random.Random(seed)
+        timeout = aiohttp.ClientTimeout(
+            sock_connect=CONNECT_TIMEOUT_S, sock_read=READ_TIMEOUT_S
+        )
+        connector = aiohttp.TCPConnector(limit=0)
+        self.session = aiohttp.ClientSession(timeout=timeout, connector=connector)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.session.close()
+
+    def choose(self, avoid: str = "") -> str:
+        """Choose a node, other than the one that failed last where possible."""
+        others = [node for node in self.nodes if node != avoid]
+        return self.random.choice(others or self.nodes)
+
+    async def call(
+        self, node: str, method: str, path: str, kind: type[T], body: Any = None
+    ) -> T:
+        """Call a node and decode its answer; raise CallError otherwise."""
+        data = await self.send(node, method, path, body)
+        return codec.from_json(data or b"{}", kind)
+
+    async def send(self, node: str, method: str, path: str, body: Any = None) -> bytes:
+        """Call a node and return its answer; raise CallError otherwise."""
+        payload = None if body is None else codec.to_json(body)
+        try:
+            async with self.session.request(
+                method, node + path, data=payload, allow_redirects=False
+            ) as answer:
+                data = await answer.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise CallError(f"lost: {type(error).__name__}") from error
+        if answer.status >= 300:
+            raise error_of(data, answer.status)
+        return data
+
+
+def error_of(data: bytes, status: int) -> CallError:
+    """Decode an error body; an undecodable one counts as a lost connection."""
+    try:
+        body = codec.from_json(data, ErrorBody)
+    except msgspec.MsgspecError:
+        return CallError(f"undecodable answer with status {status}")
+    return CallError(body.code, body.ran, body.retry_after_s or 0.1)
--- /dev/null
+++ b/testing/src/fulmarpulley_testing/trainer.py
@@ -0,0 +1,147 @@
+"""Stand in for a trainer."""
+
+import asyncio
+import sys
+import time
+
+import aiohttp
+import defopt
+import uvloop
+
+from fulmarpulley_schema.generated.http import VersionAnnouncement
+
+from .history import History, TrainerIdle, VersionPublished
+from .node_client import NodeClient
+from .trainer_step import Step, TrainerSettings
+
+STORE_RETRY_S = 0.2
+
+
+class Trainer:
+    """Run training steps and announce a version after each."""
+
+    def __init__(
+        self, settings: TrainerSettings, client: NodeClient, history: History
+    ) -> None:
+        self.settings = settings
+        self.client = client
+        self.history = history
+        self.version = 0
+        self.idle_s = 0.0
+
+    async def run(self) -> bool:
+        """Run all steps and say whether each was complete."""
+        complete = True
+        step = await self.open(0)
+        for number in range(self.settings.steps):
+            started = time.monotonic()
+            complete &= await step.collect(self.version)
+            self.idle_s += time.monotonic() - started
+            await step.close()
+            last = number + 1 == self.settings.steps
+            # The next step is open while this one trains, so that engines stay busy.
+            following = step if last else await self.open(number + 1)
+            await self.train(following)
+            step = following
+        idle = TrainerIdle(
+            service=self.settings.service,
+            trainer=self.settings.trainer,
+            idle_s=self.idle_s,
+        )
+        self.history.add(idle)
+        return complete
+
+    async def open(self, number: int) -> Step:
+        """Open a step with the current version."""
+        step = Step(self.client, self.history, self.settings, number)
+        await step.open(self.version)
+        return step
+
+    async def train(self, step: Step) -> None:
+        """Train for the set time, store the weights and announce the version."""
+        await asyncio.sleep(self.settings.train_s)
+        await self.store(self.version + 1)
+        self.version += 1
+        path = step.path.rpartition("/steps/")[0] + "/versions"
+        body = VersionAnnouncement(version=self.version)
+        await step.until_accepted("POST", path, body, self.settings.patience_s)
+        published = VersionPublished(
+            service=self.settings.service,
+            trainer=self.settings.trainer,
+            version=self.version,
+        )
+        self.history.add(published)
+
+    async def store(self, version: int) -> None:
+        """Put the weights into the store, however often it refuses."""
+        if not self.settings.weight_store:
+            return
+        path = f"/weights/{self.settings.model}/{version}"
+        url = self.settings.weight_store + path
+        data = bytes(self.settings.weight_bytes)
+        while True:
+            try:
+                async with self.client.session.put(url, data=data) as answer:
+                    if answer.status < 300:
+                        return
+            except (aiohttp.ClientError, OSError, TimeoutError):
+                pass
+            await asyncio.sleep(STORE_RETRY_S)
+
+
+async def train(
+    settings: TrainerSettings, nodes: list[str], history: History
+) -> Trainer | None:
+    """Run a trainer; return None when a step stayed incomplete."""
+    client = NodeClient(nodes, settings.seed)
+    trainer = Trainer(settings, client, history)
+    try:
+        return trainer if await trainer.run() else None
+    finally:
+        await client.close()
+
+
+def main(
+    *,
+    nodes: list[str],
+    service: str,
+    trainer: str,
+    model: str = "model",
+    steps: int = 3,
+    groups: int = 4,
+    samples_per_group: int = 4,
+    max_tokens: int = 64,
+    bound: int = 2,
+    train_s: float = 0.5,
+    abandon_ratio: float = 0.1,
+    patience_s: float = 60.0,
+    seed: int = 1,
+    weight_store: str = "",
+    weight_bytes: int = 1024,
+    history: str = "",
+) -> None:
+    """Train some steps; exit with 1 when a step stayed incomplete."""
+    settings = TrainerSettings(
+        service=service,
+        trainer=trainer,
+        model=model,
+        steps=steps,
+        groups=groups,
+        samples_per_group=samples_per_group,
+        max_tokens=max_tokens,
+        bound=bound,
+        train_s=train_s,
+        abandon_ratio=abandon_ratio,
+        patience_s=patience_s,
+        seed=seed,
+        weight_store=weight_store,
+        weight_bytes=weight_bytes,
+    )
+    finished = uvloop.run(train(settings, nodes, History(history)))
+    if finished is None:
+        sys.exit("a step stayed incomplete")
+    print(f"trainer steps={steps} idle_s={finished.idle_s:.3f}")
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/testing/src/fulmarpulley_testing/trainer_step.py
@@ -0,0 +1,198 @@
+"""Collect the samples of one training step."""
+
+import asyncio
+import base64
+import random
+import time
+from contextlib import suppress
+
+import msgspec
+
+from fulmarpulley_schema.generated.http import (
+    PromptGroup,
+    SampleBatch,
+    StepOpen,
+    StepTake,
+)
+
+from .history import (
+    BatchTaken,
+    History,
+    StepEnded,
+    StepOpened,
+    TakeAbandoned,
+    TakenSample,
+)
+from .node_client import CallError, NodeClient
+
+LONGEST_ABANDON_S = 0.5
+
+
+class TrainerSettings(msgspec.Struct, kw_only=True):
+    """Configure a trainer."""
+
+    service: str
+    trainer: str
+    model: str
+    steps: int
+    groups: int
+    samples_per_group: int
+    max_tokens: int
+    bound: int
+    train_s: float
+    abandon_ratio: float
+    patience_s: float
+    seed: int
+    weight_store: str
+    weight_bytes: int
+
+
+def bitmap(slots: set[int], count: int) -> str:
+    """Encode held slots; slot s is bit s % 8 (lowest first) of byte s // 8."""
+    data = bytearray((count + 7) // 8)
+    for slot in slots:
+        data[slot // 8] |= 1 << slot % 8
+    return base64.b64encode(data).decode()
+
+
+class Step:
+    """Open one step and take its samples until none is missing."""
+
+    def __init__(
+        self, client: NodeClient, history: History, settings: TrainerSettings, step: int
+    ) -> None:
+        self.client = client
+        self.history = history
+        self.settings = settings
+        self.step = step
+        self.random = random.Random(f"{settings.seed}/{step}")
+        self.slots = settings.groups * settings.samples_per_group
+        self.held: set[int] = set()
+        self.node = client.choose()
+        trainer = f"/v1/services/{settings.service}/trainers/{settings.trainer}"
+        self.path = f"{trainer}/steps/{step}"
+        self.prompts = [
+            f"{settings.service}/{settings.trainer}/{settings.seed}/{step}/{group}"
+            for group in range(settings.groups)
+        ]
+
+    async def open(self, version: int) -> None:
+        """Open the step, naming the held slots, until a node accepts it."""
+        settings = self.settings
+        body = StepOpen(
+            groups=[PromptGroup(prompt=p, prefix=p) for p in self.prompts],
+            samples_per_group=settings.samples_per_group,
+            version=version,
+            max_tokens=settings.max_tokens,
+            staleness_bound=settings.bound,
+            held=bitmap(self.held, self.slots),
+        )
+        opened = StepOpened(
+            service=settings.service,
+            trainer=settings.trainer,
+            step=self.step,
+            prompts=self.prompts,
+            samples_per_group=settings.samples_per_group,
+            max_tokens=settings.max_tokens,
+            bound=settings.bound,
+            version=version,
+            held=sorted(self.held),
+        )
+        self.history.add(opened)
+        await self.until_accepted("PUT", self.path, body, settings.patience_s)
+
+    async def until_accepted(
+        self, method: str, path: str, body: object, patience_s: float
+    ) -> None:
+        """Call one node after the other until one accepts."""
+        deadline = time.monotonic() + patience_s
+        while True:
+            try:
+                await self.client.send(self.node, method, path, body)
+            except CallError as error:
+                if time.monotonic() > deadline:
+                    raise
+                self.node = self.client.choose(avoid=self.node)
+                await asyncio.sleep(min(error.retry_after_s, 1.0))
+            else:
+                return
+
+    async def collect(self, version: int) -> bool:
+        """Take until every slot is held, or return False when patience ends."""
+        started = time.monotonic()
+        deadline = started + self.settings.patience_s
+        while len(self.held) < self.slots and time.monotonic() < deadline:
+            try:
+                await self.take(version)
+            except CallError as error:
+                await self.recover(error, version)
+        complete = len(self.held) == self.slots
+        ended = StepEnded(
+            service=self.settings.service,
+            trainer=self.settings.trainer,
+            step=self.step,
+            complete=complete,
+            idle_s=time.monotonic() - started,
+        )
+        self.history.add(ended)
+        return complete
+
+    async def recover(self, error: CallError, version: int) -> None:
+        """Change the node, and open the step again where it is not known."""
+        if error.code == "unknown_step":
+            await self.open(version)
+            return
+        self.node = self.client.choose(avoid=self.node)
+        await asyncio.sleep(min(error.retry_after_s, 1.0))
+
+    async def take(self, version: int) -> None:
+        """Take finished samples once; now and then give up and drop the answer."""
+        body = StepTake(version=version, held=bitmap(self.held, self.slots), wait_s=2.0)
+        call = self.client.call(
+            self.node, "POST", f"{self.path}/take", SampleBatch, body
+        )
+        if self.random.random() >= self.settings.abandon_ratio:
+            self.keep(await call, version)
+            return
+        with suppress(TimeoutError):
+            await asyncio.wait_for(call, self.random.random() * LONGEST_ABANDON_S)
+        self.record_abandoned()
+
+    def record_abandoned(self) -> None:
+        """Record a take whose answer is dropped."""
+        abandoned = TakeAbandoned(
+            service=self.settings.service,
+            trainer=self.settings.trainer,
+            step=self.step,
+        )
+        self.history.add(abandoned)
+
+    def keep(self, batch: SampleBatch, version: int) -> None:
+        """Record a batch and hold its slots."""
+        samples = [
+            TakenSample(
+                slot=sample.slot,
+                text=sample.text,
+                count=sample.count,
+                spans=sample.spans,
+                upstream=sample.upstream,
+            )
+            for sample in batch.samples
+        ]
+        taken = BatchTaken(
+            service=self.settings.service,
+            trainer=self.settings.trainer,
+            step=self.step,
+            version=version,
+            held=sorted(self.held),
+            samples=samples,
+        )
+        self.history.add(taken)
+        self.held |= {sample.slot for sample in samples}
+
+    async def close(self) -> None:
+        """Close the step at any node."""
+        try:
+            await self.client.send(self.node, "DELETE", self.path)
+        except CallError:
+            self.node = self.client.choose(avoid=self.node)
--- a/testing/tests/test_standins.py
+++ b/testing/tests/test_standins.py
@@ -3,7 +3,7 @@
 import json
 import tempfile
 import unittest
-from http.client import HTTPException
+from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 from typing import Any
 from urllib import error, request
@@ -183,3 +183,45 @@
         body = {"input": "i", "text": "t"}
         first = call(f"{self.url}/v1/score", "POST", body)
         self.assertEqual(first, call(f"{self.url}/v1/score", "POST", body))
+
+
+class FaultProxyTest(StandInTest):
+    def setUp(self) -> None:
+        super().setUp()
+        self.start("plain_service")
+        self.proxy_port, self.control_port = free_ports(2)
+        ports = (self.proxy_port, self.port, self.control_port)
+        names = ("--port", "--target-port", "--control-port")
+        arguments = [
+            str(part) for pair in zip(names, ports, strict=True) for part in pair
+        ]
+        self.processes.start("proxy", "fulmarpulley_testing.fault_proxy", *arguments)
+        control = f"http://127.0.0.1:{self.control_port}"
+        self.processes.wait_ready("proxy", f"{control}/control/ready")
+        self.control = control
+
+    def ask(self, connection: HTTPConnection) -> int:
+        connection.request("GET", "/control/ready")
+        answer = connection.getresponse()
+        answer.read()
+        return answer.status
+
+    def test_silence_stops_open_connections_and_new_ones_work(self) -> None:
+        opened = HTTPConnection("127.0.0.1", self.proxy_port, timeout=10)
+        self.assertEqual(self.ask(opened), 200)
+        call(f"{self.control}/control/silence", "POST")
+        opened.sock.settimeout(0.5)
+        with self.assertRaises(TimeoutError):
+            self.ask(opened)
+        opened.close()
+        fresh = HTTPConnection("127.0.0.1", self.proxy_port, timeout=10)
+        self.assertEqual(self.ask(fresh), 200)
+        fresh.close()
+
+    def test_cut_ends_open_connections(self) -> None:
+        opened = HTTPConnection("127.0.0.1", self.proxy_port, timeout=10)
+        self.assertEqual(self.ask(opened), 200)
+        call(f"{self.control}/control/cut", "POST")
+        with self.assertRaises((OSError, HTTPException)):
+            self.ask(opened)
+        opened.close()
