--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
@@ -41,6 +41,10 @@
 IDLE_TICK_S = 1.0
 
 
+class Leave(msgspec.Struct, frozen=True):
+    """Ask the home to give back the work that no upstream has started."""
+
+
 class Surroundings(Protocol):
     """Define what a pool home asks of its node."""
 
@@ -65,7 +69,7 @@
         self.document = shard_document(document, shard)
         self.pool = Pool(self.document, PoolSettings(), seed)
         self.works = WorkTable()
-        self.inbox: asyncio.Queue[Event] = asyncio.Queue()
+        self.inbox: asyncio.Queue[Event | Leave] = asyncio.Queue()
         self.attempts = AttemptRunner(self.inbox.put_nowait, node.metrics)
         self.watches: dict[UpstreamId, UpstreamWatch] = {}
         self.watch_tasks: dict[UpstreamId, asyncio.Task[None]] = {}
@@ -138,11 +142,7 @@
     def leave(self) -> None:
         """Stop taking work, and give back work that no upstream has started."""
         self.leaving = True
-        for work in list(self.works.active.values()):
-            if work.started is None:
-                text = "the pool home is leaving; submit to the next one"
-                work.progress.refuse(refusal(ErrorCode.SHUTTING_DOWN, text))
-                self.inbox.put_nowait(Withdraw(WorkId(work.submit.work_id)))
+        self.inbox.put_nowait(Leave())
 
     def view(self) -> PoolView:
         """Return the state of the pool."""
@@ -151,16 +151,29 @@
     async def _run(self) -> None:
         while True:
             event = await self._next_event()
-            now = asyncio.get_running_loop().time()
-            if isinstance(event, AttemptProgress):
-                event = self._newest(event)
-            actions = self.pool.handle(event, now)
-            for action in actions:
-                self._act(action, now)
-            if isinstance(event, AttemptFinished | AttemptFailed):
-                self.attempts.buffers.pop(event.attempt_id, None)
-
-    async def _next_event(self) -> Event:
+            if isinstance(event, Leave):
+                self._give_back()
+            else:
+                self._handle(event)
+
+    def _handle(self, event: Event) -> None:
+        now = asyncio.get_running_loop().time()
+        if isinstance(event, AttemptProgress):
+            event = self._newest(event)
+        for action in self.pool.handle(event, now):
+            self._act(action, now)
+        if isinstance(event, AttemptFinished | AttemptFailed):
+            self.attempts.buffers.pop(event.attempt_id, None)
+
+    def _give_back(self) -> None:
+        # Runs between two events, so that no attempt can start in the meantime.
+        for work in list(self.works.active.values()):
+            if work.started is None:
+                text = "the pool home is leaving; submit to the next one"
+                work.progress.refuse(refusal(ErrorCode.SHUTTING_DOWN, text))
+                self._handle(Withdraw(WorkId(work.submit.work_id)))
+
+    async def _next_event(self) -> Event | Leave:
         if not self.inbox.empty():
             return self.inbox.get_nowait()
         wakeup = self.pool.next_wakeup()
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pools.py
@@ -0,0 +1,203 @@
+"""Hold the pool homes of this node and serve their peer messages."""
+
+import asyncio
+from collections.abc import Callable
+
+from aiomisc import Service
+from fulmarpulley_schema.generated.document import ServiceDocument
+from fulmarpulley_schema.generated.peer import (
+    MessageKind,
+    VersionNotice,
+    WorkPoll,
+    WorkState,
+    WorkSubmit,
+    WorkWithdraw,
+)
+from fulmarpulley_schema.generated.records import PoolEpoch, RecordKind
+
+from ..configuration import Configuration
+from ..errors import ErrorCode, refusal
+from ..locate import Locator, shards_of
+from ..log_client import LogClient, new_record
+from ..members import Members
+from ..observe.events import log_event
+from ..observe.metrics import Metrics
+from ..peers import PeerLinks
+from ..tasks import TaskGroup
+from ..versions import NoReply, Versions
+from .pool_home import PoolHome
+
+EPOCH_STREAM = "pool-epochs"
+RECONCILE_S = 1.0
+# A pool that moved away and has no work is kept this long for late polls.
+KEEP_IDLE_S = 30.0
+PoolKey = tuple[str, int]
+
+
+class Pools(Service):
+    """Own the pool homes of this node."""
+
+    def __init__(
+        self,
+        log: LogClient,
+        peers: PeerLinks,
+        members: Members,
+        configuration: Configuration,
+        versions: Versions,
+        locator: Locator,
+        metrics: Metrics,
+        new_seed: Callable[[], int],
+    ) -> None:
+        super().__init__()
+        self.log = log
+        self.members = members
+        self.configuration = configuration
+        self.versions = versions
+        self.locator = locator
+        self.metrics = metrics
+        self.new_seed = new_seed
+        self.homes: dict[PoolKey, PoolHome] = {}
+        self.fences: dict[PoolKey, int] = {}
+        self.moved: dict[PoolKey, float] = {}
+        self.leaving = False
+        self.tasks = TaskGroup()
+        configuration.listeners.append(self._document_changed)
+        members.listeners.append(self._members_changed)
+        versions.listeners.append(self._announced)
+        peers.handle(MessageKind.SUBMIT, WorkSubmit, self._submit)
+        peers.handle(MessageKind.PROGRESS, WorkPoll, self._poll)
+        peers.handle(MessageKind.WITHDRAW, WorkWithdraw, self._withdraw)
+
+    async def start(self) -> None:
+        """Start to open and close pool homes."""
+        self.tasks.spawn(self._reconcile_periodically())
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop all pool homes."""
+        await self.tasks.stop()
+        for home in self.homes.values():
+            await home.stop()
+
+    def leave(self) -> None:
+        """Give back work that has not started; work in progress goes on."""
+        self.leaving = True
+        for home in self.homes.values():
+            home.leave()
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether no work is in progress."""
+        return all(home.idle for home in self.homes.values())
+
+    def upstream_leaving(self, upstream: str) -> bool:
+        """Tell whether the instance list says that an upstream leaves."""
+        return upstream in self.members.leaving_upstreams
+
+    async def fence(self, service: str, shard: int, above: int) -> int | None:
+        """Return the fencing number of a pool, or None without the log."""
+        key = (service, shard)
+        known = self.fences.get(key)
+        if known is not None and known >= above:
+            return known
+        body = PoolEpoch(service=service, shard=shard, node=self.members.node_id)
+        record = new_record(RecordKind.POOL_EPOCH, body)
+        done = await self.log.append(EPOCH_STREAM, record)
+        if done.is_err():
+            return known
+        self.fences[key] = done.unwrap()
+        log_event("pool_epoch", service=service, shard=shard, fence=done.unwrap())
+        return self.fences[key]
+
+    async def _submit(self, message: WorkSubmit) -> WorkState:
+        document = self.configuration.document(message.service)
+        if document is None:
+            text = "the node has no document of the service yet"
+            refused = refusal(ErrorCode.NOT_READY, text)
+            return WorkState(done=True, refusal=refused)
+        return self._home(document, message.shard).submit(message)
+
+    async def _poll(self, message: WorkPoll) -> WorkState:
+        home = self.homes.get((message.service, message.shard))
+        if home is None:
+            return WorkState(known=False)
+        return await home.poll(message)
+
+    async def _withdraw(self, message: WorkWithdraw) -> NoReply:
+        home = self.homes.get((message.service, message.shard))
+        if home is not None:
+            home.withdraw(message.work_id)
+        return NoReply()
+
+    def _home(self, document: ServiceDocument, shard: int) -> PoolHome:
+        key = (document.name, shard)
+        home = self.homes.get(key)
+        if home is None:
+            home = self.homes[key] = PoolHome(document, shard, self, self.new_seed())
+            home.leaving = self.leaving
+            home.start()
+            for notice in self.versions.of_service(document.name):
+                home.announce(notice.model, notice.version)
+            self.list_changed()
+            log_event("pool_home_started", service=document.name, shard=shard)
+        return home
+
+    def _document_changed(self, service: str) -> None:
+        document = self.configuration.document(service)
+        if document is None:
+            return
+        for (name, _shard), home in self.homes.items():
+            if name == service:
+                home.change_document(document)
+        self._reconcile()
+
+    def _members_changed(self) -> None:
+        self.list_changed()
+        self._reconcile()
+
+    def list_changed(self) -> None:
+        """Pass a change of the instance list to the pool homes."""
+        for home in self.homes.values():
+            home.list_changed()
+
+    def _announced(self, notice: VersionNotice) -> None:
+        for (service, _shard), home in self.homes.items():
+            if service == notice.service:
+                home.announce(notice.model, notice.version)
+
+    async def _reconcile_periodically(self) -> None:
+        while True:
+            self._reconcile()
+            await self._close_moved()
+            await asyncio.sleep(RECONCILE_S)
+
+    def _reconcile(self) -> None:
+        if not self.members.list_read:
+            # Without the list this node would take every pool for its own.
+            return
+        now = asyncio.get_running_loop().time()
+        own = self._own_pools()
+        for key, document in own.items():
+            self._home(document, key[1])
+        for key, home in self.homes.items():
+            if key in own or not home.idle:
+                self.moved.pop(key, None)
+            else:
+                self.moved.setdefault(key, now)
+
+    def _own_pools(self) -> dict[PoolKey, ServiceDocument]:
+        own: dict[PoolKey, ServiceDocument] = {}
+        for document in self.configuration.documents():
+            for shard in range(shards_of(document)):
+                home = self.locator.pool_home(document, shard)
+                if home == self.members.node_id:
+                    own[document.name, shard] = document
+        return own
+
+    async def _close_moved(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for key, since in list(self.moved.items()):
+            if now - since > KEEP_IDLE_S:
+                del self.moved[key]
+                self.fences.pop(key, None)
+                await self.homes.pop(key).stop()
+                log_event("pool_home_closed", service=key[0], shard=key[1])
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/scorer.py
@@ -0,0 +1,46 @@
+"""Score samples and wait out failures of the scoring service."""
+
+import asyncio
+
+from fulmarpulley_schema.generated.document import Scoring
+from result import Ok
+
+from ..observe.events import log_event
+from ..platform import scoring_dialects
+from ..platform.dialects import ScoringDialect
+
+FIRST_PAUSE_S = 0.2
+LONGEST_PAUSE_S = 5.0
+
+
+class Scorer:
+    """Own the connections to scoring services."""
+
+    def __init__(self) -> None:
+        self.dialects: dict[str, ScoringDialect] = {}
+
+    async def score(self, scoring: Scoring, prompt: str, text: str) -> float:
+        """Return the score of a sample, however long the service is away.
+
+        The caller cancels this when it does not need the sample any more.
+        """
+        pause = FIRST_PAUSE_S
+        while True:
+            done = await self._dialect(scoring).score(prompt, text)
+            if isinstance(done, Ok):
+                return done.ok_value
+            log_event("scoring_failed", address=scoring.address, reason=done.err_value)
+            await asyncio.sleep(pause)
+            pause = min(2 * pause, LONGEST_PAUSE_S)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for dialect in self.dialects.values():
+            await dialect.close()
+
+    def _dialect(self, scoring: Scoring) -> ScoringDialect:
+        known = self.dialects.get(scoring.address)
+        if known is None:
+            known = scoring_dialects.get("http")(scoring)
+            self.dialects[scoring.address] = known
+        return known
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/step_home.py
@@ -0,0 +1,228 @@
+"""Drive the open steps of one trainer."""
+
+import asyncio
+from typing import Protocol
+
+from fulmarpulley_core.ids import ServiceName, StepNumber, TrainerId, Version, WorkId
+from fulmarpulley_core.step_actions import (
+    GenerateSample,
+    SamplesReady,
+    StepAction,
+    Taken,
+    WithdrawSample,
+)
+from fulmarpulley_core.step_book import OpenStep, StepBook
+from fulmarpulley_core.steps import oldest_version
+from fulmarpulley_schema.generated.document import ServiceDocument
+from fulmarpulley_schema.generated.http import (
+    Sample,
+    SampleBatch,
+    StepOpen,
+    StepTake,
+)
+from fulmarpulley_schema.generated.peer import WorkSubmit
+
+from ..observe.events import log_event
+from ..observe.metrics import Metrics
+from ..progress import Progress, wait_event
+from ..tasks import TaskGroup
+from ..work_client import WorkClient
+from .prompts import prompt_tokens, sample_prefix
+from .scorer import Scorer
+
+TICK_S = 0.5
+# Tokens of samples matter to their owner only after the loss of a pool home.
+SAMPLE_LINGER_S = 0.5
+
+
+class StepSurroundings(Protocol):
+    """Define what a step home asks of its node."""
+
+    metrics: Metrics
+    work: WorkClient
+    scorer: Scorer
+
+    def document(self, service: str) -> ServiceDocument | None:
+        """Return the document in force."""
+
+    def shard(self, service: str, prefix: str) -> int:
+        """Return the pool shard of a prompt."""
+
+
+class StepHome:
+    """Own the step book of a trainer and the deliveries of its samples."""
+
+    def __init__(
+        self, service: str, trainer: str, home: str, node: StepSurroundings
+    ) -> None:
+        self.service = service
+        self.trainer = trainer
+        self.node = node
+        self.book = StepBook(ServiceName(service), TrainerId(trainer), home)
+        self.deliveries: dict[WorkId, asyncio.Task[None]] = {}
+        self.ready = asyncio.Event()
+        self.tasks = TaskGroup()
+        self.tasks.spawn(self._tick())
+
+    async def stop(self) -> None:
+        """Stop all deliveries."""
+        await self.tasks.stop()
+
+    def open(self, step: int, body: StepOpen) -> SampleBatch:
+        """Open a step, or take the trainer's statement about an open one."""
+        bound = self._bound(body)
+        actions = self.book.open(StepNumber(step), body, bound, self._now())
+        self._act(actions)
+        opened = self.book.steps[StepNumber(step)]
+        missing = opened.slots - opened.held.bit_count()
+        return SampleBatch(samples=[], missing=missing)
+
+    async def take(self, step: int, body: StepTake, wait_s: float) -> Taken | None:
+        """Hand over ready samples, waiting for the first for a while."""
+        number = StepNumber(step)
+        taken = self._take(number, body)
+        if taken is None or taken.batch.samples or not taken.batch.missing:
+            return taken
+        await wait_event(self.ready, wait_s)
+        return self._take(number, body)
+
+    def close(self, step: int) -> None:
+        """Forget a step."""
+        self._act(self.book.close(StepNumber(step)))
+
+    def announce(self, version: int) -> None:
+        """Note a version that the trainer announced at any node."""
+        self._act(self.book.version_announced(Version(version), self._now()))
+
+    def restore(self, handed: OpenStep) -> None:
+        """Take over a step from a leaving home."""
+        self._act(self.book.restore(handed, self._now()))
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether no step is open."""
+        return not self.book.steps
+
+    def _take(self, number: StepNumber, body: StepTake) -> Taken | None:
+        taken = self.book.take(number, body, self._now())
+        if taken is not None:
+            self._act(taken.actions)
+            self._measure(taken.batch)
+        return taken
+
+    def _measure(self, batch: SampleBatch) -> None:
+        labels = {"service": self.service, "tenant": self.trainer}
+        for sample in batch.samples:
+            oldest = oldest_version(sample) or 0
+            staleness = float(self.book.version - oldest)
+            self.node.metrics.staleness.observe(labels, staleness)
+
+    def _act(self, actions: list[StepAction]) -> None:
+        for action in actions:
+            if isinstance(action, GenerateSample):
+                task = self.tasks.spawn(self._deliver(action))
+                self.deliveries[action.work_id] = task
+            elif isinstance(action, WithdrawSample):
+                delivery = self.deliveries.pop(action.work_id, None)
+                if delivery is not None:
+                    delivery.cancel()
+            elif isinstance(action, SamplesReady):
+                self.ready.set()
+                self.ready = asyncio.Event()
+
+    async def _deliver(self, action: GenerateSample) -> None:
+        document = self.node.document(self.service)
+        step = self.book.steps.get(action.step)
+        if document is None or step is None:
+            return
+        progress = Progress()
+        submit = self._submission(document, action)
+        refused = await self.node.work.run(submit, progress, SAMPLE_LINGER_S)
+        if refused is not None:
+            self._failed(action, refused.retry_after_s)
+            return
+        answer = progress.answer("")
+        score = None
+        if document.scoring is not None:
+            score = await self.node.scorer.score(
+                document.scoring, submit.prompt, answer.text
+            )
+        sample = Sample(
+            slot=action.slot,
+            text=answer.text,
+            count=answer.count,
+            spans=answer.spans,
+            upstream=answer.upstream,
+            score=score,
+        )
+        self.deliveries.pop(action.work_id, None)
+        self._act(
+            self.book.sample_ready(action.step, action.work_id, sample, self._now())
+        )
+
+    def _failed(self, action: GenerateSample, retry_after_s: float | None) -> None:
+        self.deliveries.pop(action.work_id, None)
+        self._act(
+            self.book.work_failed(
+                action.step, action.slot, action.work_id, self._now(), retry_after_s
+            )
+        )
+
+    def _submission(
+        self, document: ServiceDocument, action: GenerateSample
+    ) -> WorkSubmit:
+        step = self.book.steps[action.step]
+        group, index = divmod(action.slot, step.samples_per_group)
+        wanted = step.groups[group]
+        prefix = wanted.prefix or sample_prefix(wanted.prompt)
+        return WorkSubmit(
+            work_id=action.work_id,
+            service=self.service,
+            shard=self.node.shard(self.service, prefix),
+            tenant=self.trainer,
+            kind="sample",
+            model=_model(document, self.trainer),
+            prompt=wanted.prompt,
+            max_tokens=step.max_tokens,
+            prompt_tokens=prompt_tokens(wanted.prompt),
+            min_version=action.min_version,
+            staleness_bound=step.bound,
+            prefix=prefix,
+            step=action.step,
+            group=group,
+            seed=index,
+        )
+
+    def _bound(self, body: StepOpen) -> int:
+        if body.staleness_bound is not None:
+            return body.staleness_bound
+        document = self.node.document(self.service)
+        if document is None:
+            return 0
+        for entry in document.trainers:
+            if entry.id == self.trainer and entry.staleness_bound is not None:
+                return entry.staleness_bound
+        return document.staleness_bound
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            actions = self.book.tick(self._now())
+            if actions:
+                log_event(
+                    "samples_regenerated",
+                    service=self.service,
+                    trainer=self.trainer,
+                    count=len(actions),
+                )
+            self._act(actions)
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+def _model(document: ServiceDocument, trainer: str) -> str:
+    for entry in document.trainers:
+        if entry.id == trainer and entry.model is not None:
+            return entry.model
+    return document.model
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/steps.py
@@ -0,0 +1,143 @@
+"""Hold the step homes of this node and serve their peer messages."""
+
+import msgspec
+from aiomisc import Service
+from fulmarpulley_core.bitmaps import BitmapError
+from fulmarpulley_schema.codec import to_builtins
+from fulmarpulley_schema.generated.document import ServiceDocument
+from fulmarpulley_schema.generated.http import StepOpen, StepTake
+from fulmarpulley_schema.generated.peer import (
+    MessageKind,
+    Refusal,
+    StepCall,
+    StepReply,
+    VersionNotice,
+)
+
+from ..configuration import Configuration
+from ..errors import ErrorCode, refusal
+from ..locate import work_shard
+from ..members import Members
+from ..observe.metrics import Metrics
+from ..peers import PeerLinks
+from ..tasks import TaskGroup
+from ..versions import Versions
+from ..work_client import WorkClient
+from .scorer import Scorer
+from .step_home import StepHome
+
+# A take is answered within this time, so that a link with calls is never silent.
+TAKE_WAIT_S = 1.0
+TrainerKey = tuple[str, str]
+
+
+class Steps(Service):
+    """Own the step homes of this node."""
+
+    def __init__(
+        self,
+        peers: PeerLinks,
+        members: Members,
+        configuration: Configuration,
+        versions: Versions,
+        work: WorkClient,
+        metrics: Metrics,
+        run_id: str,
+    ) -> None:
+        super().__init__()
+        self.members = members
+        self.configuration = configuration
+        self.versions = versions
+        self.work = work
+        self.metrics = metrics
+        self.scorer = Scorer()
+        self.home_name = f"{members.node_id}-{run_id}"
+        self.homes: dict[TrainerKey, StepHome] = {}
+        self.leaving = False
+        self.tasks = TaskGroup()
+        versions.listeners.append(self._announced)
+        peers.handle(MessageKind.STEP_OPEN, StepCall, self._open)
+        peers.handle(MessageKind.STEP_TAKE, StepCall, self._take)
+        peers.handle(MessageKind.STEP_CLOSE, StepCall, self._close)
+
+    async def start(self) -> None:
+        """Wait for trainers."""
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop all step homes."""
+        await self.tasks.stop()
+        for home in self.homes.values():
+            await home.stop()
+        await self.scorer.close()
+
+    def document(self, service: str) -> ServiceDocument | None:
+        """Return the document in force."""
+        return self.configuration.document(service)
+
+    def shard(self, service: str, prefix: str) -> int:
+        """Return the pool shard of a prompt."""
+        document = self.document(service)
+        return 0 if document is None else work_shard(document, prefix)
+
+    async def _open(self, call: StepCall) -> StepReply:
+        document = self.document(call.service)
+        if document is None or self.leaving:
+            return _refused(ErrorCode.NOT_READY, "the step home cannot open a step")
+        body = msgspec.convert(call.body, StepOpen)
+        home = self._home(call)
+        try:
+            batch = home.open(call.step, body)
+        except BitmapError as error:
+            return _refused(ErrorCode.BAD_REQUEST, str(error))
+        self._state_version(document, call, body.version)
+        return StepReply(batch=to_builtins(batch))
+
+    async def _take(self, call: StepCall) -> StepReply:
+        body = msgspec.convert(call.body, StepTake)
+        home = self.homes.get((call.service, call.trainer))
+        if home is None:
+            return _unknown(call)
+        document = self.document(call.service)
+        if document is not None:
+            self._state_version(document, call, body.version)
+        try:
+            taken = await home.take(call.step, body, min(body.wait_s, TAKE_WAIT_S))
+        except BitmapError as error:
+            return _refused(ErrorCode.BAD_REQUEST, str(error))
+        if taken is None:
+            return _unknown(call)
+        return StepReply(batch=to_builtins(taken.batch))
+
+    async def _close(self, call: StepCall) -> StepReply:
+        home = self.homes.get((call.service, call.trainer))
+        if home is not None:
+            home.close(call.step)
+        return StepReply(batch={})
+
+    def _home(self, call: StepCall) -> StepHome:
+        key = (call.service, call.trainer)
+        home = self.homes.get(key)
+        if home is None:
+            home = StepHome(call.service, call.trainer, self.home_name, self)
+            self.homes[key] = home
+        return home
+
+    def _state_version(
+        self, document: ServiceDocument, call: StepCall, version: int
+    ) -> None:
+        self.tasks.spawn(self.versions.announce(document, call.trainer, version))
+
+    def _announced(self, notice: VersionNotice) -> None:
+        home = self.homes.get((notice.service, notice.trainer))
+        if home is not None:
+            home.announce(notice.version)
+
+
+def _unknown(call: StepCall) -> StepReply:
+    text = f"step {call.step} is not open; open it with the slots held"
+    return _refused(ErrorCode.UNKNOWN_STEP, text)
+
+
+def _refused(code: ErrorCode, message: str) -> StepReply:
+    refused: Refusal = refusal(code, message)
+    return StepReply(refusal=refused)
