Run the thin whole path over three nodes

Work moves between nodes by pulled progress: an owner submits, then polls for tokens it does not have. A lost message therefore costs one poll, not an answer.

--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/__main__.py
@@ -0,0 +1,5 @@
+"""Run the daemon as a module."""
+
+from .main import main
+
+main()
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/app.py
@@ -0,0 +1,128 @@
+"""Build the services of a node from its settings."""
+
+import os
+import random
+import uuid
+from collections.abc import Sequence
+
+from aiomisc import Service
+
+from fulmarpulley_schema.generated.settings import NodeSettings
+
+from .configuration import Configuration
+from .edge_callers import CallerEdge
+from .edge_health import HealthEdge
+from .edge_operators import OperatorEdge
+from .edge_trainers import TrainerEdge
+from .editing import Editing
+from .gate import Gate
+from .homes.pools import Pools
+from .homes.steps import Steps
+from .http_server import HttpServer
+from .locate import Locator
+from .log_client import LogClient
+from .members import Members
+from .observe.events import EventFeed
+from .observe.metrics import Metrics
+from .peers import PeerLinks
+from .shutdown import Shutdown
+from .status import StatusReport
+from .versions import Versions
+from .work_client import WorkClient
+
+
+class Node:
+    """Hold the services of one node; build it inside the event loop."""
+
+    def __init__(self, settings: NodeSettings, feed: EventFeed) -> None:
+        self.settings = settings
+        self.random = random.Random(
+            settings.seed or int.from_bytes(os.urandom(8), "big")
+        )
+        self.metrics = Metrics()
+        self.log = LogClient(settings, self.metrics)
+        self.peers = PeerLinks(settings, self.metrics)
+        self.members = Members(settings, self.peers, self.metrics, self.new_seed())
+        self.locator = Locator(self.members)
+        self.configuration = Configuration(
+            self.log, self.peers, self.members, self.metrics
+        )
+        self.gate = Gate(self.configuration, self.members)
+        self.editing = Editing(settings, self.log, self.configuration, self.locator)
+        self.versions = Versions(self.log, self.peers, self.configuration, self.locator)
+        self.work = WorkClient(
+            self.peers, self.members, self.configuration, self.locator
+        )
+        self.pools = Pools(
+            self.log,
+            self.peers,
+            self.members,
+            self.configuration,
+            self.versions,
+            self.locator,
+            self.metrics,
+            self.new_seed,
+        )
+        self.steps = Steps(
+            self.peers,
+            self.members,
+            self.configuration,
+            self.versions,
+            self.work,
+            self.metrics,
+            uuid.uuid4().hex[:8],
+        )
+        self.callers = CallerEdge(self.gate, self.work, self.metrics)
+        self.http = HttpServer(settings, self._edges(feed))
+        self.shutdown = Shutdown(
+            settings,
+            self.gate,
+            self.members,
+            self.pools,
+            self.steps,
+            lambda: self.callers.open_requests,
+        )
+
+    def services(self) -> Sequence[Service]:
+        """List the services in the order of their start."""
+        return (
+            self.peers,
+            self.log,
+            self.members,
+            self.configuration,
+            self.editing,
+            self.versions,
+            self.pools,
+            self.steps,
+            self.http,
+        )
+
+    def new_seed(self) -> int:
+        """Draw a seed for a state machine."""
+        return self.random.getrandbits(63)
+
+    def _edges(
+        self, feed: EventFeed
+    ) -> list[CallerEdge | TrainerEdge | OperatorEdge | HealthEdge]:
+        status = StatusReport(
+            self.settings,
+            self.gate,
+            self.configuration,
+            self.members,
+            self.pools,
+            self.log,
+        )
+        trainers = TrainerEdge(
+            self.gate, self.peers, self.locator, self.versions, self.metrics
+        )
+        operators = OperatorEdge(
+            self.gate,
+            self.configuration,
+            self.editing,
+            self.members,
+            self.peers,
+            status,
+            feed,
+        )
+        health = HealthEdge(self.gate, self.metrics)
+        return [self.callers, trainers, operators, health]
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/configuration.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/configuration.py
@@ -5,15 +5,17 @@
 
 import msgspec
 from aiomisc import Service
+from result import Err, Ok
+
 from fulmarpulley_core.configuration import (
     Accepted,
     ConfigEvent,
     ConfigFold,
     DocumentAccepted,
     EditDecided,
-    EditResult,
     RecordIgnored,
 )
+from fulmarpulley_core.edits import EditResult
 from fulmarpulley_core.ids import NodeId, Offset, RecordId, Revision, ServiceName
 from fulmarpulley_schema.generated.document import ServiceDocument
 from fulmarpulley_schema.generated.peer import (
@@ -23,7 +25,6 @@
     PeerDocument,
 )
 from fulmarpulley_schema.generated.upstream import LogPage
-from result import Err, Ok
 
 from .documents import read_document
 from .log_client import PAGE_RECORDS, LogClient, read_record
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/documents.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/documents.py
@@ -2,10 +2,11 @@
 
 from typing import Any
 
+from result import Err, Ok, Result
+
 from fulmarpulley_schema.codec import convert
 from fulmarpulley_schema.generated.document import ServiceDocument
 from fulmarpulley_schema.generated.http import Finding
-from result import Err, Ok, Result
 
 from .upstreams import upstream_dialects
 
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/edge_operators.py
@@ -0,0 +1,144 @@
+"""Serve operators over HTTP."""
+
+import asyncio
+
+from aiohttp import web
+from result import Err
+
+from fulmarpulley_core.ids import NodeId, ServiceName
+from fulmarpulley_schema.generated.http import (
+    DocumentEdit,
+    History,
+    NodeStatus,
+    SystemStatus,
+)
+from fulmarpulley_schema.generated.peer import MessageKind, StatusCall
+
+from .configuration import Configuration
+from .documents import read_document
+from .editing import Editing
+from .errors import ErrorCode, RequestError, error
+from .gate import Gate
+from .members import Members
+from .observe.events import EventFeed
+from .peers import PeerLinks
+from .status import StatusReport
+from .web import EventStream, read_body, reply
+
+STATUS_DEADLINE_S = 1.5
+
+
+class OperatorEdge:
+    """Show the state of the system and take edits."""
+
+    def __init__(
+        self,
+        gate: Gate,
+        configuration: Configuration,
+        editing: Editing,
+        members: Members,
+        peers: PeerLinks,
+        status: StatusReport,
+        feed: EventFeed,
+    ) -> None:
+        self.gate = gate
+        self.configuration = configuration
+        self.editing = editing
+        self.members = members
+        self.peers = peers
+        self.report = status
+        self.feed = feed
+        peers.handle(MessageKind.STATUS, StatusCall, self._own_status)
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Add the routes of operators."""
+        router.add_post("/v1/documents/{service}", self.edit)
+        router.add_get("/v1/documents/{service}", self.document)
+        router.add_get("/v1/documents/{service}/history", self.history)
+        router.add_get("/v1/status", self.status)
+        router.add_get("/v1/events", self.events)
+
+    async def edit(self, request: web.Request) -> web.Response:
+        """Publish an edit and answer with its outcome."""
+        self.gate.check()
+        service = request.match_info["service"]
+        edit = await read_body(request, DocumentEdit)
+        readable = read_document(service, edit.document)
+        if isinstance(readable, Err):
+            message = "the document has faults; see findings"
+            findings = readable.err_value
+            raise error(ErrorCode.BAD_REQUEST, message, findings=findings)
+        done = await self.editing.publish(service, edit)
+        if isinstance(done, Err):
+            raise RequestError(done.err_value)
+        return reply(done.ok_value)
+
+    async def document(self, request: web.Request) -> web.Response:
+        """Answer with the accepted document."""
+        service = request.match_info["service"]
+        state = self.editing.state(service)
+        if state is None:
+            message = f"no service is named {service!r}"
+            raise error(ErrorCode.UNKNOWN_SERVICE, message)
+        return reply(state)
+
+    async def history(self, request: web.Request) -> web.Response:
+        """Answer with the edits of a service, oldest first."""
+        service = ServiceName(request.match_info["service"])
+        entries = self.configuration.fold.history(service)
+        if not entries and self.editing.state(service) is None:
+            message = f"no service is named {service!r}"
+            raise error(ErrorCode.UNKNOWN_SERVICE, message)
+        return reply(History(entries=entries))
+
+    async def status(self, request: web.Request) -> web.Response:
+        """Answer with the state of all nodes."""
+        if request.query.get("node") == "self":
+            return reply(SystemStatus(nodes=[self.report.read()]))
+        others = [member.node_id for member in self.members.others()]
+        asked = await asyncio.gather(*(self._status_of(node) for node in others))
+        nodes = sorted([self.report.read(), *asked], key=lambda node: node.node_id)
+        return reply(SystemStatus(nodes=nodes))
+
+    async def events(self, request: web.Request) -> web.StreamResponse:
+        """Stream the log events of this node."""
+        stream = EventStream(request)
+        await stream.open()
+        queue = self.feed.subscribe()
+        try:
+            for event in list(self.feed.recent):
+                await stream.send("event", _plain(event))
+            while not self.gate.closed:
+                await self._send_next(stream, queue)
+        except ConnectionError:
+            pass
+        finally:
+            self.feed.unsubscribe(queue)
+        return stream.response
+
+    async def _send_next(
+        self, stream: EventStream, queue: "asyncio.Queue[dict[str, object]]"
+    ) -> None:
+        try:
+            async with asyncio.timeout(1.0):
+                event = await queue.get()
+        except TimeoutError:
+            return
+        await stream.send("event", _plain(event))
+
+    async def _own_status(self, _call: StatusCall) -> NodeStatus:
+        return self.report.read()
+
+    async def _status_of(self, node: NodeId) -> NodeStatus:
+        call = StatusCall(sender=self.members.node_id)
+        done = await self.peers.call(
+            node, MessageKind.STATUS, call, NodeStatus, STATUS_DEADLINE_S
+        )
+        if not isinstance(done, Err):
+            return done.ok_value
+        return self.report.unreachable(node, done.err_value.value)
+
+
+def _plain(event: dict[str, object]) -> dict[str, object]:
+    kept = (str, int, float, bool)
+    return {k: v if isinstance(v, kept) else str(v) for k, v in event.items()}
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/editing.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/editing.py
@@ -3,7 +3,9 @@
 import asyncio
 
 from aiomisc import Service
-from fulmarpulley_core.configuration import EditResult
+from result import Err, Ok, Result
+
+from fulmarpulley_core.edits import EditResult
 from fulmarpulley_core.ids import RecordId, ServiceName
 from fulmarpulley_schema.generated.http import (
     DocumentEdit,
@@ -14,7 +16,6 @@
 from fulmarpulley_schema.generated.peer import Refusal
 from fulmarpulley_schema.generated.records import Change, RecordKind
 from fulmarpulley_schema.generated.settings import NodeSettings
-from result import Err, Ok, Result
 
 from .configuration import CONFIG_STREAM, Configuration
 from .errors import ErrorCode, refusal
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/gate.py
@@ -0,0 +1,40 @@
+"""Decide whether the node takes a request."""
+
+from fulmarpulley_schema.generated.document import ServiceDocument
+
+from .configuration import Configuration
+from .errors import ErrorCode, error
+from .members import Members
+
+
+class Gate:
+    """Hold whether the node is ready, leaving or closed."""
+
+    def __init__(self, configuration: Configuration, members: Members) -> None:
+        self.configuration = configuration
+        self.members = members
+        self.leaving = False
+        self.closed = False
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the balancer should send requests."""
+        return self.configuration.complete and not self.leaving
+
+    def check(self) -> None:
+        """Raise RequestError unless requests are taken."""
+        if self.closed:
+            message = "the node is shutting down; use another node"
+            raise error(ErrorCode.SHUTTING_DOWN, message)
+        if not self.configuration.complete:
+            message = "the node does not know all documents yet; use another node"
+            raise error(ErrorCode.NOT_READY, message)
+
+    def document(self, service: str) -> ServiceDocument:
+        """Return the document of a service, or raise RequestError."""
+        self.check()
+        document = self.configuration.document(service)
+        if document is None:
+            message = f"no service is named {service!r}"
+            raise error(ErrorCode.UNKNOWN_SERVICE, message)
+        return document
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/attempts.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/attempts.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from result import Err, Ok, Result
+
 from fulmarpulley_core.ids import AttemptId, Version
 from fulmarpulley_core.pool.messages import (
     AttemptFailed,
@@ -11,7 +13,6 @@
     Failure,
     WorkKind,
 )
-from result import Err, Ok, Result
 
 from ..observe.events import log_event
 from ..observe.metrics import Metrics
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 import msgspec
+
 from fulmarpulley_core.ids import AttemptId, ModelName, UpstreamId, Version, WorkId
 from fulmarpulley_core.pool.dispatcher import Pool
 from fulmarpulley_core.pool.messages import (
@@ -295,12 +296,8 @@
 
 def shard_document(document: ServiceDocument, shard: int) -> ServiceDocument:
     """Return the document with the upstreams of one shard only."""
-    return msgspec.structs.replace(
-        document, upstreams=shard_upstreams(document, shard)
-    )
+    return msgspec.structs.replace(document, upstreams=shard_upstreams(document, shard))
 
 
 def _held(message: WorkSubmit) -> int:
     return 0 if message.resume is None else len(message.resume.tokens)
-
-
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pools.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pools.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from aiomisc import Service
+
 from fulmarpulley_schema.generated.document import ServiceDocument
 from fulmarpulley_schema.generated.peer import (
     MessageKind,
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/prompts.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/prompts.py
@@ -14,4 +14,4 @@
 
 def sample_prefix(prompt: str) -> str:
     """Return the prefix id of a prompt that names none."""
-    return xxhash.xxh64_hexdigest(prompt[:PREFIX_CHARACTERS])
+    return xxhash.xxh64_hexdigest(prompt[:PREFIX_CHARACTERS].encode())
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/scorer.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/scorer.py
@@ -2,9 +2,10 @@
 
 import asyncio
 
-from fulmarpulley_schema.generated.document import Scoring
 from result import Ok
 
+from fulmarpulley_schema.generated.document import Scoring
+
 from ..observe.events import log_event
 from ..platform import scoring_dialects
 from ..platform.dialects import ScoringDialect
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/steps.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/steps.py
@@ -2,6 +2,7 @@
 
 import msgspec
 from aiomisc import Service
+
 from fulmarpulley_core.bitmaps import BitmapError
 from fulmarpulley_schema.codec import to_builtins
 from fulmarpulley_schema.generated.document import ServiceDocument
@@ -70,6 +71,10 @@
             await home.stop()
         await self.scorer.close()
 
+    async def hand_over(self) -> None:
+        """Pass open steps and finished samples to their next homes."""
+        self.leaving = True
+
     def document(self, service: str) -> ServiceDocument | None:
         """Return the document in force."""
         return self.configuration.document(service)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/upstream_watch.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/upstream_watch.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+from result import Err, Ok
+
 from fulmarpulley_core.ids import ModelName, UpstreamId, Version
 from fulmarpulley_core.pool.messages import (
     Availability,
@@ -19,7 +21,6 @@
     OrderAction,
     OrderRequest,
 )
-from result import Err, Ok
 
 from ..observe.events import log_event
 from ..observe.metrics import Metrics
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/http_server.py
@@ -0,0 +1,53 @@
+"""Own the HTTP server of the node."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from aiohttp import web
+from aiomisc import Service
+
+from fulmarpulley_schema.generated.settings import NodeSettings
+
+from .web import MAX_BODY_BYTES, answer_errors
+
+# aiohttp cancels the handler of a request whose caller has gone.
+HANDLER_CANCELLATION = True
+
+
+class Edge(Protocol):
+    """Add routes to the server."""
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Add the routes of one kind of clients."""
+
+
+class HttpServer(Service):
+    """Own the listening socket and the connections to it."""
+
+    def __init__(self, settings: NodeSettings, edges: Sequence[Edge]) -> None:
+        super().__init__()
+        self.settings = settings
+        self.edges = edges
+        self.runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        app = web.Application(
+            middlewares=[answer_errors], client_max_size=MAX_BODY_BYTES
+        )
+        for edge in self.edges:
+            edge.add_routes(app.router)
+        self.runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=HANDLER_CANCELLATION,
+            shutdown_timeout=1.0,
+        )
+        await self.runner.setup()
+        listen = self.settings.http
+        await web.TCPSite(self.runner, listen.host, listen.port).start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Close all connections."""
+        if self.runner is not None:
+            await self.runner.cleanup()
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/log_client.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/log_client.py
@@ -7,6 +7,8 @@
 
 import msgspec
 from aiomisc import Service
+from result import Err, Ok, Result
+
 from fulmarpulley_core.ids import Offset
 from fulmarpulley_schema.codec import from_json, to_builtins, to_json
 from fulmarpulley_schema.generated.records import (
@@ -19,7 +21,6 @@
 )
 from fulmarpulley_schema.generated.settings import NodeSettings
 from fulmarpulley_schema.generated.upstream import LogPage
-from result import Err, Ok, Result
 
 from .observe.events import log_event
 from .observe.metrics import Metrics
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/members.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/members.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 
 from aiomisc import Service
+from result import Ok
+
 from fulmarpulley_core.ids import NodeId, Offset
 from fulmarpulley_core.members import Member
 from fulmarpulley_core.membership import Membership, Outbound
@@ -19,7 +21,6 @@
     InstanceKind,
     InstanceState,
 )
-from result import Ok
 
 from .observe.events import log_event
 from .observe.metrics import Metrics
@@ -114,22 +115,21 @@
         while True:
             done = await self.instance_list.read()
             if isinstance(done, Ok):
-                await self._take_list(done.ok_value)
+                self._take_list(done.ok_value)
             elif self.list_read:
                 log_event("instance_list_failed", reason=done.err_value.value)
             await asyncio.sleep(LIST_PERIOD_S)
 
-    async def _take_list(self, instances: list[Instance]) -> None:
+    def _take_list(self, instances: list[Instance]) -> None:
         self.list_read = True
         nodes = [to_update(i) for i in instances if i.kind is InstanceKind.NODE]
-        outbound = self.core.seed(nodes, self._now())
+        self.core.seed(nodes, self._now())
         leaving = frozenset(
             i.id
             for i in instances
             if i.kind is InstanceKind.UPSTREAM and i.state is InstanceState.LEAVING
         )
         changed, self.leaving_upstreams = leaving != self.leaving_upstreams, leaving
-        await self._send(outbound)
         self._notify(changed)
 
     async def _send(self, outbound: list[Outbound]) -> None:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/observe/events.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/observe/events.py
@@ -75,5 +75,3 @@
         return text
     escaped = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
     return f'"{escaped}"'
-
-
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/peer_link.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/peer_link.py
@@ -4,6 +4,7 @@
 
 import zmq
 import zmq.asyncio
+
 from fulmarpulley_schema.generated.peer import MessageKind
 
 # Polls between nodes return within 1 s, so a healthy link is never silent for 2 s
@@ -70,7 +71,8 @@
             raise CallFailure(sent=False)
         if not self.calls:
             self.heard = self.loop.time()
-        answer = self.calls[call_id] = self.loop.create_future()
+        answer: asyncio.Future[bytes] = self.loop.create_future()
+        self.calls[call_id] = answer
         try:
             async with asyncio.timeout_at(started + deadline_s):
                 return await answer
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/peers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/peers.py
@@ -10,11 +10,12 @@
 import zmq
 import zmq.asyncio
 from aiomisc import Service
+from result import Err, Ok, Result
+
 from fulmarpulley_core.ids import NodeId
 from fulmarpulley_schema.codec import from_msgpack, to_msgpack
 from fulmarpulley_schema.generated.peer import MessageKind
 from fulmarpulley_schema.generated.settings import NodeSettings
-from result import Err, Ok, Result
 
 from .observe.events import log_event
 from .observe.metrics import Metrics
@@ -177,9 +178,7 @@
             reply = MessageKind.REPLY
             body = to_msgpack(result) if result is not None else b""
         if call_id:
-            await router.send_multipart(
-                [identity, reply.value.encode(), call_id, body]
-            )
+            await router.send_multipart([identity, reply.value.encode(), call_id, body])
 
     def _spawn(self, work: Any) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/dialects.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/dialects.py
@@ -4,11 +4,12 @@
 from enum import StrEnum
 from typing import Protocol
 
+from result import Result
+
 from fulmarpulley_core.registry import Registry
 from fulmarpulley_schema.generated.document import Scoring
 from fulmarpulley_schema.generated.settings import PlatformService
 from fulmarpulley_schema.generated.upstream import Instance, LogPage
-from result import Result
 
 
 class PlatformFailure(StrEnum):
@@ -54,9 +55,7 @@
 class ScoringDialect(Protocol):
     """Score samples."""
 
-    async def score(
-        self, prompt: str, text: str
-    ) -> Result[float, PlatformFailure]:
+    async def score(self, prompt: str, text: str) -> Result[float, PlatformFailure]:
         """Return the score of one sample."""
 
     async def close(self) -> None:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/http.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/http.py
@@ -4,6 +4,8 @@
 
 import aiohttp
 import msgspec
+from result import Err, Ok, Result
+
 from fulmarpulley_schema.codec import from_json, to_json
 from fulmarpulley_schema.generated.document import Scoring
 from fulmarpulley_schema.generated.settings import PlatformService
@@ -16,7 +18,6 @@
     ScoreRequest,
     ScoreResult,
 )
-from result import Err, Ok, Result
 
 from .dialects import (
     PlatformFailure,
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/progress.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/progress.py
@@ -19,6 +19,7 @@
         self.versions: list[int | None] = []
         self.replaced_from: int | None = None
         self.upstream = ""
+        self.first_token: float | None = None
         self.done = False
         self.refusal: Refusal | None = None
         self.changed = asyncio.Event()
@@ -115,6 +116,8 @@
         self._wake()
 
     def _wake(self) -> None:
+        if self.first_token is None and self.tokens:
+            self.first_token = asyncio.get_running_loop().time()
         self.changed.set()
         self.changed = asyncio.Event()
 
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/shutdown.py
@@ -0,0 +1,78 @@
+"""Leave the system without interrupting requests."""
+
+import asyncio
+import signal
+from collections.abc import Callable
+
+from fulmarpulley_schema.generated.settings import NodeSettings
+
+from .gate import Gate
+from .homes.pools import Pools
+from .homes.steps import Steps
+from .members import Members
+from .observe.events import log_event
+
+CHECK_S = 0.05
+
+
+class Shutdown:
+    """Carry out a graceful shutdown; a second signal shortens it."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        gate: Gate,
+        members: Members,
+        pools: Pools,
+        steps: Steps,
+        open_requests: Callable[[], int],
+    ) -> None:
+        self.settings = settings
+        self.gate = gate
+        self.members = members
+        self.pools = pools
+        self.steps = steps
+        self.open_requests = open_requests
+        self.asked = asyncio.Event()
+        self.hurry = asyncio.Event()
+
+    def install(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Listen to SIGTERM and SIGINT."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._signalled)
+
+    async def run(self) -> None:
+        """Wait for the first signal and leave."""
+        await self.asked.wait()
+        log_event("shutdown_started")
+        self.gate.leaving = True
+        await self.members.leave()
+        self.pools.leave()
+        await self.steps.hand_over()
+        await self._pause(self.settings.balancer_lag_s)
+        self.gate.closed = True
+        await self._drain()
+        log_event("shutdown_finished", open_requests=self.open_requests())
+
+    async def _drain(self) -> None:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + self.settings.shutdown_s
+        while not self._idle() and loop.time() < deadline:
+            if self.hurry.is_set():
+                return
+            await self._pause(CHECK_S)
+
+    def _idle(self) -> bool:
+        return self.pools.idle and not self.open_requests()
+
+    async def _pause(self, seconds: float) -> None:
+        try:
+            async with asyncio.timeout(seconds):
+                await self.hurry.wait()
+        except TimeoutError:
+            return
+
+    def _signalled(self) -> None:
+        if self.asked.is_set():
+            self.hurry.set()
+        self.asked.set()
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/connection.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/connection.py
@@ -4,9 +4,10 @@
 from contextlib import asynccontextmanager
 
 import aiohttp
+from msgspec import Struct
+
 from fulmarpulley_core.pool.messages import Failure
 from fulmarpulley_schema.codec import to_json
-from msgspec import Struct
 
 from .dialects import AttemptEnd
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/dialects.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/dialects.py
@@ -4,11 +4,12 @@
 from typing import Protocol
 
 import msgspec
+from result import Result
+
 from fulmarpulley_core.pool.messages import Failure
 from fulmarpulley_core.registry import Registry
 from fulmarpulley_schema.generated.document import UpstreamEntry
 from fulmarpulley_schema.generated.upstream import LoadBody, OrderRequest
-from result import Result
 
 TokenSink = Callable[[str, int | None], None]
 
@@ -46,9 +47,7 @@
 class UpstreamDialect(Protocol):
     """Speak the protocol of one upstream and own its connections."""
 
-    async def run(
-        self, attempt: Attempt, sink: TokenSink
-    ) -> Result[None, AttemptEnd]:
+    async def run(self, attempt: Attempt, sink: TokenSink) -> Result[None, AttemptEnd]:
         """Run an attempt and pass each new token to the sink."""
 
     async def cancel(self, request_id: str) -> None:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/engine.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/engine.py
@@ -2,6 +2,8 @@
 
 import aiohttp
 import msgspec
+from result import Err, Ok, Result
+
 from fulmarpulley_core.pool.messages import Failure
 from fulmarpulley_schema.codec import from_json
 from fulmarpulley_schema.generated.document import UpstreamEntry
@@ -14,7 +16,6 @@
     OrderRequest,
     TokenEvent,
 )
-from result import Err, Ok, Result
 
 from .connection import CALL_TIMEOUT_S, AttemptFailure, Connection
 from .dialects import (
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/plain.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/plain.py
@@ -1,6 +1,8 @@
 """Speak the dialect of plain services, whose answer is one result."""
 
 import msgspec
+from result import Err, Ok, Result
+
 from fulmarpulley_core.pool.messages import Failure
 from fulmarpulley_schema.codec import from_json
 from fulmarpulley_schema.generated.document import UpstreamEntry
@@ -10,7 +12,6 @@
     PlainCall,
     PlainResult,
 )
-from result import Err, Ok, Result
 
 from .connection import AttemptFailure, Connection
 from .dialects import (
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/versions.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/versions.py
@@ -5,12 +5,13 @@
 
 import msgspec
 from aiomisc import Service
+from result import Err, Ok
+
 from fulmarpulley_core.ids import ModelName, NodeId, ServiceName, TrainerId, Version
 from fulmarpulley_schema.codec import to_builtins
 from fulmarpulley_schema.generated.document import ServiceDocument
 from fulmarpulley_schema.generated.peer import MessageKind, VersionNotice
 from fulmarpulley_schema.generated.records import RecordKind, VersionRecord
-from result import Err, Ok
 
 from .configuration import Configuration
 from .locate import Locator, shards_of
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/web.py
@@ -0,0 +1,117 @@
+"""Read bodies and write answers and errors of the HTTP interfaces."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import msgspec
+from aiohttp import web
+from result import Err
+
+from fulmarpulley_schema.codec import parse, to_json
+
+from .errors import ErrorCode, RequestError, error
+
+T = TypeVar("T", bound=msgspec.Struct)
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+# The same bound as for messages between nodes, which carry these bodies.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+
+
+async def read_body(
+    request: web.Request, kind: type[T], limit: int = MAX_BODY_BYTES
+) -> T:
+    """Decode a body, or raise RequestError with all its faults."""
+    done = parse(await _read(request, limit), kind)
+    if isinstance(done, Err):
+        findings = done.err_value
+        message = f"the body has {len(findings)} faults; see findings"
+        raise error(ErrorCode.BAD_REQUEST, message, findings=findings)
+    return done.ok_value
+
+
+async def _read(request: web.Request, limit: int) -> bytes:
+    too_large = f"the body is larger than {limit} bytes"
+    if request.content_length is not None and request.content_length > limit:
+        raise error(ErrorCode.TOO_LARGE, too_large)
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in request.content.iter_any():
+        size += len(chunk)
+        if size > limit:
+            raise error(ErrorCode.TOO_LARGE, too_large)
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
+def reply(message: Any, status: int = 200) -> web.Response:
+    """Answer with a message as JSON."""
+    return web.Response(
+        body=to_json(message), status=status, content_type="application/json"
+    )
+
+
+def reply_error(failure: RequestError) -> web.Response:
+    """Answer with an error body."""
+    response = reply(failure.body(), failure.status)
+    retry_after = failure.refusal.retry_after_s
+    if retry_after is not None:
+        response.headers["Retry-After"] = str(max(1, round(retry_after)))
+    return response
+
+
+@web.middleware
+async def answer_errors(request: web.Request, handler: Handler) -> web.StreamResponse:
+    """Turn a RequestError into its answer."""
+    try:
+        return await handler(request)
+    except RequestError as failure:
+        return reply_error(failure)
+    except web.HTTPRequestEntityTooLarge as failure:
+        return reply_error(error(ErrorCode.TOO_LARGE, failure.text or "too large"))
+
+
+def query_number(
+    request: web.Request, name: str, default: float, highest: float
+) -> float:
+    """Return a number of the query, or raise RequestError."""
+    text = request.query.get(name)
+    if text is None:
+        return default
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 <= value <= highest:
+        message = f"{name} is {text!r}; use a number from 0 to {highest:g}"
+        raise error(ErrorCode.BAD_REQUEST, message)
+    return value
+
+
+def path_number(request: web.Request, name: str) -> int:
+    """Return a whole number of the path, or raise RequestError."""
+    text = request.match_info[name]
+    if not text.isdecimal() or len(text) > 15:
+        message = f"{name} is {text!r}; use a whole number"
+        raise error(ErrorCode.BAD_REQUEST, message)
+    return int(text)
+
+
+class EventStream:
+    """Write server-sent events to one connection."""
+
+    def __init__(self, request: web.Request) -> None:
+        self.request = request
+        self.response = web.StreamResponse(
+            headers={"Content-Type": "text/event-stream", "Cache-Control": "no-store"}
+        )
+
+    async def open(self) -> None:
+        """Send the response head."""
+        await self.response.prepare(self.request)
+
+    async def send(self, name: str, message: Any) -> None:
+        """Send one event."""
+        await self.response.write(
+            b"event: " + name.encode() + b"\ndata: " + to_json(message) + b"\n\n"
+        )
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/work_client.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/work_client.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+from msgspec.structs import replace
+from result import Err
+
 from fulmarpulley_core.ids import NodeId
 from fulmarpulley_schema.generated.http import Ran
 from fulmarpulley_schema.generated.peer import (
@@ -12,8 +15,6 @@
     WorkSubmit,
     WorkWithdraw,
 )
-from msgspec.structs import replace
-from result import Err
 
 from .configuration import Configuration
 from .errors import ErrorCode, refusal
@@ -68,9 +69,7 @@
     async def _hand_in(self, home: NodeId) -> bool:
         """Submit the work; return False when it certainly was not submitted."""
         resume = self.progress.snapshot() if self.progress.tokens else None
-        message = replace(
-            self.submit, resume=resume, deadline_s=self._remaining_s()
-        )
+        message = replace(self.submit, resume=resume, deadline_s=self._remaining_s())
         done = await self.client.peers.call(
             home, MessageKind.SUBMIT, message, WorkState, CALL_DEADLINE_S
         )
@@ -204,4 +203,3 @@
             home, MessageKind.WITHDRAW, message, NoReply, CALL_DEADLINE_S
         )
         self.tasks.spawn(call)
-
