Add history checker

Nothing could tell yet whether a run of real processes kept its promises.

The checker reads the records of callers, trainers, engines and plain services and finds lost, doubled, foreign and cut answers and samples, wrong labels, samples past the bound, repeated executions and false not_run. A not_run is false when the request ran before it was told, or runs afterwards although no earlier attempt was left unknown. Actual versions come from the token texts, so a wrong label cannot hide a stale sample.

--- /dev/null
+++ b/testing/src/fulmarpulley_testing/checker.py
@@ -0,0 +1,43 @@
+"""Check the history of a run.
+
+It reads only the records of callers, trainers, engines and plain services, never
+those of nodes.
+"""
+
+import sys
+from pathlib import Path
+
+import defopt
+
+from .check_answers import check_answers
+from .check_samples import check_samples
+from .findings import Report
+from .history import Entry, read
+from .produced import Produced
+
+
+def check(entries: list[Entry]) -> Report:
+    """Check records in order of time."""
+    report = Report()
+    produced = Produced(entries)
+    check_answers(entries, produced, report)
+    check_samples(entries, produced, report)
+    return report
+
+
+def check_folder(folder: Path) -> Report:
+    """Check all history files of a folder."""
+    return check(read(sorted(folder.glob("*.jsonl"))))
+
+
+def main(*, folder: Path) -> None:
+    """Check a folder of history files; exit with 1 when it holds a fault."""
+    report = check_folder(folder)
+    for finding in report.findings:
+        print(f"{finding.fault.value} {finding.subject}: {finding.detail}")
+    print(f"{report.line()} unresolved={report.unresolved} refused={report.refused}")
+    sys.exit(1 if report.findings else 0)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/testing/src/fulmarpulley_testing/engine_batch.py
+++ b/testing/src/fulmarpulley_testing/engine_batch.py
@@ -3,6 +3,7 @@
 import asyncio
 import heapq
 import itertools
+import time
 from collections import OrderedDict
 
 import msgspec
@@ -79,7 +80,8 @@
         self.cache_changes: list[tuple[list[str], list[str]]] = []
         self.queued: list[tuple[int, int, Run]] = []
         self.running: dict[int, Run] = {}
-        self.numbers = itertools.count(1)
+        # Starts at the clock, so that numbers differ after a restart of the process.
+        self.numbers = itertools.count(time.monotonic_ns())
         self.paused = False
         self.hung = False
 
--- /dev/null
+++ b/testing/src/fulmarpulley_testing/findings.py
@@ -0,0 +1,71 @@
+"""Define what the history checker reports."""
+
+from collections import Counter
+from enum import Enum
+
+import msgspec
+
+
+class Fault(Enum):
+    """Name a kind of fault in a history."""
+
+    LOST_ANSWER = "lost_answer"
+    DOUBLED_ANSWER = "doubled_answer"
+    FOREIGN_ANSWER = "foreign_answer"
+    CUT_ANSWER = "cut_answer"
+    LOST_SLOT = "lost_slot"
+    DOUBLED_SLOT = "doubled_slot"
+    FOREIGN_SAMPLE = "foreign_sample"
+    CUT_SAMPLE = "cut_sample"
+    MISLABELLED = "mislabelled"
+    STALE = "stale"
+    REPEATED_RUN = "repeated_run"
+    FALSE_NOT_RUN = "false_not_run"
+
+
+# The column of the summary line that counts a fault.
+COLUMNS = {
+    Fault.LOST_ANSWER: "lost",
+    Fault.CUT_ANSWER: "lost",
+    Fault.LOST_SLOT: "lost",
+    Fault.CUT_SAMPLE: "lost",
+    Fault.DOUBLED_ANSWER: "doubled",
+    Fault.DOUBLED_SLOT: "doubled",
+    Fault.REPEATED_RUN: "doubled",
+    # A caller repeats a request that it believes not to have run.
+    Fault.FALSE_NOT_RUN: "doubled",
+    Fault.FOREIGN_ANSWER: "mislabelled",
+    Fault.FOREIGN_SAMPLE: "mislabelled",
+    Fault.MISLABELLED: "mislabelled",
+    Fault.STALE: "stale",
+}
+
+
+class Finding(msgspec.Struct, frozen=True):
+    """Describe one fault and the invocation or slot that shows it."""
+
+    fault: Fault
+    subject: str
+    detail: str
+
+
+class Report(msgspec.Struct, kw_only=True):
+    """Sum up a history; unresolved and refused requests are allowed ends."""
+
+    samples: int = 0
+    answers: int = 0
+    unresolved: int = 0
+    refused: int = 0
+    idle_s: dict[str, float] = {}
+    findings: list[Finding] = []
+
+    def faults(self) -> set[Fault]:
+        """Return the kinds of faults found."""
+        return {finding.fault for finding in self.findings}
+
+    def line(self) -> str:
+        """Return the summary line."""
+        counts = Counter(COLUMNS[finding.fault] for finding in self.findings)
+        names = ("lost", "doubled", "mislabelled", "stale")
+        columns = " ".join(f"{name}={counts[name]}" for name in names)
+        return f"samples={self.samples} answers={self.answers} {columns}"
--- /dev/null
+++ b/testing/src/fulmarpulley_testing/produced.py
@@ -0,0 +1,90 @@
+"""Index what engines produced and what upstreams executed."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+import msgspec
+
+from fulmarpulley_schema.generated.http import Span
+
+from .findings import Fault
+from .history import CallExecuted, Entry, RunEnded, RunStarted, SpanStarted
+from .tokens import Token, parse, prompt_hash, whole_length
+
+
+class Generation(msgspec.Struct, kw_only=True):
+    """Hold a text with its labels, as a caller or trainer received it."""
+
+    prompt: str
+    max_tokens: int
+    text: str
+    count: int
+    spans: list[Span]
+    must_be_labelled: bool
+
+
+class Produced:
+    """Answer which version produced a token, and when an input was executed."""
+
+    def __init__(self, entries: Iterable[Entry]) -> None:
+        self.executions: defaultdict[str, list[float]] = defaultdict(list)
+        self.versions: defaultdict[tuple[str, int], list[list[SpanStarted]]]
+        self.versions = defaultdict(list)
+        self.ends: dict[tuple[str, int], int] = {}
+        runs: defaultdict[tuple[str, int], list[SpanStarted]] = defaultdict(list)
+        for entry in entries:
+            if isinstance(entry, CallExecuted):
+                self.executions[entry.body].append(entry.at)
+            elif isinstance(entry, RunStarted):
+                self.executions[entry.prompt].append(entry.at)
+            elif isinstance(entry, SpanStarted):
+                runs[entry.upstream, entry.run].append(entry)
+            elif isinstance(entry, RunEnded):
+                self.ends[entry.upstream, entry.run] = entry.count
+        for spans in runs.values():
+            self.versions[prompt_hash(spans[0].prompt), spans[0].seed].append(spans)
+
+    def has(self, token: Token) -> bool:
+        """Say whether an engine produced a token with the version that it names."""
+        runs = self.versions.get((token.prompt_hash, token.seed), [])
+        return any(self._version_at(spans, token) == token.version for spans in runs)
+
+    def _version_at(self, spans: list[SpanStarted], token: Token) -> int | None:
+        end = self.ends.get((spans[0].upstream, spans[0].run))
+        if end is not None and token.position >= end:
+            return None
+        started = [span.version for span in spans if span.index <= token.position]
+        return started[-1] if started else None
+
+
+def judge(generation: Generation, produced: Produced) -> tuple[Fault, str] | None:
+    """Find the first fault of a text; faults are those of samples."""
+    tokens = parse(generation.text)
+    if not tokens:
+        return Fault.CUT_SAMPLE, f"text ends within a token: {generation.text[-80:]!r}"
+    first = tokens[0]
+    if any(token.prompt_hash != prompt_hash(generation.prompt) for token in tokens):
+        return Fault.FOREIGN_SAMPLE, "holds tokens of another prompt"
+    if any(token.seed != first.seed for token in tokens):
+        return Fault.FOREIGN_SAMPLE, "mixes tokens of several seeds"
+    positions = [token.position for token in tokens]
+    length = whole_length(generation.prompt, first.seed, generation.max_tokens)
+    if positions != list(range(length)) or generation.count != length:
+        detail = f"{len(tokens)} tokens, count {generation.count}, whole {length}"
+        return Fault.CUT_SAMPLE, detail
+    return _judge_labels(generation, tokens, produced)
+
+
+def _judge_labels(
+    generation: Generation, tokens: list[Token], produced: Produced
+) -> tuple[Fault, str] | None:
+    invented = [token for token in tokens if not produced.has(token)]
+    if invented:
+        return Fault.FOREIGN_SAMPLE, f"no engine produced {invented[0]}"
+    if not generation.spans and not generation.must_be_labelled:
+        return None
+    labels = [span.version for span in generation.spans for _ in range(span.tokens)]
+    actual = [token.version for token in tokens]
+    if labels != actual:
+        return Fault.MISLABELLED, f"labels {generation.spans}, versions {actual}"
+    return None
