Add a cluster harness and the demo

The demo and the failure tests need the same processes: platform, upstreams, nodes in two regions, a trainer and callers.

cluster.py starts them, applies documents as an operator does and hands the clients' histories to the checker; layout.py builds settings, documents and the instance list. demo.py kills a node, announces versions, lets an upstream leave and edits a document under load.

The demo has not run yet, because the node has no thin path so far.

--- /dev/null
+++ b/testing/src/fulmarpulley_testing/demo.py
@@ -0,0 +1,88 @@
+"""Show a cluster at work through failures and changes, and check its history."""
+
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import msgspec
+
+from fulmarpulley_schema.generated.document import Limits
+
+from .cluster import Cluster, log_tails, start_cluster
+from .findings import Report
+from .history import AttemptAnswered, BatchTaken, VersionPublished
+from .layout import ClusterSettings, drain
+from .processes import Processes
+
+DEMO_SEED = 7
+
+
+def say(text: str) -> None:
+    """Print a line at once."""
+    print(text, flush=True)
+
+
+def run(cluster: Cluster) -> Report:
+    """Run traffic on both kinds of service while the cluster changes."""
+    trainer = cluster.start_trainer(
+        steps=4, groups=8, samples_per_group=4, max_tokens=120, train_s=0.5
+    )
+    cluster.start_caller(
+        count=240, rate=20.0, not_repeatable_ratio=0.5, stream_ratio=0.3
+    )
+    cluster.wait_records(BatchTaken, 1)
+    say("samples arrive")
+    kill_node(cluster)
+    cluster.wait_records(VersionPublished, 1)
+    say("a new version of the weights is announced")
+    remove_upstream(cluster)
+    edit_document(cluster)
+    cluster.wait_records(AttemptAnswered, 100)
+    say(f"trainer ended with code {trainer.wait(120.0)}")
+    return cluster.finish()
+
+
+def kill_node(cluster: Cluster) -> None:
+    """Kill the second node."""
+    cluster.process(cluster.layout.nodes[1]).kill()
+    say("node n2 is killed")
+
+
+def remove_upstream(cluster: Cluster) -> None:
+    """Let the last engine leave by the instance list and the document."""
+    leaver = cluster.layout.engines[-1]
+    cluster.list_leaving(leaver)
+    cluster.apply(drain(cluster.layout.training_document(), leaver.name))
+    say(f"upstream {leaver.name} leaves")
+
+
+def edit_document(cluster: Cluster) -> None:
+    """Edit the document of the desk."""
+    document = cluster.layout.desk_document()
+    limits = Limits(queue=512)
+    revision = cluster.apply(msgspec.structs.replace(document, limits=limits))
+    say(f"revision {revision} of {document.name} is in force on all live nodes")
+
+
+def main() -> int:
+    """Run the demo and return 0 when the checker finds no fault."""
+    started = time.monotonic()
+    with tempfile.TemporaryDirectory() as name, Processes(Path(name)) as processes:
+        try:
+            cluster = start_cluster(processes, ClusterSettings(seed=DEMO_SEED))
+            report = run(cluster)
+        except Exception:
+            say(log_tails(processes.folder))
+            raise
+        if report.findings:
+            say(log_tails(processes.folder))
+    for finding in report.findings:
+        say(f"{finding.fault.value} {finding.subject}: {finding.detail}")
+    say(f"unresolved={report.unresolved} refused={report.refused}")
+    say(f"demo {report.line()} seconds={time.monotonic() - started:.1f}")
+    return 1 if report.findings else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
