--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
@@ -1,41 +1,39 @@
 """Dispatch the work of one pool shard to its upstreams."""
 
-import heapq
-from collections import deque
 from collections.abc import Callable
 
-from fulmarpulley_schema.generated.document import ServiceDocument, ServiceKind
+from fulmarpulley_schema.generated.document import ServiceDocument
 from fulmarpulley_schema.generated.http import Ran
 
-from ..ids import AttemptId, ModelName, UpstreamId, Version, WorkId
+from .fair_queue import FairQueue
+from .freshness import Freshness
+from .jitter import Jitter
+from .ledger import Ledger
+from .limits import Admission
+from .load import note_attempts, note_report, note_tokens
 from .messages import (
     Action,
     AttemptFailed,
     AttemptFinished,
     AttemptProgress,
     Availability,
-    CancelAttempt,
+    CacheReport,
     DocumentChanged,
     Event,
     Failure,
-    Finish,
+    LoadReport,
     PoolSettings,
     PoolView,
-    Refuse,
-    StartAttempt,
     Submit,
     UpstreamState,
-    UpstreamView,
     VersionAnnounced,
     VersionReport,
     Withdraw,
-    WorkKind,
 )
+from .retries import Retries
+from .routing import ROUTING
 from .state import Attempt, Item, Upstream
-
-# Ends of work that must not repeat are remembered so that a late duplicate of
-# its submission does not run it again.
-REMEMBERED_ENDS = 65536
+from .timers import Timers
 
 
 class Pool:
@@ -47,15 +45,18 @@
         self.document = document
         self.settings = settings
         self.seed = seed
-        self.items: dict[WorkId, Item] = {}
-        self.attempts: dict[AttemptId, Attempt] = {}
-        self.upstreams: dict[UpstreamId, Upstream] = {}
-        self.queue: deque[Item] = deque()
-        self.deadlines: list[tuple[float, int, Item]] = []
-        self.newest: dict[ModelName, Version] = {}
-        self.ended: dict[WorkId, Refuse] = {}
-        self.sequence = 0
-        self.actions: list[Action] = []
+        self.ledger = Ledger(document, self._released)
+        self.queue = FairQueue(document)
+        self.timers = Timers()
+        self.jitter = Jitter(seed)
+        self.admission = Admission(document, self.jitter)
+        self.retries = Retries(
+            document, self.timers, self.ledger, self.jitter, self._enqueue
+        )
+        self.freshness = Freshness(document)
+        self.routing = ROUTING.get(settings.routing)()
+        self.now = 0.0
+        self.can_dispatch = False
         self.handlers: dict[type, Callable[..., None]] = {
             Submit: self._submit,
             Withdraw: self._withdraw,
@@ -63,243 +64,194 @@
             AttemptFailed: self._failed,
             AttemptProgress: self._progress,
             UpstreamState: self._upstream_state,
+            LoadReport: self._load_report,
+            CacheReport: self._cache_report,
             VersionReport: self._version_report,
             VersionAnnounced: self._version_announced,
             DocumentChanged: self._document_changed,
         }
-        self._list_upstreams()
+        self.ledger.list_upstreams(document)
+        self._refresh_upstreams()
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Apply an event at a monotonic time in seconds and return the actions."""
-        self.actions = []
+        self.now = now
         handler = self.handlers.get(type(event))
         if handler is not None:
             handler(event, now)
-        self._expire(now)
-        self._dispatch(now)
-        return self.actions
+        self.timers.run_due(now)
+        if self.can_dispatch:
+            self.can_dispatch = False
+            self._dispatch(now)
+        actions, self.ledger.actions = self.ledger.actions, []
+        return actions
 
     def next_wakeup(self) -> float | None:
         """Return when the pool needs a Tick at the latest."""
-        while self.deadlines and not self._is_held(self.deadlines[0][2]):
-            heapq.heappop(self.deadlines)
-        return self.deadlines[0][0] if self.deadlines else None
+        return self.timers.next_due()
 
     def view(self) -> PoolView:
         """Return the state of the pool for status pages."""
-        views = [
-            UpstreamView(
-                upstream.upstream_id,
-                upstream.availability(),
-                len(upstream.attempts),
-                upstream.tokens_in_flight,
-                dict(upstream.versions),
-            )
-            for upstream in self.upstreams.values()
-        ]
-        queued = sum(item.queued for item in self.queue)
-        return PoolView(queued, len(self.attempts), views)
+        return self.ledger.view(self.queue.waiting)
 
     def _submit(self, event: Submit, now: float) -> None:
         work = event.work
-        if work.work_id in self.items:
+        if work.work_id in self.ledger.items:
             return
-        if work.work_id in self.ended:
-            self.actions.append(self.ended[work.work_id])
+        repeated = self.ledger.repeated_end(work)
+        if repeated is not None:
+            self.ledger.actions.append(repeated)
+            return
+        item = self.ledger.add(work, now)
+        upstreams = self.ledger.upstreams.values()
+        charge = self._charge(item)
+        refusal = self.admission.check(item, charge, self.queue, upstreams, now)
+        if refusal is not None:
+            self.ledger.refuse(item, refusal.code, refusal.retry_after)
             return
-        self.sequence += 1
-        item = Item(
-            work=work,
-            sequence=self.sequence,
-            submitted=now,
-            deadline=self._deadline(event, now),
-            received=work.resume_tokens,
-            may_have_run=work.resume_tokens > 0,
-        )
-        self.items[work.work_id] = item
         if item.deadline is not None:
-            heapq.heappush(self.deadlines, (item.deadline, item.sequence, item))
+            self.timers.at(item.deadline, lambda _: self._pass_deadline(item))
         self._enqueue(item)
 
-    def _deadline(self, event: Submit, now: float) -> float | None:
-        if event.work.deadline is not None or event.work.kind is WorkKind.SAMPLE:
-            return event.work.deadline
-        return now + self.document.deadline_s
+    def _pass_deadline(self, item: Item) -> None:
+        if self.ledger.is_held(item):
+            self._refuse(item, "deadline_passed")
 
     def _withdraw(self, event: Withdraw, now: float) -> None:
-        item = self.items.get(event.work_id)
+        item = self.ledger.items.get(event.work_id)
         if item is not None:
-            self._refuse(item, "cancelled", item.ran())
+            self._refuse(item, "cancelled")
 
     def _progress(self, event: AttemptProgress, now: float) -> None:
-        attempt = self.attempts.get(event.attempt_id)
+        attempt = self.ledger.attempts.get(event.attempt_id)
         if attempt is not None:
-            attempt.item.received = max(attempt.item.received, event.tokens)
+            self._receive(attempt, event.tokens)
 
     def _finished(self, event: AttemptFinished, now: float) -> None:
-        attempt = self.attempts.get(event.attempt_id)
-        if attempt is None:
-            return
-        item = attempt.item
-        self._release(attempt)
-        self.actions.append(Finish(item.work.work_id, attempt.attempt_id))
-        lost = Refuse(item.work.work_id, "upstream_broken", Ran.MAY_HAVE_RUN)
-        self._end(item, lost)
+        attempt = self.ledger.attempts.get(event.attempt_id)
+        if attempt is not None:
+            self._receive(attempt, event.tokens)
+            self.admission.note_finished(attempt, now)
+            self.retries.budget.deposit()
+            self.ledger.finish(attempt)
 
     def _failed(self, event: AttemptFailed, now: float) -> None:
-        attempt = self.attempts.get(event.attempt_id)
-        if attempt is None:
-            return
+        attempt = self.ledger.attempts.get(event.attempt_id)
+        if attempt is not None:
+            self._receive(attempt, event.tokens)
+            self.ledger.release(attempt)
+            self._fail(attempt, event.failure, now)
+
+    def _receive(self, attempt: Attempt, tokens: int) -> None:
+        note_tokens(attempt, tokens)
+        attempt.item.received = max(attempt.item.received, tokens)
+
+    def _fail(self, attempt: Attempt, failure: Failure, now: float) -> None:
         item = attempt.item
-        self._release(attempt)
-        item.received = max(item.received, event.tokens)
         item.avoid = attempt.upstream.upstream_id
-        sent = event.failure in {Failure.BROKEN, Failure.ERRORED}
-        item.may_have_run = item.may_have_run or sent
-        item.failures += sent
+        ran = failure in {Failure.BROKEN, Failure.ERRORED}
+        if ran:
+            item.failures += 1
+            errored = failure is Failure.ERRORED
+            item.note_run(Ran.RAN if errored else Ran.MAY_HAVE_RUN)
         if item.attempts:
             return
         spent = item.failures >= self.document.retries.attempts
-        if sent and (spent or not item.work.repeatable):
-            self._refuse_failed(item, event.failure)
-        else:
-            self._enqueue(item)
-
-    def _refuse_failed(self, item: Item, failure: Failure) -> None:
-        if failure is Failure.ERRORED:
-            self._refuse(item, "upstream_error", Ran.RAN)
+        if ran and (spent or not item.work.repeatable):
+            broken = failure is Failure.BROKEN
+            self._refuse(item, "upstream_broken" if broken else "upstream_error")
         else:
-            self._refuse(item, "upstream_broken", Ran.MAY_HAVE_RUN)
+            self.retries.schedule(item, now)
 
     def _upstream_state(self, event: UpstreamState, now: float) -> None:
-        upstream = self.upstreams.get(event.upstream)
+        upstream = self.ledger.upstreams.get(event.upstream)
         if upstream is not None:
             upstream.reported = event.availability
+            self._refresh_upstreams()
+
+    def _load_report(self, event: LoadReport, now: float) -> None:
+        upstream = self.ledger.upstreams.get(event.upstream)
+        if upstream is not None:
+            note_report(upstream, event, now)
+
+    def _cache_report(self, event: CacheReport, now: float) -> None:
+        self.routing.cache_changed(event)
 
     def _version_report(self, event: VersionReport, now: float) -> None:
-        upstream = self.upstreams.get(event.upstream)
+        upstream = self.ledger.upstreams.get(event.upstream)
         if upstream is not None:
             upstream.versions[event.model] = event.version
+            self.can_dispatch = True
 
     def _version_announced(self, event: VersionAnnounced, now: float) -> None:
-        known = self.newest.get(event.model, event.version)
-        self.newest[event.model] = max(known, event.version)
+        if self.freshness.announce(event.model, event.version):
+            self.can_dispatch = True
 
     def _document_changed(self, event: DocumentChanged, now: float) -> None:
         self.document = event.document
-        self._list_upstreams()
-
-    def _list_upstreams(self) -> None:
-        for upstream in self.upstreams.values():
-            upstream.listed = False
-        for entry in self.document.upstreams:
-            upstream_id = UpstreamId(entry.id)
-            known = self.upstreams.get(upstream_id)
-            if known is None:
-                self.upstreams[upstream_id] = Upstream(entry=entry)
-            else:
-                known.entry = entry
-                known.listed = True
-        gone = [u for u in self.upstreams.values() if not u.listed and not u.attempts]
-        for upstream in gone:
-            del self.upstreams[upstream.upstream_id]
-
-    def _expire(self, now: float) -> None:
-        while self.deadlines and self.deadlines[0][0] <= now:
-            item = heapq.heappop(self.deadlines)[2]
-            if self._is_held(item):
-                self._refuse(item, "deadline_passed", item.ran())
-
-    def _is_held(self, item: Item) -> bool:
-        return self.items.get(item.work.work_id) is item
-
-    def _refuse(self, item: Item, code: str, ran: Ran) -> None:
-        refusal = Refuse(item.work.work_id, code, ran)
-        self._end(item, refusal)
-        self.actions.append(refusal)
-
-    def _end(self, item: Item, repeated: Refuse) -> None:
-        for attempt in list(item.attempts):
-            self._release(attempt)
-            self.actions.append(CancelAttempt(attempt.attempt_id))
-        item.queued = False
-        del self.items[item.work.work_id]
-        if not item.work.repeatable:
-            self.ended[item.work.work_id] = repeated
-            if len(self.ended) > REMEMBERED_ENDS:
-                del self.ended[next(iter(self.ended))]
+        self.retries.change_document(event.document)
+        self.admission.document = event.document
+        self.freshness.document = event.document
+        self.queue.change_document(event.document)
+        self.ledger.list_upstreams(event.document)
+        self._refresh_upstreams()
+
+    def _refresh_upstreams(self) -> None:
+        for upstream in self.ledger.upstreams.values():
+            available = upstream.availability() is Availability.AVAILABLE
+            upstream.slots = upstream.entry.capacity if available else 0
+        self.can_dispatch = True
+
+    def _refuse(self, item: Item, code: str) -> None:
+        self.queue.remove(item)
+        self.ledger.refuse(item, code)
 
     def _enqueue(self, item: Item) -> None:
-        item.queued = True
-        self.queue.append(item)
+        self.queue.push(item, self._charge(item))
+        self.can_dispatch = True
+
+    def _charge(self, item: Item) -> int:
+        return item.cost() - item.received
+
+    def _released(self, attempt: Attempt) -> None:
+        self.can_dispatch = True
+        note_attempts(attempt.upstream, self.now)
+        item = attempt.item
+        if not item.attempts:
+            produced = attempt.tokens - attempt.resume_from
+            self.queue.settle(item, item.work.prompt_tokens + produced)
 
     def _dispatch(self, now: float) -> None:
-        for _ in range(len(self.queue)):
-            if not any(self._is_open(upstream) for upstream in self.upstreams.values()):
-                return
-            item = self.queue.popleft()
-            if not item.queued:
-                continue
-            upstream = self._choose(item)
-            if upstream is None:
-                self.queue.append(item)
-            else:
-                self._start(item, upstream, now)
-
-    def _is_open(self, upstream: Upstream) -> bool:
-        available = upstream.availability() is Availability.AVAILABLE
-        return available and len(upstream.attempts) < upstream.entry.capacity
-
-    def _choose(self, item: Item) -> Upstream | None:
-        limit = self.document.limits.tokens_in_flight
-        free = [
-            upstream
-            for upstream in self.upstreams.values()
-            if self._is_open(upstream)
-            and upstream.has_room(item.cost(), limit)
-            and self._is_fresh(item, upstream)
-        ]
+        while self.queue.waiting and self._start_next(now):
+            pass
+
+    def _start_next(self, now: float) -> bool:
+        free = [u for u in self.ledger.upstreams.values() if u.is_free()]
         if not free:
-            return None
-        avoid = item.avoid
-        return min(free, key=lambda u: (u.upstream_id == avoid, u.tokens_in_flight))
-
-    def _is_fresh(self, item: Item, upstream: Upstream) -> bool:
-        work = item.work
-        version = upstream.versions.get(work.model)
-        labelled = work.kind is WorkKind.SAMPLE
-        if self.document.kind is not ServiceKind.TRAINING or not labelled:
-            return work.min_version <= (version or 0)
-        if version is None or version < work.min_version:
             return False
-        bound = work.staleness_bound
-        bound = self.document.staleness_bound if bound is None else bound
-        return self.newest.get(work.model, version) - version <= bound
+        for lane in self.queue.lanes():
+            upstream = self._choose(lane.head(), free, now)
+            if upstream is not None:
+                self._start(self.queue.take(lane), upstream, now)
+                return True
+        return False
 
     def _start(self, item: Item, upstream: Upstream, now: float) -> None:
-        self.sequence += 1
-        attempt = Attempt(
-            attempt_id=AttemptId(f"{item.work.work_id}#{self.sequence}"),
-            item=item,
-            upstream=upstream,
-            started=now,
-            cost=item.cost(),
-        )
-        item.queued = False
-        item.attempts.append(attempt)
-        self.attempts[attempt.attempt_id] = attempt
-        upstream.attempts[attempt.attempt_id] = attempt
-        upstream.tokens_in_flight += attempt.cost
-        start = StartAttempt(
-            attempt.attempt_id, item.work.work_id, upstream.upstream_id, item.received
-        )
-        self.actions.append(start)
-
-    def _release(self, attempt: Attempt) -> None:
-        upstream = attempt.upstream
-        attempt.item.attempts.remove(attempt)
-        del self.attempts[attempt.attempt_id]
-        del upstream.attempts[attempt.attempt_id]
-        upstream.tokens_in_flight -= attempt.cost
-        if not upstream.listed and not upstream.attempts:
-            self.upstreams.pop(upstream.upstream_id, None)
+        self.ledger.start(item, upstream, now)
+        self.routing.started(item, upstream)
+        note_attempts(upstream, now)
+
+    def _choose(self, item: Item, free: list[Upstream], now: float) -> Upstream | None:
+        limit = self.document.limits.tokens_in_flight
+        cost = item.cost()
+        may_run = self.freshness.may_run
+        fit = [u for u in free if u.has_room(cost, limit) and may_run(item, u)]
+        return self.routing.choose(item, fit, self, now) if fit else None
+
+    def usable(self) -> list[Upstream]:
+        """Return the upstreams that take new attempts, busy ones included."""
+        return [u for u in self.ledger.upstreams.values() if u.slots]
+
+    def versions_behind(self, item: Item, upstream: Upstream) -> int:
+        """Return how many versions the upstream is behind for the item's model."""
+        return self.freshness.versions_behind(item, upstream)
