Add the policy benchmark in virtual time

Cause: the policies of core need figures on idle time and staleness, against a simple baseline under the same arrivals, lengths and faults. Change: a discrete-event model of engines, links, trainers and desk callers drives Pool and StepBook, and a naive dispatcher and step home beside them. Ours doesn't finish yet: the pool orders no weights so far.

--- /dev/null
+++ b/bench/src/fulmarpulley_bench/bounds.py
@@ -0,0 +1,26 @@
+"""Compute what no policy can beat."""
+
+from .deployments import TrainingPlan
+from .engine import EngineProfile
+from .homes import Samples
+
+
+def least_idle(
+    samples: Samples, plan: TrainingPlan, profile: EngineProfile, engines: int
+) -> float:
+    """Return the least idle seconds of one trainer after its first step.
+
+    A step takes at least its tokens divided by the rate of all engines, and at least
+    the time of its longest sample alone on an engine. Trainers with a lookahead of 1
+    hide the training time of the step before. Prompts, swaps, faults and the work of
+    other trainers are left out, so that the bound holds for every policy.
+    """
+    rate = engines * profile.full_rate()
+    hidden = plan.train_s if plan.lookahead else 0.0
+    idle = 0.0
+    for step in range(2, plan.steps + 1):
+        slots = range(plan.groups * plan.samples)
+        lengths = [samples.length(step, slot) for slot in slots]
+        alone = max(lengths) / profile.rate(1)
+        idle += max(0.0, max(sum(lengths) / rate, alone) - hidden)
+    return idle
--- /dev/null
+++ b/bench/src/fulmarpulley_bench/clock.py
@@ -0,0 +1,31 @@
+"""Run callbacks in virtual time."""
+
+import heapq
+from collections.abc import Callable
+from itertools import count
+
+Callback = Callable[[], None]
+
+
+class Clock:
+    """Hold the virtual time in seconds and the callbacks that are due later."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._due: list[tuple[float, int, Callback]] = []
+        self._numbers = count()
+
+    def at(self, time: float, callback: Callback) -> None:
+        """Run a callback at a time, in order of scheduling among equal times."""
+        entry = (max(time, self.now), next(self._numbers), callback)
+        heapq.heappush(self._due, entry)
+
+    def after(self, delay: float, callback: Callback) -> None:
+        """Run a callback after a delay in seconds."""
+        self.at(self.now + delay, callback)
+
+    def run(self, until: float, done: Callable[[], bool]) -> None:
+        """Run until nothing is due, the time is over or the work is done."""
+        while self._due and self._due[0][0] <= until and not done():
+            self.now, _, callback = heapq.heappop(self._due)
+            callback()
--- /dev/null
+++ b/bench/src/fulmarpulley_bench/contenders.py
@@ -0,0 +1,42 @@
+"""Name the contenders of the benchmark."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from fulmarpulley_core.ids import Region
+from fulmarpulley_core.pool.dispatcher import Pool
+from fulmarpulley_core.pool.messages import PoolSettings
+from fulmarpulley_core.registry import Registry
+from fulmarpulley_schema.generated.document import ServiceDocument
+
+from .homes import BookHome, NaiveHome, Samples, StepHome
+from .naive import NaivePool
+from .service import Dispatcher
+
+
+class Contender(msgspec.Struct, frozen=True):
+    """Make the dispatcher of a pool and the step home of a trainer."""
+
+    dispatcher: Callable[[ServiceDocument, str, int], Dispatcher]
+    home: Callable[[Samples], StepHome]
+
+
+CONTENDERS: Registry[Contender] = Registry("contender")
+
+
+def _pool(routing: str) -> Callable[[ServiceDocument, str, int], Dispatcher]:
+    def make(document: ServiceDocument, region: str, seed: int) -> Dispatcher:
+        settings = PoolSettings(routing=routing, store_region=Region(region))
+        return Pool(document, settings, seed)
+
+    return make
+
+
+def _naive(document: ServiceDocument, region: str, seed: int) -> Dispatcher:
+    return NaivePool(document)
+
+
+CONTENDERS.register("ours")(Contender(_pool("least_tokens"), BookHome))
+CONTENDERS.register("ours_round_robin")(Contender(_pool("round_robin"), BookHome))
+CONTENDERS.register("naive")(Contender(_naive, NaiveHome))
--- /dev/null
+++ b/bench/src/fulmarpulley_bench/deployments.py
@@ -0,0 +1,160 @@
+"""Describe the two deployments of section 1.1 of the design page."""
+
+import msgspec
+
+from fulmarpulley_schema.generated.document import (
+    ClassEntry,
+    Limits,
+    ServiceDocument,
+    ServiceKind,
+    TrainerEntry,
+    UpstreamEntry,
+    Weights,
+)
+
+from .engine import EngineProfile
+from .lengths import SampleShape
+
+# 153 MB cross the region link in 5.4 s, so that one copy for each region fits the 9 s
+# of section 1.5; two concurrent copies don't.
+WEIGHT_BYTES = 153_000_000
+
+TRAINING_ENGINE = EngineProfile(capacity=16, peak_rate=80.0, half_rate_streams=24.0)
+DESK_ENGINE = EngineProfile(capacity=8, peak_rate=40.0, half_rate_streams=16.0)
+
+
+class TrainingPlan(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe the steps of each trainer of a training service."""
+
+    steps: int
+    groups: int
+    samples: int
+    train_s: float
+    # Steps that a trainer opens while it still trains on an earlier one.
+    lookahead: int
+    prompt_tokens: int = 400
+    max_tokens: int = 5000
+    shape: SampleShape = SampleShape()
+
+
+class DeskPlan(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe the callers of a desk."""
+
+    requests_per_s: float
+    # The rate swings by this share around its mean, with this period.
+    swing: float = 0.15
+    period_s: float = 600.0
+    # Share of callers in the region of the weight store.
+    near_share: float = 0.7
+    repeatable_share: float = 0.7
+    deadline_s: float = 40.0
+    prompt_tokens: int = 250
+    median_tokens: float = 130.0
+    sigma: float = 0.6
+    max_tokens: int = 800
+    client_latency_s: float = 0.001
+
+
+class Deployment(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe one deployment and its load."""
+
+    name: str
+    near: str
+    far: str
+    training: ServiceDocument
+    desk: ServiceDocument
+    plan: TrainingPlan
+    desk_plan: DeskPlan
+
+
+def manizales() -> Deployment:
+    """Return the deployment with two trainers, which train without a pause.
+
+    Each trainer opens a step while it trains on the one before, since its top
+    priority is idle time: at 80% load the engines finish both steps in time when
+    nothing is lost.
+    """
+    places = [("chipre", "caldas"), ("palermo", "caldas"), ("cuba", "risaralda")]
+    trainers = [
+        TrainerEntry(id="comfort-a", model="comfort-a", staleness_bound=1),
+        TrainerEntry(id="comfort-b", model="comfort-b", staleness_bound=1),
+    ]
+    return Deployment(
+        name="manizales",
+        near="caldas",
+        far="risaralda",
+        training=_training("comfort-llm", places, trainers),
+        desk=_desk("trial-desk", places, ["complaints", "sign-ups"]),
+        plan=TrainingPlan(steps=12, groups=48, samples=8, train_s=160.0, lookahead=1),
+        desk_plan=DeskPlan(requests_per_s=3.0),
+    )
+
+
+def zlatna() -> Deployment:
+    """Return the deployment with one trainer, which works on fresh samples only.
+
+    It opens a step when it has published the weights of the one before, since its
+    top priority is staleness; the engines idle while it trains.
+    """
+    places = [
+        ("sofia-lozenets", "sofia"),
+        ("sofia-mladost", "sofia"),
+        ("plovdiv-kapana", "plovdiv"),
+    ]
+    trainers = [TrainerEntry(id="notes", model="drafter", staleness_bound=1)]
+    return Deployment(
+        name="zlatna",
+        near="sofia",
+        far="plovdiv",
+        training=_training("note-drafters", places, trainers),
+        desk=_desk("ticket-desk", places, ["counter", "office"]),
+        plan=TrainingPlan(steps=12, groups=96, samples=8, train_s=45.0, lookahead=0),
+        desk_plan=DeskPlan(requests_per_s=3.0, client_latency_s=0.003),
+    )
+
+
+def _training(
+    name: str, places: list[tuple[str, str]], trainers: list[TrainerEntry]
+) -> ServiceDocument:
+    spread = [places[0], places[1], places[2], places[0], places[2]]
+    return ServiceDocument(
+        name=name,
+        kind=ServiceKind.TRAINING,
+        model=trainers[0].model or name,
+        upstreams=_upstreams(name, spread, TRAINING_ENGINE.capacity),
+        trainers=trainers,
+        staleness_bound=1,
+        deadline_s=1800.0,
+        weights=Weights(
+            swaps_at_once=2, swap_s=TRAINING_ENGINE.swap_s, bytes=WEIGHT_BYTES
+        ),
+    )
+
+
+def _desk(
+    name: str, places: list[tuple[str, str]], classes: list[str]
+) -> ServiceDocument:
+    return ServiceDocument(
+        name=name,
+        kind=ServiceKind.DESK,
+        model=name,
+        upstreams=_upstreams(name, places, DESK_ENGINE.capacity),
+        classes=[ClassEntry(name=one) for one in classes],
+        deadline_s=40.0,
+        limits=Limits(queue=512),
+    )
+
+
+def _upstreams(
+    name: str, places: list[tuple[str, str]], capacity: int
+) -> list[UpstreamEntry]:
+    return [
+        UpstreamEntry(
+            id=f"{name}-{number}",
+            address=f"http://127.0.0.1:{9000 + number}",
+            data_centre=data_centre,
+            region=region,
+            capacity=capacity,
+        )
+        for number, (data_centre, region) in enumerate(places)
+    ]
--- /dev/null
+++ b/bench/src/fulmarpulley_bench/desk.py
@@ -0,0 +1,114 @@
+"""Model the callers of a desk."""
+
+import math
+
+import msgspec
+
+from fulmarpulley_core.ids import ModelName, PrefixId, Region, TenantId, WorkId
+from fulmarpulley_core.pool.messages import Refuse, Work, WorkKind
+from fulmarpulley_schema.generated.http import Span
+
+from .deployments import Deployment
+from .lengths import Dice
+from .service import REQUEST_BYTES, TOKEN_EVENT_BYTES, Service
+
+
+class Caller(msgspec.Struct):
+    """Hold one request of a caller."""
+
+    started: float
+    region: str
+    deadline: float
+
+
+class Desk:
+    """Send requests at a swinging rate and record their ends."""
+
+    def __init__(
+        self, service: Service, deployment: Deployment, seed: int, duration_s: float
+    ) -> None:
+        self.service = service
+        self.clock = service.clock
+        self.deployment = deployment
+        self.plan = deployment.desk_plan
+        self.duration_s = duration_s
+        self.dice = Dice("desk", deployment.name, seed)
+        self.callers: dict[WorkId, Caller] = {}
+        self.latencies: list[float] = []
+        self.refusals: dict[str, int] = {}
+        self.sent = 0
+        self.work_tokens = 0.0
+        service.owner = self
+        self._next()
+
+    @property
+    def done(self) -> bool:
+        """Tell whether every request has ended."""
+        return self.clock.now > self.duration_s and not self.callers
+
+    def finished(self, work: Work, tokens: int, spans: list[Span]) -> None:
+        """Record the latency of an answer."""
+        caller = self.callers.pop(work.work_id, None)
+        if caller is None:
+            return
+        home = self.service.home_region
+        network = self.service.network
+        network.count(home, caller.region, tokens * TOKEN_EVENT_BYTES)
+        back = network.latency(home, caller.region) + self.plan.client_latency_s
+        self.latencies.append(self.clock.now - caller.started + back)
+
+    def refused(self, work: Work, refusal: Refuse) -> None:
+        """Count a refusal by its code."""
+        if self.callers.pop(work.work_id, None) is not None:
+            self.refusals[refusal.code] = self.refusals.get(refusal.code, 0) + 1
+
+    def _next(self) -> None:
+        plan = self.plan
+        most = plan.requests_per_s * (1.0 + plan.swing)
+        delay = self.dice.wait(most)
+        self.clock.after(delay, self._arrive)
+
+    def _arrive(self) -> None:
+        if self.clock.now > self.duration_s:
+            return
+        self._next()
+        plan = self.plan
+        phase = 2.0 * math.pi * self.clock.now / plan.period_s
+        share = (1.0 + plan.swing * math.sin(phase)) / (1.0 + plan.swing)
+        if self.dice.uniform() < share:
+            self._send()
+
+    def _send(self) -> None:
+        plan, now = self.plan, self.clock.now
+        near = self.dice.uniform() < plan.near_share
+        region = self.deployment.near if near else self.deployment.far
+        names = [entry.name for entry in self.deployment.desk.classes]
+        name = names[int(self.dice.uniform() * len(names))]
+        repeatable = self.dice.uniform() < plan.repeatable_share
+        drawn = int(self.dice.lognormal(plan.median_tokens, plan.sigma))
+        tokens = max(4, min(plan.max_tokens, drawn))
+        self.sent += 1
+        work = Work(
+            work_id=WorkId(f"desk/{self.sent}"),
+            tenant=TenantId(name),
+            kind=WorkKind.DESK,
+            model=ModelName(self.deployment.desk.model),
+            max_tokens=plan.max_tokens,
+            prompt_tokens=plan.prompt_tokens,
+            prefix=PrefixId(f"desk/{name}"),
+            region=Region(region),
+            repeatable=repeatable,
+            deadline=now + plan.deadline_s,
+        )
+        self.work_tokens += tokens
+        self.callers[work.work_id] = Caller(now, region, now + plan.deadline_s)
+        network, home = self.service.network, self.service.home_region
+        network.count(region, home, REQUEST_BYTES)
+        delay = network.latency(region, home) + plan.client_latency_s
+        self.clock.after(delay, lambda: self.service.submit(work, tokens))
+        self.clock.after(plan.deadline_s, lambda: self._give_up(work.work_id))
+
+    def _give_up(self, work_id: WorkId) -> None:
+        if self.callers.pop(work_id, None) is not None:
+            self.refusals["gave_up"] = self.refusals.get("gave_up", 0) + 1
+            self.service.withdraw(work_id)
--- /dev/null
+++ b/bench/src/fulmarpulley_bench/lengths.py
@@ -0,0 +1,52 @@
+"""Draw the lengths of samples and answers from seeds."""
+
+import math
+from random import Random
+
+import msgspec
+
+
+class Dice:
+    """Draw numbers from a stream that its keys name."""
+
+    def __init__(self, *keys: str | int) -> None:
+        self.random = Random("/".join(str(key) for key in keys))
+
+    def uniform(self) -> float:
+        """Draw a number from 0 to 1."""
+        return self.random.random()
+
+    def wait(self, rate: float) -> float:
+        """Draw the seconds to the next event of a Poisson process."""
+        return self.random.expovariate(rate)
+
+    def lognormal(self, median: float, sigma: float) -> float:
+        """Draw a number from a lognormal distribution."""
+        return self.random.lognormvariate(math.log(median), sigma)
+
+
+class SampleShape(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe the lengths of samples in tokens.
+
+    Prompts of a step differ in difficulty, so that the samples of a group are alike;
+    a few samples in some groups are stragglers.
+    """
+
+    median: float = 450.0
+    group_sigma: float = 0.4
+    sample_sigma: float = 0.4
+    straggler_share: float = 0.03
+    straggler_least: float = 3.0
+    # A Pareto tail with this exponent has a finite mean and no finite variance.
+    straggler_exponent: float = 1.5
+    most: int = 5000
+
+    def draw(self, seed: int, slot: str, group: str) -> int:
+        """Return the length of one sample of a group."""
+        common = Dice("group", seed, group).lognormal(self.median, self.group_sigma)
+        dice = Dice("sample", seed, slot)
+        length = common * dice.lognormal(1.0, self.sample_sigma)
+        if dice.uniform() < self.straggler_share:
+            tail = (1.0 - dice.uniform()) ** (-1.0 / self.straggler_exponent)
+            length *= self.straggler_least * tail
+        return max(8, min(self.most, int(length)))
--- /dev/null
+++ b/bench/src/fulmarpulley_bench/service.py
@@ -0,0 +1,319 @@
+"""Connect the pool of one service to engines in virtual time."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+
+from fulmarpulley_core.ids import AttemptId, ModelName, UpstreamId, Version, WorkId
+from fulmarpulley_core.pool.messages import (
+    Action,
+    AttemptFailed,
+    AttemptFinished,
+    AttemptProgress,
+    CancelAttempt,
+    Event,
+    Failure,
+    Finish,
+    Order,
+    Refuse,
+    StartAttempt,
+    Submit,
+    Tick,
+    VersionAnnounced,
+    VersionReport,
+    Withdraw,
+    Work,
+)
+from fulmarpulley_schema.generated.document import ServiceDocument
+from fulmarpulley_schema.generated.http import Span
+
+from .clock import Clock
+from .engine import Engine, EngineProfile, Stream
+from .network import Network
+from .swaps import Swaps
+
+PROGRESS_S = 1.0
+# Bytes on the wire of one streamed token event, of one prompt token and of the
+# headers of one request.
+TOKEN_EVENT_BYTES = 60
+PROMPT_TOKEN_BYTES = 4
+REQUEST_BYTES = 500
+# The pool is asked again at least this often.
+TICK_S = 0.5
+
+
+class Dispatcher(Protocol):
+    """Decide on the work of one pool."""
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take an event and return the actions that follow from it."""
+
+    def next_wakeup(self) -> float | None:
+        """Return the time at which a tick is due."""
+
+
+class Owner(Protocol):
+    """Receive the results of submitted work."""
+
+    def finished(self, work: Work, tokens: int, spans: list[Span]) -> None:
+        """Take a complete answer."""
+
+    def refused(self, work: Work, refusal: Refuse) -> None:
+        """Take a refusal."""
+
+
+class Received(msgspec.Struct):
+    """Hold what the owner of a work item has received for it."""
+
+    work: Work
+    length: int
+    spans: list[Span] = []
+
+
+class Attempt(msgspec.Struct):
+    """Hold an attempt as the pool home sees it."""
+
+    received: Received
+    upstream: UpstreamId
+    resume_from: int
+    prefix_spans: list[Span]
+
+
+class Service:
+    """Run the actions of a dispatcher against the engines of one service."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        network: Network,
+        document: ServiceDocument,
+        profile: EngineProfile,
+        dispatcher: Dispatcher,
+        home_region: str,
+    ) -> None:
+        self.name = document.name
+        self.clock = clock
+        self.network = network
+        self.dispatcher = dispatcher
+        self.home_region = home_region
+        self.owner: Owner | None = None
+        self.regions = {UpstreamId(u.id): u.region for u in document.upstreams}
+        self.engines = {
+            upstream: Engine(clock, profile, self._finisher(upstream))
+            for upstream in self.regions
+        }
+        self.received: dict[WorkId, Received] = {}
+        self.attempts: dict[AttemptId, Attempt] = {}
+        self.useful_tokens = 0
+        self.hedges = 0
+        self.resumes = 0
+        self.started = 0
+        self.swaps = Swaps(self, document.weights.bytes)
+        self._wakeup: float | None = None
+        for upstream in self.engines:
+            clock.after(PROGRESS_S, self._progress(upstream))
+        clock.after(TICK_S, self._tick)
+
+    def submit(self, work: Work, length: int) -> None:
+        """Submit a work item that is complete after `length` tokens."""
+        self.received[work.work_id] = Received(work, length)
+        self.handle(Submit(work))
+
+    def withdraw(self, work_id: WorkId) -> None:
+        """Withdraw a work item."""
+        self.received.pop(work_id, None)
+        self.handle(Withdraw(work_id))
+
+    def announce(self, model: ModelName, version: Version) -> None:
+        """Tell the pool about a new version."""
+        self.swaps.newest[model] = version
+        self.handle(VersionAnnounced(model, version))
+
+    def handle(self, event: Event) -> None:
+        """Let the dispatcher decide on an event and run its actions."""
+        for action in self.dispatcher.handle(event, self.clock.now):
+            self._act(action)
+        self._plan_wakeup()
+
+    def to_home(self, upstream: UpstreamId, event: Event) -> None:
+        """Deliver an event from an upstream to the pool home."""
+        latency = self.latency(upstream)
+        self.clock.after(latency, lambda: self.handle(event))
+
+    def latency(self, upstream: UpstreamId) -> float:
+        """Return the one-way latency between the pool home and an upstream."""
+        return self.network.latency(self.home_region, self.regions[upstream])
+
+    def crash(self, upstream: UpstreamId, down_s: float) -> None:
+        """Crash an engine and restart it after a time with its first weights."""
+        engine = self.engines[upstream]
+        for stream, tokens in engine.crash():
+            self._keep(stream, tokens)
+            failed = AttemptFailed(stream.attempt_id, Failure.BROKEN, tokens)
+            self.to_home(upstream, self._totalled(stream, failed))
+        self.clock.after(down_s, lambda: self._restart(upstream))
+
+    def report_versions(self, upstream: UpstreamId) -> None:
+        """Report the versions that an engine serves."""
+        for model, version in self.engines[upstream].versions.items():
+            self.to_home(upstream, VersionReport(upstream, model, version))
+
+    def wasted_tokens(self) -> float:
+        """Return the generated tokens that are in no delivered answer."""
+        generated = sum(engine.generated for engine in self.engines.values())
+        return generated - self.useful_tokens
+
+    def _restart(self, upstream: UpstreamId) -> None:
+        engine = self.engines[upstream]
+        engine.restart({model: Version(0) for model in engine.versions})
+        self.report_versions(upstream)
+
+    def _act(self, action: Action) -> None:
+        match action:
+            case StartAttempt():
+                self._start(action)
+            case CancelAttempt():
+                self._cancel(action.attempt_id)
+            case Order():
+                self.swaps.order(action)
+            case Finish():
+                self._finish(action)
+            case Refuse():
+                self._refuse(action)
+
+    def _start(self, action: StartAttempt) -> None:
+        received = self.received.get(action.work_id)
+        if received is None:
+            return
+        kept = cut_spans(received.spans, action.resume_from)
+        attempt = Attempt(received, action.upstream, action.resume_from, kept)
+        self.attempts[action.attempt_id] = attempt
+        self.started += 1
+        self.hedges += action.hedge
+        self.resumes += action.resume_from > 0
+        prompt = received.work.prompt_tokens + action.resume_from
+        size = REQUEST_BYTES + prompt * PROMPT_TOKEN_BYTES
+        self._count(action.upstream, size)
+        latency = self.latency(action.upstream)
+        self.clock.after(latency, lambda: self._arrive(action, received))
+
+    def _arrive(self, action: StartAttempt, received: Received) -> None:
+        engine = self.engines[action.upstream]
+        if action.attempt_id not in self.attempts:
+            return
+        if not engine.alive:
+            failed = AttemptFailed(action.attempt_id, Failure.NOT_SENT)
+            self.to_home(action.upstream, failed)
+            return
+        work = received.work
+        stream = Stream(
+            attempt_id=action.attempt_id,
+            model=work.model,
+            prefix=work.prefix,
+            prompt_tokens=work.prompt_tokens,
+            resume_from=action.resume_from,
+            length=received.length,
+            priority=work.priority,
+        )
+        engine.start(stream)
+
+    def _cancel(self, attempt_id: AttemptId) -> None:
+        attempt = self.attempts.pop(attempt_id, None)
+        if attempt is None:
+            return
+        latency = self.latency(attempt.upstream)
+        engine = self.engines[attempt.upstream]
+        self.clock.after(latency, lambda: self._cancelled(engine, attempt, attempt_id))
+
+    def _cancelled(
+        self, engine: Engine, attempt: Attempt, attempt_id: AttemptId
+    ) -> None:
+        tokens = engine.cancel(attempt_id)
+        self._count(attempt.upstream, tokens * TOKEN_EVENT_BYTES)
+
+    def _finisher(self, upstream: UpstreamId) -> Callable[[Stream, int], None]:
+        def finished(stream: Stream, tokens: int) -> None:
+            self._count(upstream, tokens * TOKEN_EVENT_BYTES)
+            attempt = self.attempts.get(stream.attempt_id)
+            if attempt is None:
+                return
+            own = self.engines[upstream].spans(stream, tokens)
+            spans = attempt.prefix_spans + own
+            total = stream.resume_from + tokens
+            event = AttemptFinished(stream.attempt_id, total, spans)
+            self.to_home(upstream, event)
+            attempt.prefix_spans = spans
+
+        return finished
+
+    def _finish(self, action: Finish) -> None:
+        received = self.received.pop(action.work_id, None)
+        attempt = self.attempts.pop(action.attempt_id, None)
+        if received is None or attempt is None or self.owner is None:
+            return
+        tokens = sum(span.tokens for span in attempt.prefix_spans)
+        self.useful_tokens += tokens
+        self.owner.finished(received.work, tokens, attempt.prefix_spans)
+
+    def _refuse(self, action: Refuse) -> None:
+        received = self.received.pop(action.work_id, None)
+        if received is not None and self.owner is not None:
+            self.owner.refused(received.work, action)
+
+    def _progress(self, upstream: UpstreamId) -> Callable[[], None]:
+        def report() -> None:
+            for stream, tokens in self.engines[upstream].progress():
+                if tokens > 0:
+                    self._keep(stream, tokens)
+                    total = stream.resume_from + tokens
+                    version = self.engines[upstream].versions[stream.model]
+                    event = AttemptProgress(stream.attempt_id, total, version)
+                    self.to_home(upstream, event)
+            self.clock.after(PROGRESS_S, report)
+
+        return report
+
+    def _keep(self, stream: Stream, tokens: int) -> None:
+        attempt = self.attempts.get(stream.attempt_id)
+        if attempt is None:
+            return
+        own = self.engines[attempt.upstream].spans(stream, tokens)
+        total = stream.resume_from + tokens
+        held = sum(span.tokens for span in attempt.received.spans)
+        if total > held:
+            attempt.received.spans = attempt.prefix_spans + own
+
+    def _totalled(self, stream: Stream, failed: AttemptFailed) -> AttemptFailed:
+        total = stream.resume_from + failed.tokens
+        return AttemptFailed(failed.attempt_id, failed.failure, total)
+
+    def _count(self, upstream: UpstreamId, size: float) -> None:
+        self.network.count(self.home_region, self.regions[upstream], size)
+
+    def _tick(self) -> None:
+        self.handle(Tick())
+        self.clock.after(TICK_S, self._tick)
+
+    def _plan_wakeup(self) -> None:
+        due = self.dispatcher.next_wakeup()
+        if due is None or due == self._wakeup:
+            return
+        self._wakeup = due
+        self.clock.at(due, lambda: self._wake(due))
+
+    def _wake(self, due: float) -> None:
+        if self._wakeup == due:
+            self._wakeup = None
+            self.handle(Tick())
+
+
+def cut_spans(spans: list[Span], tokens: int) -> list[Span]:
+    """Return the spans of the first tokens."""
+    kept: list[Span] = []
+    for span in spans:
+        part = min(span.tokens, tokens)
+        if part > 0:
+            kept.append(Span(version=span.version, tokens=part))
+        tokens -= part
+    return kept
--- /dev/null
+++ b/bench/src/fulmarpulley_bench/trainer.py
@@ -0,0 +1,106 @@
+"""Model a trainer that works through its steps."""
+
+import msgspec
+
+from fulmarpulley_core.ids import Version
+from fulmarpulley_schema.generated.http import Sample
+
+from .deployments import TrainingPlan
+from .homes import StepHome, TrainerKey
+from .service import Service
+
+# A long poll gathers samples this long before it answers.
+GATHER_S = 0.05
+
+
+class StepRecord(msgspec.Struct, kw_only=True):
+    """Hold what a trainer observed for one step; times are virtual seconds."""
+
+    step: int
+    needed: float
+    complete: float = 0.0
+    staleness: list[int] = []
+    past_bound: int = 0
+    duplicates: int = 0
+
+
+class Trainer:
+    """Take the samples of a step, train, publish a version and go on."""
+
+    def __init__(
+        self, service: Service, key: TrainerKey, plan: TrainingPlan, home: StepHome
+    ) -> None:
+        self.service = service
+        self.clock = service.clock
+        self.key = key
+        self.plan = plan
+        self.home = home
+        self.version = 0
+        self.slots = plan.groups * plan.samples
+        self.records: list[StepRecord] = []
+        self.held: set[int] = set()
+        self.opened = 0
+        self.waiting = False
+        self.polling = False
+        home.wake = self._wake
+
+    @property
+    def done(self) -> bool:
+        """Tell whether all steps are complete."""
+        return len(self.records) == self.plan.steps and not self.waiting
+
+    def start(self) -> None:
+        """Begin with the first step."""
+        self._need(1)
+
+    def _need(self, step: int) -> None:
+        self._open_until(step)
+        self.records.append(StepRecord(step=step, needed=self.clock.now))
+        self.held = set()
+        self.waiting = True
+        self._wake()
+
+    def _open_until(self, step: int) -> None:
+        while self.opened < min(step, self.plan.steps):
+            self.opened += 1
+            self.home.open(self.opened, self.version)
+
+    def _wake(self) -> None:
+        if self.waiting and not self.polling:
+            self.polling = True
+            self.clock.after(GATHER_S, self._take)
+
+    def _take(self) -> None:
+        self.polling = False
+        record = self.records[-1]
+        samples = self.home.take(record.step, self.version, self.held)
+        for sample in samples:
+            self._receive(record, sample)
+        if len(self.held) == self.slots:
+            self._complete(record)
+        elif samples:
+            self._wake()
+
+    def _receive(self, record: StepRecord, sample: Sample) -> None:
+        staleness = self.version - min(span.version for span in sample.spans)
+        if staleness > self.key.bound:
+            record.past_bound += 1
+        elif sample.slot in self.held:
+            record.duplicates += 1
+        else:
+            self.held.add(sample.slot)
+            record.staleness.append(staleness)
+
+    def _complete(self, record: StepRecord) -> None:
+        record.complete = self.clock.now
+        self.waiting = False
+        self.home.close(record.step)
+        if record.step < self.plan.steps:
+            self._open_until(record.step + self.plan.lookahead)
+            self.clock.after(self.plan.train_s, lambda: self._publish(record.step + 1))
+
+    def _publish(self, step: int) -> None:
+        self.version += 1
+        self.service.announce(self.key.model, Version(self.version))
+        self.home.announced(self.version)
+        self._need(step)
--- /dev/null
+++ b/bench/tests/test_policy.py
@@ -0,0 +1,45 @@
+from unittest import TestCase
+
+import msgspec
+
+from fulmarpulley_bench.run import RunResult, RunSpec, run
+
+
+def short(contender: str, deployment: str = "manizales") -> RunSpec:
+    return RunSpec(
+        deployment=deployment,
+        contender=contender,
+        seed=3,
+        steps=4,
+        groups=8,
+        train_s=30.0,
+        desk_s=60.0,
+    )
+
+
+def figures(result: RunResult) -> RunResult:
+    """Drop the only figure that depends on the machine."""
+    return msgspec.structs.replace(result, wall_s=0.0)
+
+
+class PolicyTest(TestCase):
+    """Guards against results that vary, lost or doubled samples, and stale ones."""
+
+    def test_run_with_the_same_seed_gives_the_same_result(self) -> None:
+        for contender in ("naive",):
+            first, second = run(short(contender)), run(short(contender))
+            self.assertEqual(figures(first), figures(second))
+
+    def test_run_delivers_every_sample_exactly_once(self) -> None:
+        for contender in ("naive",):
+            for deployment in ("manizales", "zlatna"):
+                for trainer in run(short(contender, deployment)).trainers:
+                    self.assertTrue(trainer.done)
+                    self.assertEqual(trainer.delivered, 4 * 8 * 8)
+                    self.assertEqual(trainer.duplicates, 0)
+
+    def test_run_answers_or_refuses_every_desk_request_once(self) -> None:
+        for contender in ("naive",):
+            result = run(short(contender))
+            ended = result.desk_answered + sum(result.desk_refused.values())
+            self.assertEqual(ended, result.desk_sent)
