Measure slopes of pool, membership, configuration and steps

Cause: docs/CAPACITY.md needs the cost of each role per unit of its size. Change: fulmarpulley_bench.slopes measures processor time and memory at three or more sizes each, fits a line and writes it with the commit.

--- a/bench/src/fulmarpulley_bench/contenders.py
+++ b/bench/src/fulmarpulley_bench/contenders.py
@@ -10,9 +10,9 @@
 from fulmarpulley_core.registry import Registry
 from fulmarpulley_schema.generated.document import ServiceDocument
 
+from .attempts import Dispatcher
 from .homes import BookHome, NaiveHome, Samples, StepHome
 from .naive import NaivePool
-from .service import Dispatcher
 
 
 class Contender(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/bench/src/fulmarpulley_bench/measure.py
@@ -0,0 +1,96 @@
+"""Measure processor time and memory, and fit lines through sizes."""
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from statistics import linear_regression, median
+from typing import TypeVar
+
+import msgspec
+
+from fulmarpulley_core.registry import Registry
+
+T = TypeVar("T")
+REPEATS = 5
+
+
+class Point(msgspec.Struct, frozen=True):
+    """Hold one measured value at one size."""
+
+    size: float
+    value: float
+
+
+class Series(msgspec.Struct, kw_only=True):
+    """Hold a measured quantity over sizes with its linear fit."""
+
+    name: str
+    unit: str
+    size_name: str
+    points: list[Point]
+    slope: float = 0.0
+    intercept: float = 0.0
+    # Share of the variance that the line explains; 1 is a perfect fit.
+    r2: float = 1.0
+
+
+Measurement = Callable[[], list[Series]]
+MEASUREMENTS: Registry[Measurement] = Registry("measurement")
+
+
+def series(name: str, unit: str, size_name: str, points: list[Point]) -> Series:
+    """Fit a line through measured points."""
+    sizes = [point.size for point in points]
+    values = [point.value for point in points]
+    slope, intercept = linear_regression(sizes, values)
+    mean = sum(values) / len(values)
+    total = sum((value - mean) ** 2 for value in values)
+    rest = sum(
+        (value - slope * size - intercept) ** 2
+        for size, value in zip(sizes, values, strict=True)
+    )
+    return Series(
+        name=name,
+        unit=unit,
+        size_name=size_name,
+        points=points,
+        slope=slope,
+        intercept=intercept,
+        r2=1.0 - rest / total if total > 0 else 1.0,
+    )
+
+
+def median_cpu_us(operation: Callable[[], int], repeats: int = REPEATS) -> float:
+    """Return the median microseconds of one of the events that a call counts."""
+    costs = []
+    for _ in range(repeats):
+        with quiet_collector():
+            began = time.process_time()
+            events = operation()
+            costs.append(1e6 * (time.process_time() - began) / events)
+    return median(costs)
+
+
+def allocated_bytes(make: Callable[[], T]) -> tuple[int, T]:
+    """Return the bytes that stay allocated by a call, and its result."""
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    made = make()
+    gc.collect()
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return after - before, made
+
+
+@contextmanager
+def quiet_collector() -> Iterator[None]:
+    """Keep full collections of the set-up out of a measurement."""
+    gc.collect()
+    gc.freeze()
+    try:
+        yield
+    finally:
+        gc.unfreeze()
--- a/bench/src/fulmarpulley_bench/service.py
+++ b/bench/src/fulmarpulley_bench/service.py
@@ -1,9 +1,6 @@
 """Connect the pool of one service to engines in virtual time."""
 
 from collections.abc import Callable
-from typing import Protocol
-
-import msgspec
 
 from fulmarpulley_core.ids import AttemptId, ModelName, UpstreamId, Version, WorkId
 from fulmarpulley_core.pool.messages import (
@@ -26,8 +23,8 @@
     Work,
 )
 from fulmarpulley_schema.generated.document import ServiceDocument
-from fulmarpulley_schema.generated.http import Span
 
+from .attempts import Attempt, Dispatcher, Owner, Received, cut_spans
 from .clock import Clock
 from .engine import Engine, EngineProfile, Stream
 from .network import Network
@@ -43,43 +40,6 @@
 TICK_S = 0.5
 
 
-class Dispatcher(Protocol):
-    """Decide on the work of one pool."""
-
-    def handle(self, event: Event, now: float) -> list[Action]:
-        """Take an event and return the actions that follow from it."""
-
-    def next_wakeup(self) -> float | None:
-        """Return the time at which a tick is due."""
-
-
-class Owner(Protocol):
-    """Receive the results of submitted work."""
-
-    def finished(self, work: Work, tokens: int, spans: list[Span]) -> None:
-        """Take a complete answer."""
-
-    def refused(self, work: Work, refusal: Refuse) -> None:
-        """Take a refusal."""
-
-
-class Received(msgspec.Struct):
-    """Hold what the owner of a work item has received for it."""
-
-    work: Work
-    length: int
-    spans: list[Span] = []
-
-
-class Attempt(msgspec.Struct):
-    """Hold an attempt as the pool home sees it."""
-
-    received: Received
-    upstream: UpstreamId
-    resume_from: int
-    prefix_spans: list[Span]
-
-
 class Service:
     """Run the actions of a dispatcher against the engines of one service."""
 
@@ -306,14 +266,3 @@
         if self._wakeup == due:
             self._wakeup = None
             self.handle(Tick())
-
-
-def cut_spans(spans: list[Span], tokens: int) -> list[Span]:
-    """Return the spans of the first tokens."""
-    kept: list[Span] = []
-    for span in spans:
-        part = min(span.tokens, tokens)
-        if part > 0:
-            kept.append(Span(version=span.version, tokens=part))
-        tokens -= part
-    return kept
--- /dev/null
+++ b/bench/src/fulmarpulley_bench/slope_members.py
@@ -0,0 +1,140 @@
+"""Measure messages, bytes and processor time of membership in one process."""
+
+import time
+from collections import deque
+
+import msgspec
+
+from fulmarpulley_core.ids import NodeId
+from fulmarpulley_core.membership import Membership, Outbound
+from fulmarpulley_schema.generated.peer import MemberState, MemberUpdate
+from fulmarpulley_schema.generated.settings import MembershipSettings
+
+from .measure import (
+    MEASUREMENTS,
+    Point,
+    Series,
+    allocated_bytes,
+    quiet_collector,
+    series,
+)
+
+SIZES = (9, 90, 360)
+# The updates of the start have been passed on by then, also among 360 members.
+WARM_PERIODS = 200
+PERIODS = 40
+# Steps of the shared clock in each probe period of 1 s; a power of two keeps the
+# sums of binary fractions exact.
+TICKS = 8
+
+
+class Traffic(msgspec.Struct):
+    """Hold the cost of one node for one second."""
+
+    messages: float
+    size: float
+    cpu_us: float
+
+
+class Cluster:
+    """Pass messages between members at once; `quiet` are nodes that don't answer."""
+
+    def __init__(self, size: int) -> None:
+        self.updates = [_update(number) for number in range(size)]
+        self.nodes: dict[NodeId, Membership] = {}
+        self.quiet: set[NodeId] = set()
+        self.now = 0.0
+        self.messages = 0
+        self.size = 0
+        for number, update in enumerate(self.updates):
+            node = Membership(MembershipSettings(), update, seed=number + 1)
+            node.seed(self.updates, 0.0)
+            self.nodes[NodeId(update.node_id)] = node
+
+    def run(self, periods: int) -> Traffic:
+        """Run some periods and return the mean cost of a node for a second."""
+        self.messages = self.size = 0
+        cpu = 0.0
+        with quiet_collector():
+            for _ in range(periods * TICKS):
+                began = time.process_time()
+                sent = self._tick()
+                cpu += time.process_time() - began
+                self._count(sent)
+        nodes = (len(self.nodes) - len(self.quiet)) * periods
+        return Traffic(self.messages / nodes, self.size / nodes, 1e6 * cpu / nodes)
+
+    def _tick(self) -> list[Outbound]:
+        self.now += 1.0 / TICKS
+        sent: list[Outbound] = []
+        pending: deque[Outbound] = deque()
+        for name, node in self.nodes.items():
+            due = node.next_wakeup()
+            if name not in self.quiet and (due is None or due <= self.now):
+                pending.extend(node.tick(self.now))
+        while pending:
+            one = pending.popleft()
+            sent.append(one)
+            if one.target not in self.quiet:
+                node = self.nodes[one.target]
+                pending.extend(node.handle(one.kind, one.message, self.now))
+        return sent
+
+    def _count(self, sent: list[Outbound]) -> None:
+        self.messages += len(sent)
+        self.size += sum(len(msgspec.msgpack.encode(one.message)) for one in sent)
+
+
+def _update(number: int) -> MemberUpdate:
+    return MemberUpdate(
+        node_id=f"node-{number:04d}",
+        state=MemberState.ALIVE,
+        incarnation=0,
+        peer_address=f"10.0.{number // 250}.{number % 250}:7001",
+        http_address=f"10.0.{number // 250}.{number % 250}:7000",
+        data_centre=f"dc-{number % 13}",
+        region=f"region-{number % 6}",
+    )
+
+
+@MEASUREMENTS.register("membership")
+def measure_membership() -> list[Series]:
+    """Measure a quiet system, the loss of one member, and the memory of a node."""
+    quiet: list[tuple[int, Traffic]] = []
+    loss: list[tuple[int, Traffic]] = []
+    for size in SIZES:
+        cluster = Cluster(size)
+        cluster.run(WARM_PERIODS)
+        quiet.append((size, cluster.run(PERIODS)))
+        cluster.quiet.add(NodeId(cluster.updates[-1].node_id))
+        loss.append((size, cluster.run(PERIODS)))
+    found = _series("quiet", quiet) + _series(f"one loss in {PERIODS} s", loss)
+    points = [Point(size, _node_bytes(size)) for size in SIZES]
+    return [*found, series("membership.memory", "bytes per node", "members", points)]
+
+
+def _series(label: str, traffic: list[tuple[int, Traffic]]) -> list[Series]:
+    units = {
+        "messages": "messages per node and s",
+        "size": "payload bytes per node and s",
+        "cpu_us": "us per node and s",
+    }
+    return [
+        series(
+            f"membership.{field} {label}",
+            unit,
+            "members",
+            [Point(size, getattr(one, field)) for size, one in traffic],
+        )
+        for field, unit in units.items()
+    ]
+
+
+def _node_bytes(size: int) -> int:
+    def make() -> Membership:
+        updates = [_update(number) for number in range(size)]
+        node = Membership(MembershipSettings(), updates[0], seed=1)
+        node.seed(updates, 0.0)
+        return node
+
+    return allocated_bytes(make)[0]
--- /dev/null
+++ b/bench/src/fulmarpulley_bench/slope_steps.py
@@ -0,0 +1,95 @@
+"""Measure the step book by slots."""
+
+from fulmarpulley_core.bitmaps import bitmap_of, encode_bitmap
+from fulmarpulley_core.ids import ServiceName, StepNumber, TrainerId, WorkId
+from fulmarpulley_core.step_actions import GenerateSample
+from fulmarpulley_core.step_book import StepBook
+from fulmarpulley_schema.generated.http import (
+    PromptGroup,
+    Sample,
+    Span,
+    StepOpen,
+    StepTake,
+)
+
+from .measure import MEASUREMENTS, Point, Series, allocated_bytes, median_cpu_us, series
+
+SLOTS = (1024, 4096, 16384)
+SAMPLES = 16
+READY = 512
+BATCH = 256
+# Bytes of the text of a sample of 240 tokens.
+TEXT_BYTES = 960
+
+
+class OpenBook:
+    """Hold a book with one open step and the work that it asked for."""
+
+    def __init__(self, slots: int) -> None:
+        self.slots = slots
+        self.book = StepBook(ServiceName("service"), TrainerId("trainer"), "n1")
+        self.body = StepOpen(
+            groups=[
+                PromptGroup(prompt=f"{number:0400d}") for number in range(slots // 16)
+            ],
+            samples_per_group=SAMPLES,
+            version=3,
+            staleness_bound=2,
+        )
+        self.number = StepNumber(1)
+        actions = self.book.open(self.number, self.body, 2, 0.0)
+        self.work = [one for one in actions if isinstance(one, GenerateSample)]
+        self.taken: set[int] = set()
+
+    def ready(self, count: int) -> int:
+        """Finish some samples and count them."""
+        for _ in range(min(count, len(self.work))):
+            work = self.work.pop()
+            self.book.sample_ready(
+                self.number, WorkId(work.work_id), _sample(work.slot), 1.0
+            )
+        return count
+
+    def take(self) -> int:
+        """Hand over one batch."""
+        body = StepTake(
+            version=3, held=encode_bitmap(bitmap_of(self.taken)), max_samples=BATCH
+        )
+        taken = self.book.take(self.number, body, 1.0)
+        if taken is not None:
+            self.taken |= {sample.slot for sample in taken.batch.samples}
+        return 1
+
+
+def _sample(slot: int) -> Sample:
+    text = f"{slot:0{TEXT_BYTES}d}"
+    return Sample(slot=slot, text=text, count=240, spans=[Span(version=3, tokens=240)])
+
+
+@MEASUREMENTS.register("steps")
+def measure_steps() -> list[Series]:
+    """Measure open, sample, take and memory by slots."""
+    opening, ready, take, state, full = [], [], [], [], []
+    for slots in SLOTS:
+        opening.append(Point(slots, median_cpu_us(lambda s=slots: _open(s))))  # type: ignore[misc]
+        book = OpenBook(slots)
+        ready.append(Point(slots, median_cpu_us(lambda b=book: b.ready(READY // 4))))  # type: ignore[misc]
+        book = OpenBook(slots)
+        book.ready(slots)
+        take.append(Point(slots, median_cpu_us(book.take, repeats=4)))
+        used, book = allocated_bytes(lambda s=slots: OpenBook(s))  # type: ignore[misc]
+        state.append(Point(slots, used))
+        used, _ = allocated_bytes(lambda b=book, s=slots: b.ready(s))  # type: ignore[misc]
+        full.append(Point(slots, used))
+    return [
+        series("steps.open", "us", "slots", opening),
+        series("steps.sample_ready", "us per sample", "slots", ready),
+        series(f"steps.take of {BATCH}", "us", "slots", take),
+        series("steps.memory open", "bytes", "slots", state),
+        series("steps.memory of ready samples", "bytes", "slots", full),
+    ]
+
+
+def _open(slots: int) -> int:
+    OpenBook(slots)
+    return 1
--- /dev/null
+++ b/bench/src/fulmarpulley_bench/slopes.py
@@ -0,0 +1,54 @@
+"""Measure how the cost of each role grows, for docs/CAPACITY.md."""
+
+from datetime import UTC, datetime
+from pathlib import Path
+
+import defopt
+import msgspec
+
+from . import slope_config, slope_members, slope_pool, slope_steps
+from .measure import MEASUREMENTS, Series
+from .policy import RESULTS, ROOT, commit
+
+MODULES = (slope_config, slope_members, slope_pool, slope_steps)
+
+
+class SlopeReport(msgspec.Struct, kw_only=True):
+    """Hold the slopes with what is needed to repeat them."""
+
+    commit: str
+    time: str
+    series: list[Series]
+
+
+def main(*, only: list[str] = [], output: str | None = None) -> None:  # noqa: B006 - defopt reads the default, never changes it
+    """Measure, write and print slopes with their linear fits.
+
+    :param only: measurements to run, by default all
+    :param output: file of the results, by default one in bench/results/
+    """
+    found: list[Series] = []
+    for name in only or list(MEASUREMENTS):
+        for one in MEASUREMENTS.get(name)():
+            found.append(one)
+            print(line(one), flush=True)
+    report = SlopeReport(
+        commit=commit(ROOT),
+        time=datetime.now(UTC).isoformat(timespec="seconds"),
+        series=found,
+    )
+    path = Path(output) if output else RESULTS / f"slopes-{report.commit[:10]}.json"
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(report), indent=1) + b"\n")
+    print(f"results={path}")
+
+
+def line(one: Series) -> str:
+    """Return a series as a line."""
+    points = " ".join(f"{point.size:g}:{point.value:.4g}" for point in one.points)
+    fit = f"slope={one.slope:.4g} intercept={one.intercept:.4g} r2={one.r2:.3f}"
+    return f"{one.name} unit={one.unit!r} by={one.size_name} {fit} points={points}"
+
+
+if __name__ == "__main__":
+    defopt.run(main)
