Put stragglers into groups of hard prompts and trace runs

Cause: stragglers follow prompts, not single samples, and the reason of a long step was not visible in the sums.

--- a/bench/src/fulmarpulley_bench/attempts.py
+++ b/bench/src/fulmarpulley_bench/attempts.py
@@ -34,6 +34,9 @@
 
     work: Work
     length: int
+    submitted: float
+    started: float | None = None
+    attempts: int = 0
     spans: list[Span] = []
 
 
--- a/bench/src/fulmarpulley_bench/lengths.py
+++ b/bench/src/fulmarpulley_bench/lengths.py
@@ -29,13 +29,14 @@
     """Describe the lengths of samples in tokens.
 
     Prompts of a step differ in difficulty, so that the samples of a group are alike;
-    a few samples in some groups are stragglers.
+    in the groups of hard prompts some samples are stragglers, 3% of all samples.
     """
 
     median: float = 450.0
     group_sigma: float = 0.4
     sample_sigma: float = 0.4
-    straggler_share: float = 0.03
+    hard_share: float = 0.15
+    straggler_share: float = 0.2
     straggler_least: float = 3.0
     # A Pareto tail with this exponent has a finite mean and no finite variance.
     straggler_exponent: float = 1.5
@@ -43,10 +44,12 @@
 
     def draw(self, seed: int, slot: str, group: str) -> int:
         """Return the length of one sample of a group."""
-        common = Dice("group", seed, group).lognormal(self.median, self.group_sigma)
+        common = Dice("group", seed, group)
+        length = common.lognormal(self.median, self.group_sigma)
+        hard = common.uniform() < self.hard_share
         dice = Dice("sample", seed, slot)
-        length = common * dice.lognormal(1.0, self.sample_sigma)
-        if dice.uniform() < self.straggler_share:
+        length *= dice.lognormal(1.0, self.sample_sigma)
+        if hard and dice.uniform() < self.straggler_share:
             tail = (1.0 - dice.uniform()) ** (-1.0 / self.straggler_exponent)
             length *= self.straggler_least * tail
         return max(8, min(self.most, int(length)))
--- a/bench/src/fulmarpulley_bench/service.py
+++ b/bench/src/fulmarpulley_bench/service.py
@@ -68,7 +68,7 @@
         self.useful_tokens = 0
         self.hedges = 0
         self.resumes = 0
-        self.started = 0
+        self.observer: Callable[[Received, Attempt], None] | None = None
         self.swaps = Swaps(self, document.weights.bytes)
         self._wakeup: float | None = None
         for upstream in self.engines:
@@ -77,7 +77,7 @@
 
     def submit(self, work: Work, length: int) -> None:
         """Submit a work item that is complete after `length` tokens."""
-        self.received[work.work_id] = Received(work, length)
+        self.received[work.work_id] = Received(work, length, self.clock.now)
         self.handle(Submit(work))
 
     def withdraw(self, work_id: WorkId) -> None:
@@ -149,7 +149,9 @@
         kept = cut_spans(received.spans, action.resume_from)
         attempt = Attempt(received, action.upstream, action.resume_from, kept)
         self.attempts[action.attempt_id] = attempt
-        self.started += 1
+        received.attempts += 1
+        if received.started is None:
+            received.started = self.clock.now
         self.hedges += action.hedge
         self.resumes += action.resume_from > 0
         prompt = received.work.prompt_tokens + action.resume_from
@@ -214,6 +216,8 @@
             return
         tokens = sum(span.tokens for span in attempt.prefix_spans)
         self.useful_tokens += tokens
+        if self.observer is not None:
+            self.observer(received, attempt)
         self.owner.finished(received.work, tokens, attempt.prefix_spans)
 
     def _refuse(self, action: Refuse) -> None:
