--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
@@ -13,7 +13,9 @@
 from .retries import Retries
 from .routing import ROUTING
 from .state import Attempt, Item, Upstream
+from .stragglers import Hedges, Lengths
 from .timers import Timers
+from .weights import Weights
 
 
 class Parts:
@@ -29,12 +31,19 @@
         self.jitter = Jitter(seed)
         self.ledger = Ledger(document, self._released)
         self.queue = FairQueue(document)
-        self.freshness = Freshness(document)
+        self.lengths = Lengths()
+        self.freshness = Freshness(document, self.ledger, self.lengths)
         self.admission = Admission(document, self.jitter)
         self.retries = Retries(
             document, self.timers, self.ledger, self.jitter, self.enqueue
         )
         self.health = Health(self.ledger, self.timers, self.jitter, self.wake)
+        self.hedges = Hedges(
+            document, self.ledger, self.queue, self.lengths, self.timers
+        )
+        self.weights = Weights(
+            document, self.ledger, self.freshness, self.timers, self.jitter, self.wake
+        )
         self.routing = ROUTING.get(settings.routing)()
         self.ledger.list_upstreams(document)
         self.health.refresh_all()
@@ -43,9 +52,11 @@
         """Put a document in force in every part and return the new upstreams."""
         self.document = document
         self.retries.change_document(document)
+        self.hedges.change_document(document)
         self.queue.change_document(document)
         self.admission.document = document
         self.freshness.document = document
+        self.weights.document = document
         return self.ledger.list_upstreams(document)
 
     def wake(self) -> None:
@@ -54,13 +65,23 @@
 
     def charge(self, item: Item) -> int:
         """Return the tokens that an item is expected to take from now on."""
-        return item.cost() - item.received
+        return item.work.prompt_tokens + self.lengths.predict(item) - item.received
 
     def enqueue(self, item: Item) -> None:
-        """Queue an item."""
+        """Queue an item; tokens that are too old by now are given up."""
+        if self.freshness.has_expired(item):
+            item.received = 0
+            item.oldest = None
         self.queue.push(item, self.charge(item))
         self.can_dispatch = True
 
+    def start_over_expired(self, item: Item) -> None:
+        """Cancel and queue again an item whose first tokens are too old by now."""
+        if self.freshness.has_expired(item):
+            for attempt in list(item.attempts):
+                self.ledger.cancel(attempt)
+            self.enqueue(item)
+
     def refuse(self, item: Item, code: str, retry_after: float | None = None) -> None:
         """End an item without an answer."""
         self.queue.remove(item)
@@ -71,6 +92,7 @@
         attempt = self.ledger.start(item, upstream, self.now, hedge)
         self.routing.started(item, upstream)
         note_attempts(upstream, self.now)
+        self.hedges.arm(self.now)
         return attempt
 
     def _released(self, attempt: Attempt) -> None:
