Drive the pool with random events against a naive model

Single cases miss orders of events that lose or double work. A Hypothesis state machine sends submissions, all failures, late and repeated events, crashes, document changes, states and versions, and compares every action with a model of what must hold; at the end all held work must end once upstreams are healthy. It found that an upstream listed again after the instance list had called it leaving took new work: reported states are now kept for unlisted upstreams.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/fleet.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/fleet.py
@@ -22,10 +22,9 @@
 
     def upstream_state(self, event: UpstreamState, now: float) -> None:
         """Record what the instance list or the upstream says of itself."""
-        upstream = self._parts.ledger.upstreams.get(event.upstream)
-        if upstream is None or upstream.reported is event.availability:
+        upstream = self._parts.ledger.note_state(event.upstream, event.availability)
+        if upstream is None:
             return
-        upstream.reported = event.availability
         if upstream.availability() is Availability.AVAILABLE:
             self._parts.health.joined(upstream, now)
         self._parts.health.refresh(upstream)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/ledger.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/ledger.py
@@ -24,6 +24,9 @@
 # Ends of work that must not repeat are remembered so that a late duplicate of
 # its submission does not run it again.
 REMEMBERED_ENDS = 65536
+# States are kept for upstreams that are not listed, since a document may list
+# an upstream that the instance list called leaving before.
+REMEMBERED_STATES = 4096
 
 
 class Ledger:
@@ -37,6 +40,7 @@
         self.items: dict[WorkId, Item] = {}
         self.attempts: dict[AttemptId, Attempt] = {}
         self.upstreams: dict[UpstreamId, Upstream] = {}
+        self.reported: dict[UpstreamId, Availability] = {}
         self.ended: dict[WorkId, Refuse] = {}
         self.steps: dict[TenantId, dict[StepNumber, int]] = defaultdict(dict)
         self.actions: list[Action] = []
@@ -54,11 +58,27 @@
             known = self.upstreams.get(upstream_id)
             if known is None:
                 known = Upstream(entry=entry, upstream_id=upstream_id)
+                known.reported = self.reported.get(upstream_id, known.reported)
                 self.upstreams[upstream_id] = known
                 added.append(known)
             known.entry = entry
         return added
 
+    def note_state(
+        self, upstream_id: UpstreamId, availability: Availability
+    ) -> Upstream | None:
+        """Record a reported state and return the upstream if that changes it."""
+        self.reported.pop(upstream_id, None)
+        if availability is not Availability.AVAILABLE:
+            self.reported[upstream_id] = availability
+            if len(self.reported) > REMEMBERED_STATES:
+                del self.reported[next(iter(self.reported))]
+        upstream = self.upstreams.get(upstream_id)
+        if upstream is None or upstream.reported is availability:
+            return None
+        upstream.reported = availability
+        return upstream
+
     def repeated_end(self, work: Work) -> Refuse | None:
         """Return the end of work that was submitted before and must not repeat."""
         return self.ended.get(work.work_id)
--- /dev/null
+++ b/packages/fulmarpulley-core/tests/pool/pool_model.py
@@ -0,0 +1,93 @@
+from fulmarpulley_core.ids import AttemptId, UpstreamId, WorkId
+from fulmarpulley_core.pool.messages import (
+    Action,
+    Availability,
+    CancelAttempt,
+    Failure,
+    Finish,
+    Order,
+    Refuse,
+    StartAttempt,
+    Work,
+)
+from fulmarpulley_schema.generated.document import AttachState, ServiceDocument
+from fulmarpulley_schema.generated.http import Ran
+
+
+class PoolModel:
+    """Follows the actions of a pool naively and asserts what must always hold."""
+
+    def __init__(self, document: ServiceDocument) -> None:
+        self.document = document
+        self.states: dict[UpstreamId, Availability] = {}
+        self.held: dict[WorkId, Work] = {}
+        self.ended: dict[WorkId, Work] = {}
+        self.live: dict[AttemptId, StartAttempt] = {}
+        self.dead: list[AttemptId] = []
+        self.may_have_run: set[WorkId] = set()
+        self.orders: list[Order] = []
+
+    def submitted(self, work: Work) -> None:
+        self.expected_repeat = False
+        if work.work_id in self.held:
+            return
+        if work.work_id in self.ended and not work.repeatable:
+            self.expected_repeat = True
+            return
+        self.held[work.work_id] = work
+        self.may_have_run.discard(work.work_id)
+
+    def failed(self, attempt: AttemptId, failure: Failure) -> None:
+        start = self._ends(attempt)
+        if failure in {Failure.BROKEN, Failure.ERRORED}:
+            self.may_have_run.add(start.work_id)
+
+    def apply(self, actions: list[Action], repeated: WorkId | None = None) -> None:
+        for action in actions:
+            match action:
+                case StartAttempt():
+                    self._started(action)
+                case CancelAttempt(attempt_id):
+                    self.may_have_run.add(self._ends(attempt_id).work_id)
+                case Finish(work_id, attempt_id):
+                    assert self._ends(attempt_id).work_id == work_id
+                    self.may_have_run.add(work_id)
+                    self._end(work_id)
+                case Refuse(work_id, _, ran):
+                    if work_id != repeated:
+                        self._end(work_id)
+                    if ran is Ran.NOT_RUN:
+                        assert work_id not in self.may_have_run
+                case Order():
+                    self.orders.append(action)
+        for start in self.live.values():
+            assert start.work_id in self.held, f"{start} outlives its work"
+
+    def takes_work(self, upstream: UpstreamId) -> bool:
+        entries = {entry.id: entry for entry in self.document.upstreams}
+        entry = entries.get(upstream)
+        state = self.states.get(upstream, Availability.AVAILABLE)
+        attached = entry is not None and entry.state is AttachState.ATTACHED
+        return attached and state is Availability.AVAILABLE
+
+    def _started(self, start: StartAttempt) -> None:
+        work = self.held[start.work_id]
+        assert self.takes_work(start.upstream), f"{start} on a closed upstream"
+        assert start.attempt_id not in self.live
+        assert start.attempt_id not in self.dead
+        others = [s for s in self.live.values() if s.work_id == start.work_id]
+        if not work.repeatable:
+            assert not others, f"{start} is a second run"
+            assert start.work_id not in self.may_have_run
+        assert start.hedge or not others
+        self.live[start.attempt_id] = start
+        running = [s for s in self.live.values() if s.upstream == start.upstream]
+        capacity = {e.id: e.capacity for e in self.document.upstreams}
+        assert len(running) <= capacity[start.upstream]
+
+    def _ends(self, attempt: AttemptId) -> StartAttempt:
+        self.dead.append(attempt)
+        return self.live.pop(attempt)
+
+    def _end(self, work_id: WorkId) -> None:
+        self.ended[work_id] = self.held.pop(work_id)
--- a/packages/fulmarpulley-core/tests/pool/test_dispatcher.py
+++ b/packages/fulmarpulley-core/tests/pool/test_dispatcher.py
@@ -62,6 +62,13 @@
         driver.send(DocumentChanged(document([draining])))
         self.assertEqual(driver.submit(work("c")), [])
 
+    def test_upstream_listed_again_is_still_leaving(self) -> None:
+        driver = Driver(document())
+        driver.send(UpstreamState(UpstreamId("u1"), Availability.LEAVING))
+        for names in (["u2"], ["u1"]):
+            driver.send(DocumentChanged(document(names)))
+        self.assertEqual(driver.submit(work("a")), [])
+
     def test_deadline_ends_queued_work_as_not_run(self) -> None:
         driver = Driver(document([upstream("u1", capacity=1)], deadline_s=5.0))
         driver.submit(work("a"), work("b"))
