Run requests with keys under claims, hand steps over, shut down gracefully

Partition homes claim on the log before a request that is not repeatable is sent, keep answers by key, ask the holder of a claim, and report what may have run.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/app.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/app.py
@@ -16,9 +16,11 @@
 from .edge_trainers import TrainerEdge
 from .editing import Editing
 from .gate import Gate
+from .homes.partitions import Partitions
 from .homes.pools import Pools
 from .homes.steps import Steps
 from .http_server import HttpServer
+from .keyed_client import KeyedClient
 from .locate import Locator
 from .log_client import LogClient
 from .members import Members
@@ -72,7 +74,19 @@
             self.metrics,
             uuid.uuid4().hex[:8],
         )
-        self.callers = CallerEdge(self.gate, self.work, self.metrics)
+        self.partitions = Partitions(
+            settings,
+            self.log,
+            self.peers,
+            self.members,
+            self.configuration,
+            self.work,
+            self.locator,
+        )
+        self.keyed = KeyedClient(
+            settings, self.peers, self.partitions, self.locator, self.new_seed()
+        )
+        self.callers = CallerEdge(self.gate, self.work, self.keyed, self.metrics)
         self.http = HttpServer(settings, self._edges(feed))
         self.shutdown = Shutdown(
             settings,
@@ -80,6 +94,7 @@
             self.members,
             self.pools,
             self.steps,
+            self.partitions,
             lambda: self.callers.open_requests,
         )
 
@@ -94,6 +109,7 @@
             self.versions,
             self.pools,
             self.steps,
+            self.partitions,
             self.http,
         )
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/edge_callers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/edge_callers.py
@@ -2,24 +2,36 @@
 
 import asyncio
 import uuid
+from typing import Any
 
 import msgspec
 from aiohttp import web
 
 from fulmarpulley_schema.generated.document import ServiceDocument
-from fulmarpulley_schema.generated.http import CallerRequest, Finding, Ran, Span
-from fulmarpulley_schema.generated.peer import WorkSubmit
+from fulmarpulley_schema.generated.http import (
+    CallerRequest,
+    Finding,
+    KeyRequest,
+    Keys,
+    Ran,
+    Span,
+)
+from fulmarpulley_schema.generated.peer import KeyedSubmit, WorkSubmit
 
 from .errors import ErrorCode, RequestError, error
 from .gate import Gate
 from .homes.prompts import prompt_tokens, sample_prefix
+from .keyed_client import KeyedClient
 from .locate import work_shard
 from .observe.events import log_event
 from .observe.metrics import Metrics
 from .progress import Progress, spans_of, wait_event
-from .web import EventStream, read_body, reply
+from .web import EventStream, query_number, read_body, reply
 from .work_client import WorkClient
 
+# Longest wait for the answer to an earlier request.
+MAX_WAIT_S = 20.0
+
 
 class TokenBody(msgspec.Struct, kw_only=True):
     """Carry one token of a streamed answer."""
@@ -41,15 +53,48 @@
 class CallerEdge:
     """Run the requests of callers."""
 
-    def __init__(self, gate: Gate, work: WorkClient, metrics: Metrics) -> None:
+    def __init__(
+        self, gate: Gate, work: WorkClient, keyed: KeyedClient, metrics: Metrics
+    ) -> None:
         self.gate = gate
         self.work = work
+        self.keyed = keyed
         self.metrics = metrics
         self.open_requests = 0
 
     def add_routes(self, router: web.UrlDispatcher) -> None:
         """Add the routes of callers."""
-        router.add_post("/v1/services/{service}/requests", self.request)
+        requests = "/v1/services/{service}/requests"
+        router.add_post("/v1/services/{service}/keys", self.issue)
+        router.add_post(requests, self.request)
+        router.add_get(requests + "/{key}", self.fetch)
+        router.add_delete(requests + "/{key}", self.cancel)
+
+    async def issue(self, request: web.Request) -> web.Response:
+        """Issue keys."""
+        document = self.gate.document(request.match_info["service"])
+        body = await read_body(request, KeyRequest, document.limits.body_bytes)
+        keys = await self.keyed.issue(document.name, body.count)
+        return reply(Keys(keys=keys))
+
+    async def fetch(self, request: web.Request) -> web.Response:
+        """Answer with the answer to an earlier request, waiting for it."""
+        document = self.gate.document(request.match_info["service"])
+        key = request.match_info["key"]
+        wait_s = query_number(request, "wait_s", 0.0, MAX_WAIT_S)
+        progress = Progress()
+        await self.keyed.fetch(document.name, key, progress, wait_s)
+        return _whole(progress, key)
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Cancel a request; answer with its answer if it had already ended."""
+        document = self.gate.document(request.match_info["service"])
+        key = request.match_info["key"]
+        state = await self.keyed.cancel(document.name, key)
+        progress = Progress()
+        if state is not None:
+            progress.take_state(state)
+        return _whole(progress, key)
 
     async def request(self, request: web.Request) -> web.StreamResponse:
         """Run one request."""
@@ -65,11 +110,13 @@
     async def _run(
         self, request: web.Request, document: ServiceDocument, body: CallerRequest
     ) -> web.StreamResponse:
-        key = body.key or f"r-{uuid.uuid4().hex}"
         progress = Progress()
         started = asyncio.get_running_loop().time()
-        submit = desk_submit(document, body, key, self.work.members.settings.region)
-        running = self.work.tasks.spawn(self.work.run(submit, progress))
+        key = body.key
+        if key is None and not body.repeatable:
+            key = (await self.keyed.issue(document.name, 1))[0]
+        running = self._start(document, body, key, progress)
+        key = key or ""
         try:
             if body.stream:
                 return await stream_answer(request, document, progress, key)
@@ -81,6 +128,31 @@
             raise RequestError(progress.refusal)
         return reply(progress.answer(key))
 
+    def _start(
+        self,
+        document: ServiceDocument,
+        body: CallerRequest,
+        key: str | None,
+        progress: Progress,
+    ) -> "asyncio.Task[Any]":
+        region = self.work.members.settings.region
+        if key is None:
+            work_id = f"r-{uuid.uuid4().hex}"
+            submit = desk_submit(document, body, work_id, region)
+            return self.work.tasks.spawn(self.work.run(submit, progress))
+        keyed = KeyedSubmit(
+            service=document.name,
+            key=key,
+            input=body.input,
+            class_name=body.class_name or "",
+            max_tokens=body.max_tokens,
+            priority=class_priority(document, body),
+            deadline_s=body.deadline_s or document.deadline_s,
+            repeatable=body.repeatable,
+            region=region,
+        )
+        return self.work.tasks.spawn(self.keyed.run(keyed, progress))
+
     def _measure(
         self,
         document: ServiceDocument,
@@ -164,14 +236,27 @@
     raise error(ErrorCode.BAD_REQUEST, message, findings=findings)
 
 
+def class_priority(document: ServiceDocument, body: CallerRequest) -> int:
+    """Return the priority of the request's class, or of a request without one."""
+    for entry in document.classes:
+        if entry.name == body.class_name:
+            return entry.priority
+    return body.priority
+
+
+def _whole(progress: Progress, key: str) -> web.Response:
+    if progress.refusal is not None:
+        raise RequestError(progress.refusal)
+    if not progress.done:
+        message = "the request has not ended yet; ask again"
+        raise error(ErrorCode.DEADLINE_PASSED, message, Ran.MAY_HAVE_RUN)
+    return reply(progress.answer(key))
+
+
 def desk_submit(
     document: ServiceDocument, body: CallerRequest, work_id: str, region: str
 ) -> WorkSubmit:
     """Build the work item of a request."""
-    priority = body.priority
-    for entry in document.classes:
-        if entry.name == body.class_name:
-            priority = entry.priority
     prefix = sample_prefix(body.input)
     return WorkSubmit(
         work_id=work_id,
@@ -186,6 +271,6 @@
         prefix=prefix,
         region=region,
         repeatable=body.repeatable,
-        priority=priority,
+        priority=class_priority(document, body),
         deadline_s=body.deadline_s or document.deadline_s,
     )
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/edge_trainers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/edge_trainers.py
@@ -138,7 +138,7 @@
                 done = await self.peers.call(
                     home, kind, call, StepReply, CALL_DEADLINE_S
                 )
-                if not isinstance(done, Err):
+                if not isinstance(done, Err) and not _elsewhere(done.ok_value):
                     return _batch(done.ok_value)
             if asyncio.get_running_loop().time() >= deadline:
                 message = "the step home does not answer; try again"
@@ -146,6 +146,11 @@
             await asyncio.sleep(RETRY_PAUSE_S)
 
 
+def _elsewhere(answer: StepReply) -> bool:
+    refused = answer.refusal
+    return refused is not None and refused.code == ErrorCode.NOT_READY.value
+
+
 def _batch(answer: StepReply) -> SampleBatch:
     if answer.refusal is not None:
         raise RequestError(answer.refusal)
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/claim_stream.py
@@ -0,0 +1,121 @@
+"""Keep the claim table of one partition up to date with its log stream."""
+
+import asyncio
+
+from result import Err, Ok
+
+from fulmarpulley_core.claim_messages import (
+    ClaimEvent,
+    ClaimRefused,
+    ClaimWon,
+    KeyChanged,
+    KeyOf,
+    RecordOutcome,
+    RecordUnreadable,
+    RefuseKey,
+)
+from fulmarpulley_core.claims import ClaimTable
+from fulmarpulley_core.ids import NodeId, Offset, Partition
+from fulmarpulley_schema.generated.records import OutcomeEntry
+from fulmarpulley_schema.generated.upstream import LogPage
+
+from ..log_client import PAGE_RECORDS, LogClient, read_record
+from ..observe.events import log_event
+from ..tasks import TaskGroup
+
+OUTCOME_RETRY_S = 1.0
+
+
+class ClaimStream:
+    """Own the claim table of one partition."""
+
+    def __init__(
+        self, log: LogClient, partition: Partition, node_id: NodeId, start_id: str
+    ) -> None:
+        self.log = log
+        self.name = f"claims-{partition}"
+        self.table = ClaimTable(partition, node_id, start_id)
+        self.refused: dict[str, RefuseKey] = {}
+        self.caught_up = asyncio.Event()
+        self.tasks = TaskGroup()
+        self._changed: dict[KeyOf, asyncio.Event] = {}
+
+    def start(self) -> None:
+        """Start to read the stream."""
+        self.tasks.spawn(self._tail())
+
+    async def stop(self) -> None:
+        """Stop reading."""
+        await self.tasks.stop()
+
+    async def refresh(self) -> bool:
+        """Read up to the present end of the stream; False when the log is down."""
+        while True:
+            page = await self.log.read(self.name, self.table.offset + 1)
+            if isinstance(page, Err):
+                return False
+            self._take_page(page.ok_value)
+            if not page.ok_value.records:
+                return True
+
+    def tasks_left(self) -> bool:
+        """Tell whether more runs than the task that reads the stream."""
+        return len(self.tasks.tasks) > 1
+
+    def members_changed(self, present: list[NodeId]) -> None:
+        """Note the nodes that are not dead."""
+        self._take_events(self.table.members_changed(present))
+
+    def orphan(self, key: KeyOf, claim_id: str) -> None:
+        """Note that the holder does not know its claim."""
+        self._take_events(self.table.orphan(key, claim_id))
+
+    def changed(self, key: KeyOf) -> asyncio.Event:
+        """Return an event that the next news of a key sets."""
+        return self._changed.setdefault(key, asyncio.Event())
+
+    def record(self, entry: OutcomeEntry) -> None:
+        """Append an outcome as soon as the log takes it."""
+        self.tasks.spawn(self._record(entry))
+
+    async def _record(self, entry: OutcomeEntry) -> None:
+        while True:
+            done = await self.log.append_outcome(self.name, entry)
+            if isinstance(done, Ok):
+                return
+            await asyncio.sleep(OUTCOME_RETRY_S)
+
+    async def _tail(self) -> None:
+        async for page in self.log.tail(self.name, 1):
+            if isinstance(page, Ok):
+                self._take_page(page.ok_value)
+
+    def _take_page(self, page: LogPage) -> None:
+        self._take_events(self.table.set_first(Offset(page.first)))
+        for item in page.records:
+            record = read_record(item.data)
+            if isinstance(record, Ok):
+                offset = Offset(item.offset)
+                self._take_events(self.table.apply(offset, record.ok_value))
+            else:
+                self.table.log.advance(Offset(item.offset))
+                log_event("claim_record_ignored", reason=record.err_value)
+        if len(page.records) < PAGE_RECORDS:
+            self.caught_up.set()
+
+    def _take_events(self, events: list[ClaimEvent]) -> None:
+        for event in events:
+            if isinstance(event, ClaimRefused):
+                self.refused[event.claim_id] = event.refusal
+                self._wake(event.key)
+            elif isinstance(event, ClaimWon | KeyChanged):
+                self._wake(event.key)
+            elif isinstance(event, RecordOutcome):
+                self.record(event.entry)
+            elif isinstance(event, RecordUnreadable):
+                log_event("claim_record_ignored", reason=event.reason)
+
+    def _wake(self, key: KeyOf) -> None:
+        event = self._changed.pop(key, None)
+        if event is not None:
+            event.set()
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/keyed.py
@@ -0,0 +1,109 @@
+"""Hold one request with a key at its partition home."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+import xxhash
+
+from fulmarpulley_core.claim_messages import KeyOf
+from fulmarpulley_core.ids import RequestKey, ServiceName
+from fulmarpulley_schema.codec import to_builtins
+from fulmarpulley_schema.generated.document import ServiceDocument
+from fulmarpulley_schema.generated.peer import KeyedSubmit, WorkSubmit, WorkTokens
+
+from ..locate import work_shard
+from ..progress import Progress
+from .prompts import prompt_tokens, sample_prefix
+
+
+class StoredAnswer(msgspec.Struct, kw_only=True):
+    """Hold an answer as the log keeps it."""
+
+    tokens: list[str]
+    versions: list[int | None]
+    upstream: str
+
+
+class KeyedRequest:
+    """Hold a request, or only its key when somebody asks for the answer."""
+
+    def __init__(self, key: KeyOf, message: KeyedSubmit | None) -> None:
+        self.key = key
+        self.message = message
+        self.fingerprint = "" if message is None else fingerprint_of(message)
+        self.progress = Progress()
+        self.claim_id = ""
+        self.cancelled = False
+        self.task: asyncio.Task[None] | None = None
+        self.started = asyncio.get_running_loop().time()
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether the request may run more than once."""
+        return self.message is not None and self.message.repeatable
+
+    def remaining_s(self) -> float:
+        """Return the seconds left until the deadline."""
+        if self.message is None:
+            return 0.0
+        now = asyncio.get_running_loop().time()
+        return max(0.0, self.started + self.message.deadline_s - now)
+
+    def stored(self) -> dict[str, Any]:
+        """Return the answer as the log keeps it."""
+        answer = StoredAnswer(
+            tokens=self.progress.tokens,
+            versions=self.progress.versions,
+            upstream=self.progress.upstream,
+        )
+        plain: dict[str, Any] = to_builtins(answer)
+        return plain
+
+    def restore(self, stored: dict[str, Any]) -> None:
+        """Take an answer that the log or the holder kept."""
+        answer = msgspec.convert(stored, StoredAnswer)
+        self.progress.apply(
+            WorkTokens(start=0, tokens=answer.tokens, versions=answer.versions)
+        )
+        self.progress.finish(answer.upstream)
+
+
+def key_of(service: str, key: str) -> KeyOf:
+    """Return the key of a request within its service."""
+    return KeyOf(ServiceName(service), RequestKey(key))
+
+
+def fingerprint_of(message: KeyedSubmit) -> str:
+    """Return the hash of what a caller asked for."""
+    parts = (
+        message.input,
+        message.class_name,
+        message.max_tokens,
+        message.priority,
+        message.repeatable,
+    )
+    return xxhash.xxh128_hexdigest(msgspec.json.encode(parts))
+
+
+def keyed_submission(
+    document: ServiceDocument, request: KeyedRequest, message: KeyedSubmit
+) -> WorkSubmit:
+    """Build the work item of a request under its claim."""
+    prefix = sample_prefix(message.input)
+    return WorkSubmit(
+        work_id=f"{message.service}/{message.key}/{request.claim_id}",
+        service=message.service,
+        shard=work_shard(document, prefix),
+        tenant=message.class_name or "default",
+        kind="desk",
+        model=document.model,
+        prompt=message.input,
+        max_tokens=message.max_tokens,
+        prompt_tokens=prompt_tokens(message.input),
+        prefix=prefix,
+        region=message.region,
+        repeatable=message.repeatable,
+        priority=message.priority,
+        deadline_s=request.remaining_s(),
+    )
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/partitions.py
@@ -0,0 +1,171 @@
+"""Hold the partition homes of this node and serve their peer messages."""
+
+import asyncio
+import uuid
+
+from aiomisc import Service
+
+from fulmarpulley_core.ids import NodeId, Partition
+from fulmarpulley_core.placement import partition_of
+from fulmarpulley_core.request_keys import parse_key
+from fulmarpulley_schema.generated.document import ServiceDocument
+from fulmarpulley_schema.generated.peer import (
+    KeyedPoll,
+    KeyedSubmit,
+    KeysIssue,
+    KeysIssued,
+    MessageKind,
+    WorkState,
+)
+from fulmarpulley_schema.generated.settings import NodeSettings
+
+from ..configuration import Configuration
+from ..errors import ErrorCode, refusal
+from ..locate import Locator
+from ..log_client import LogClient
+from ..members import Members
+from ..peers import PeerLinks
+from ..progress import wait_event
+from ..tasks import TaskGroup
+from ..work_client import WorkClient
+from .claim_stream import ClaimStream
+from .partition_home import PartitionHome
+
+FIRST_READ_S = 1.5
+RECONCILE_S = 1.0
+
+
+class Partitions(Service):
+    """Own the partition homes of this node."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        log: LogClient,
+        peers: PeerLinks,
+        members: Members,
+        configuration: Configuration,
+        work: WorkClient,
+        locator: Locator,
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.log = log
+        self.peers = peers
+        self.members = members
+        self.configuration = configuration
+        self.work = work
+        self.locator = locator
+        self.start_id = uuid.uuid4().hex[:12]
+        self.homes: dict[Partition, PartitionHome] = {}
+        self.leaving = False
+        self.tasks = TaskGroup()
+        members.listeners.append(self._members_changed)
+        peers.handle(MessageKind.CLAIM, KeyedSubmit, self._claim)
+        peers.handle(MessageKind.FETCH, KeyedPoll, self._fetch)
+        peers.handle(MessageKind.KEYS, KeysIssue, self._issue)
+
+    async def start(self) -> None:
+        """Start to open and close partition homes."""
+        self.tasks.spawn(self._reconcile())
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop all partition homes."""
+        await self.tasks.stop()
+        for home in self.homes.values():
+            await home.stream.stop()
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether no request with a key is in progress."""
+        return all(home.idle for home in self.homes.values())
+
+    def document(self, service: str) -> ServiceDocument | None:
+        """Return the document in force."""
+        return self.configuration.document(service)
+
+    def partition(self, service: str, key: str) -> Partition | None:
+        """Return the partition of a key, or None for one that cannot be."""
+        issued = parse_key(key)
+        if issued is None:
+            return partition_of(service, key, self.settings.partitions)
+        known = issued.partition < self.settings.partitions
+        return issued.partition if known else None
+
+    async def _claim(self, message: KeyedSubmit) -> WorkState:
+        partition = self.partition(message.service, message.key)
+        if partition is None:
+            text = "the key names a partition that does not exist"
+            return WorkState(done=True, refusal=refusal(ErrorCode.BAD_REQUEST, text))
+        if self.leaving and not self._known(partition, message):
+            text = "the partition home is leaving; ask the next one"
+            refused = refusal(ErrorCode.SHUTTING_DOWN, text)
+            return WorkState(done=True, refusal=refused)
+        return self._home(partition).submit(message)
+
+    async def _fetch(self, message: KeyedPoll) -> WorkState:
+        partition = self.partition(message.service, message.key)
+        if partition is None:
+            text = "the key names a partition that does not exist"
+            return WorkState(done=True, refusal=refusal(ErrorCode.UNKNOWN_KEY, text))
+        if message.claim_id:
+            home = self.homes.get(partition)
+            if home is None:
+                return WorkState(known=False)
+            return await home.poll_holder(message)
+        return await self._home(partition).poll(message)
+
+    async def _issue(self, message: KeysIssue) -> KeysIssued:
+        home = self._home(Partition(message.partition))
+        await wait_event(home.stream.caught_up, FIRST_READ_S)
+        keys = []
+        for _ in range(message.count):
+            key = home.table.issue_key(uuid.uuid4().hex)
+            if key is not None:
+                keys.append(str(key))
+        return KeysIssued(keys=keys)
+
+    def _known(self, partition: Partition, message: KeyedSubmit) -> bool:
+        home = self.homes.get(partition)
+        return home is not None and home.knows(message.service, message.key)
+
+    def _home(self, partition: Partition) -> PartitionHome:
+        home = self.homes.get(partition)
+        if home is None:
+            stream = ClaimStream(
+                self.log, partition, NodeId(self.settings.node_id), self.start_id
+            )
+            home = self.homes[partition] = PartitionHome(stream, self)
+            stream.members_changed(self._present())
+            stream.start()
+        return home
+
+    def _present(self) -> list[NodeId]:
+        others = [member.node_id for member in self.members.others()]
+        return [self.members.node_id, *others]
+
+    def _members_changed(self) -> None:
+        if not self.members.list_read:
+            return
+        present = self._present()
+        for home in self.homes.values():
+            home.stream.members_changed(present)
+
+    async def _reconcile(self) -> None:
+        # Homes are opened early, so that their streams are read when work comes.
+        while True:
+            if self.members.list_read:
+                for number in range(self.settings.partitions):
+                    await self._reconcile_one(Partition(number))
+                self._members_changed()
+            await asyncio.sleep(RECONCILE_S)
+
+    async def _reconcile_one(self, partition: Partition) -> None:
+        own = self.locator.partition_home(partition) == self.members.node_id
+        if own:
+            self._home(partition)
+            return
+        home = self.homes.get(partition)
+        if home is not None and home.forgettable():
+            del self.homes[partition]
+            await home.stream.stop()
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/steps.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/steps.py
@@ -4,10 +4,12 @@
 from aiomisc import Service
 
 from fulmarpulley_core.bitmaps import BitmapError
+from fulmarpulley_core.handover import Parcel, open_step_of, plan_handover
 from fulmarpulley_schema.codec import to_builtins
 from fulmarpulley_schema.generated.document import ServiceDocument
 from fulmarpulley_schema.generated.http import StepOpen, StepTake
 from fulmarpulley_schema.generated.peer import (
+    Handover,
     MessageKind,
     Refusal,
     StepCall,
@@ -17,18 +19,20 @@
 
 from ..configuration import Configuration
 from ..errors import ErrorCode, refusal
-from ..locate import work_shard
+from ..locate import pool_region, work_shard
 from ..members import Members
+from ..observe.events import log_event
 from ..observe.metrics import Metrics
 from ..peers import PeerLinks
 from ..tasks import TaskGroup
-from ..versions import Versions
+from ..versions import NoReply, Versions
 from ..work_client import WorkClient
 from .scorer import Scorer
 from .step_home import StepHome
 
 # A take is answered within this time, so that a link with calls is never silent.
 TAKE_WAIT_S = 1.0
+HANDOVER_DEADLINE_S = 5.0
 TrainerKey = tuple[str, str]
 
 
@@ -46,6 +50,7 @@
         run_id: str,
     ) -> None:
         super().__init__()
+        self.peers = peers
         self.members = members
         self.configuration = configuration
         self.versions = versions
@@ -60,6 +65,7 @@
         peers.handle(MessageKind.STEP_OPEN, StepCall, self._open)
         peers.handle(MessageKind.STEP_TAKE, StepCall, self._take)
         peers.handle(MessageKind.STEP_CLOSE, StepCall, self._close)
+        peers.handle(MessageKind.HANDOVER, Handover, self._handed)
 
     async def start(self) -> None:
         """Wait for trainers."""
@@ -74,6 +80,45 @@
     async def hand_over(self) -> None:
         """Pass open steps and finished samples to their next homes."""
         self.leaving = True
+        books = [home.book for home in self.homes.values()]
+        for book in books:
+            document = self.document(book.service)
+            region = None if document is None else pool_region(document)
+            me = self.members.node_id
+            for parcel in plan_handover(me, self.members.homes(), [book], region):
+                await self._send_parcel(parcel)
+        for home in self.homes.values():
+            await home.stop()
+        self.homes.clear()
+
+    async def _send_parcel(self, parcel: Parcel) -> None:
+        # A lost parcel costs its samples: the trainer opens the step again.
+        done = await self.peers.call(
+            parcel.target,
+            MessageKind.HANDOVER,
+            parcel.message,
+            NoReply,
+            HANDOVER_DEADLINE_S,
+        )
+        log_event(
+            "step_handed_over",
+            service=parcel.message.service,
+            trainer=parcel.message.trainer,
+            step=parcel.message.step,
+            samples=len(parcel.message.samples),
+            to=parcel.target,
+            outcome="ok" if done.is_ok() else done.unwrap_err().value,
+        )
+
+    async def _handed(self, message: Handover) -> NoReply:
+        call = StepCall(
+            service=message.service,
+            trainer=message.trainer,
+            step=message.step,
+            body={},
+        )
+        self._home(call).restore(open_step_of(message))
+        return NoReply()
 
     def document(self, service: str) -> ServiceDocument | None:
         """Return the document in force."""
@@ -100,6 +145,8 @@
     async def _take(self, call: StepCall) -> StepReply:
         body = msgspec.convert(call.body, StepTake)
         home = self.homes.get((call.service, call.trainer))
+        if self.leaving:
+            return _refused(ErrorCode.NOT_READY, "the step home is leaving")
         if home is None:
             return _unknown(call)
         document = self.document(call.service)
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/keyed_client.py
@@ -0,0 +1,157 @@
+"""Follow requests with keys at their partition homes."""
+
+import asyncio
+import random
+
+from msgspec.structs import replace
+from result import Err
+
+from fulmarpulley_core.ids import NodeId
+from fulmarpulley_schema.generated.http import Ran
+from fulmarpulley_schema.generated.peer import (
+    KeyedPoll,
+    KeyedSubmit,
+    KeysIssue,
+    KeysIssued,
+    MessageKind,
+    WorkState,
+)
+from fulmarpulley_schema.generated.settings import NodeSettings
+
+from .errors import ErrorCode, error, refusal
+from .homes.partitions import Partitions
+from .locate import Locator
+from .peers import PeerError, PeerLinks
+from .progress import Progress
+
+POLL_WAIT_S = 1.0
+CALL_DEADLINE_S = 2.5
+RETRY_PAUSE_S = 0.1
+DEADLINE_GRACE_S = 2.0
+_TRY_ANOTHER_HOME = frozenset({"shutting_down", "not_ready"})
+
+
+class KeyedClient:
+    """Call partition homes on behalf of callers."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        peers: PeerLinks,
+        partitions: Partitions,
+        locator: Locator,
+        seed: int,
+    ) -> None:
+        self.settings = settings
+        self.peers = peers
+        self.partitions = partitions
+        self.locator = locator
+        self.random = random.Random(seed)
+
+    async def issue(self, service: str, count: int) -> list[str]:
+        """Return new keys, or raise RequestError."""
+        partition = self.random.randrange(self.settings.partitions)
+        home = self.locator.partition_home(partition)
+        if home is not None:
+            message = KeysIssue(service=service, partition=partition, count=count)
+            done = await self.peers.call(
+                home, MessageKind.KEYS, message, KeysIssued, CALL_DEADLINE_S
+            )
+            if not isinstance(done, Err) and done.ok_value.keys:
+                return done.ok_value.keys
+        message_text = "no keys can be issued before the log was read; try again"
+        raise error(ErrorCode.LOG_UNAVAILABLE, message_text)
+
+    async def run(self, submit: KeyedSubmit, progress: Progress) -> None:
+        """Submit a request and follow it to its end.
+
+        Submitting again after a lost reply is safe: the claim decides who runs.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + submit.deadline_s
+        sent = False
+        while not progress.done:
+            left = deadline - loop.time()
+            if left + (DEADLINE_GRACE_S if sent else 0.0) <= 0:
+                ran = Ran.MAY_HAVE_RUN if sent else Ran.NOT_RUN
+                text = "the deadline has passed"
+                progress.refuse(refusal(ErrorCode.DEADLINE_PASSED, text, ran))
+                return
+            home = self._home(submit.service, submit.key)
+            if home is None:
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            message = replace(submit, deadline_s=max(left, 0.0))
+            done = await self.peers.call(
+                home, MessageKind.CLAIM, message, WorkState, CALL_DEADLINE_S
+            )
+            if isinstance(done, Err):
+                sent = sent or done.err_value is not PeerError.NOT_SENT
+                await asyncio.sleep(RETRY_PAUSE_S)
+            elif _elsewhere(done.ok_value):
+                await asyncio.sleep(RETRY_PAUSE_S)
+            else:
+                sent = True
+                progress.take_state(done.ok_value)
+                until = deadline + DEADLINE_GRACE_S
+                await self._follow(home, submit.service, submit.key, progress, until)
+
+    async def fetch(
+        self, service: str, key: str, progress: Progress, wait_s: float
+    ) -> None:
+        """Follow a request for a while; the progress may stay without an end."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_s
+        while not progress.done:
+            home = self._home(service, key)
+            if home is not None:
+                await self._follow(home, service, key, progress, until)
+            if loop.time() >= until:
+                return
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def cancel(self, service: str, key: str) -> WorkState | None:
+        """Cancel a request and return its state, or None without a reply."""
+        home = self._home(service, key)
+        if home is None:
+            return None
+        message = KeyedPoll(
+            service=service, key=key, wait_s=POLL_WAIT_S, linger_s=POLL_WAIT_S
+        )
+        cancelling = replace(message, cancel=True)
+        done = await self.peers.call(
+            home, MessageKind.FETCH, cancelling, WorkState, CALL_DEADLINE_S
+        )
+        return None if isinstance(done, Err) else done.ok_value
+
+    async def _follow(
+        self, home: NodeId, service: str, key: str, progress: Progress, until: float
+    ) -> None:
+        """Poll one home until an end, a loss or the given time."""
+        loop = asyncio.get_running_loop()
+        first = True
+        while not progress.done and (first or loop.time() < until):
+            first = False
+            message = KeyedPoll(
+                service=service,
+                key=key,
+                have=len(progress.tokens),
+                wait_s=max(0.0, min(POLL_WAIT_S, until - loop.time())),
+            )
+            done = await self.peers.call(
+                home, MessageKind.FETCH, message, WorkState, CALL_DEADLINE_S
+            )
+            if isinstance(done, Err):
+                return
+            progress.take_state(done.ok_value)
+
+    def _home(self, service: str, key: str) -> NodeId | None:
+        partition = self.partitions.partition(service, key)
+        # A key of an impossible partition is refused by any node.
+        own = self.partitions.members.node_id
+        return own if partition is None else self.locator.partition_home(partition)
+
+
+def _elsewhere(state: WorkState) -> bool:
+    refused = state.refusal
+    return refused is not None and refused.code in _TRY_ANOTHER_HOME
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/log_client.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/log_client.py
@@ -31,6 +31,7 @@
 POLL_WAIT_S = 2.0
 PAGE_RECORDS = 1000
 RETRY_PAUSE_S = 0.25
+RATE_LIMITED_TRIES = 4
 # Entries of one record; keeps a record of stored answers below 1 MiB.
 BATCH_ENTRIES = 64
 
@@ -71,9 +72,13 @@
         self, stream: str, record: Record
     ) -> Result[Offset, PlatformFailure]:
         """Append one record; after a failure it may be in the stream."""
-        await self._pace()
         data = to_json(record).decode()
-        done = await self.dialect.append(stream, record.record_id, data)
+        for _ in range(RATE_LIMITED_TRIES):
+            await self._pace()
+            done = await self.dialect.append(stream, record.record_id, data)
+            if done != Err(PlatformFailure.RATE_LIMITED):
+                break
+            await asyncio.sleep(RETRY_PAUSE_S)
         outcome = "ok" if done.is_ok() else str(done.unwrap_err())
         self.metrics.log_appends.inc({"stream": stream, "outcome": outcome})
         self._note_health(done.is_ok() or outcome == PlatformFailure.RATE_LIMITED)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/progress.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/progress.py
@@ -65,6 +65,11 @@
             self.refusal = refusal
             self._end()
 
+    def correct(self, refusal: Refusal) -> None:
+        """Set the refusal, also in place of one that nobody has read yet."""
+        self.refuse(refusal)
+        self.refusal = refusal
+
     def take_state(self, state: WorkState) -> None:
         """Apply what another node reports."""
         if state.tokens is not None:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/shutdown.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/shutdown.py
@@ -7,6 +7,7 @@
 from fulmarpulley_schema.generated.settings import NodeSettings
 
 from .gate import Gate
+from .homes.partitions import Partitions
 from .homes.pools import Pools
 from .homes.steps import Steps
 from .members import Members
@@ -25,6 +26,7 @@
         members: Members,
         pools: Pools,
         steps: Steps,
+        partitions: Partitions,
         open_requests: Callable[[], int],
     ) -> None:
         self.settings = settings
@@ -32,6 +34,7 @@
         self.members = members
         self.pools = pools
         self.steps = steps
+        self.partitions = partitions
         self.open_requests = open_requests
         self.asked = asyncio.Event()
         self.hurry = asyncio.Event()
@@ -48,6 +51,7 @@
         self.gate.leaving = True
         await self.members.leave()
         self.pools.leave()
+        self.partitions.leaving = True
         await self.steps.hand_over()
         await self._pause(self.settings.balancer_lag_s)
         self.gate.closed = True
@@ -63,7 +67,8 @@
             await self._pause(CHECK_S)
 
     def _idle(self) -> bool:
-        return self.pools.idle and not self.open_requests()
+        idle = self.pools.idle and self.partitions.idle
+        return idle and not self.open_requests()
 
     async def _pause(self, seconds: float) -> None:
         try:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/work_client.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/work_client.py
@@ -8,6 +8,7 @@
 from fulmarpulley_core.ids import NodeId
 from fulmarpulley_schema.generated.http import Ran
 from fulmarpulley_schema.generated.peer import (
+    KeyedPoll,
     MessageKind,
     Refusal,
     WorkPoll,
@@ -186,13 +187,24 @@
         """Run a work item to its end; a cancelled call withdraws it."""
         delivery = Delivery(self, submit, progress)
         delivery.linger_s = linger_s
+        await self.follow(delivery)
+        return progress.refusal
+
+    async def follow(self, delivery: "Delivery") -> None:
+        """Run a delivery to its end; a cancelled call withdraws it."""
         try:
             await delivery.run()
         finally:
             # Also after an answer: the home then forgets it.
             if delivery.home is not None:
-                self.withdraw(submit, delivery.home)
-        return progress.refusal
+                self.withdraw(delivery.submit, delivery.home)
+
+    async def fetch(self, node: NodeId, message: KeyedPoll) -> WorkState | None:
+        """Ask a node for the state of a request with a key; None without a reply."""
+        done = await self.peers.call(
+            node, MessageKind.FETCH, message, WorkState, CALL_DEADLINE_S
+        )
+        return None if isinstance(done, Err) else done.ok_value
 
     def withdraw(self, submit: WorkSubmit, home: NodeId) -> None:
         """Tell the pool home that nobody waits for a work item."""
