--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/http.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/http.py
@@ -70,7 +70,8 @@
     def session(self) -> aiohttp.ClientSession:
         """Return the session, opened at the first call."""
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            connector = aiohttp.TCPConnector(limit=0)
+            self._session = aiohttp.ClientSession(connector=connector)
         return self._session
 
     async def close(self) -> None:
--- /dev/null
+++ b/packages/fulmarpulley-node/tests/test_log_client.py
@@ -0,0 +1,72 @@
+"""Guard the log client against outages, lost answers and overload of the log."""
+
+import asyncio
+import unittest
+
+from result import Err, Ok, Result
+from test_peers import settings
+
+from fulmarpulley_node.log_client import LogClient, new_record, read_record
+from fulmarpulley_node.observe.metrics import Metrics
+from fulmarpulley_node.platform.dialects import PlatformFailure
+from fulmarpulley_schema.generated.records import ClaimEntry, RecordKind
+from fulmarpulley_schema.generated.settings import LogBudget
+from fulmarpulley_schema.generated.upstream import LogPage
+
+
+class FakeLog:
+    """Hold appended records and fail as told."""
+
+    def __init__(self) -> None:
+        self.failures: list[PlatformFailure] = []
+        self.data: list[str] = []
+
+    async def append(
+        self, stream: str, record_id: str, data: str
+    ) -> Result[int, PlatformFailure]:
+        if self.failures:
+            return Err(self.failures.pop(0))
+        self.data.append(data)
+        return Ok(len(self.data))
+
+    async def read(
+        self, stream: str, start: int, limit: int, wait_s: float
+    ) -> Result[LogPage, PlatformFailure]:
+        return Ok(LogPage(first=1, next=1, records=[]))
+
+    async def close(self) -> None:
+        return
+
+
+def claim(key: str) -> ClaimEntry:
+    return ClaimEntry(service="s", key=key, fingerprint="f", holder="n", claim_id=key)
+
+
+class LogClientTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        node = settings("n", 1)
+        node.log_budget = LogBudget(appends_per_s=1000.0)
+        self.client = LogClient(node, Metrics())
+        self.fake = FakeLog()
+        self.client.dialect = self.fake
+
+    async def test_claims_of_one_moment_share_a_record(self) -> None:
+        # Fails when each claim takes an append of the log's few hundred a second.
+        calls = [self.client.append_claim("claims-1", claim(str(n))) for n in range(20)]
+        done = await asyncio.gather(*calls)
+        self.assertEqual({result.unwrap() for result in done}, {1})
+        record = read_record(self.fake.data[0]).unwrap()
+        self.assertEqual(len(record.body["entries"]), 20)
+
+    async def test_rate_limited_append_is_tried_again(self) -> None:
+        self.fake.failures = [PlatformFailure.RATE_LIMITED]
+        record = new_record(RecordKind.VERSION, {})
+        self.assertEqual(await self.client.append("versions", record), Ok(1))
+
+    async def test_lost_answer_is_not_tried_again(self) -> None:
+        # The append may have had its effect; only a reader can tell.
+        self.fake.failures = [PlatformFailure.LOST]
+        record = new_record(RecordKind.VERSION, {})
+        done = await self.client.append("versions", record)
+        self.assertEqual(done, Err(PlatformFailure.LOST))
+        self.assertEqual(self.fake.data, [])
--- /dev/null
+++ b/packages/fulmarpulley-node/tests/test_peers.py
@@ -0,0 +1,110 @@
+"""Guard calls between nodes against losses that look like success."""
+
+import asyncio
+import unittest
+from typing import Any
+
+import zmq
+import zmq.asyncio
+from result import Err, Ok
+
+from fulmarpulley_core.ids import NodeId
+from fulmarpulley_node.observe.metrics import Metrics
+from fulmarpulley_node.peers import PeerError, PeerLinks
+from fulmarpulley_schema.generated.peer import KeysIssue, KeysIssued, MessageKind
+from fulmarpulley_schema.generated.settings import (
+    Listen,
+    NodeSettings,
+    PlatformService,
+)
+from fulmarpulley_testing.processes import free_ports
+
+OTHER = NodeId("b")
+ASK = KeysIssue(service="s", partition=0, count=1)
+
+
+def settings(node: str, port: int) -> NodeSettings:
+    platform = PlatformService(address="http://127.0.0.1:1")
+    return NodeSettings(
+        node_id=node,
+        data_centre="d",
+        region="r",
+        http=Listen(host="127.0.0.1", port=1),
+        peer=Listen(host="127.0.0.1", port=port),
+        log=platform,
+        instance_list=platform,
+    )
+
+
+class PeerLinksTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.ports = free_ports(2)
+        self.caller = await self.links("a", self.ports[0])
+        address = f"127.0.0.1:{self.ports[1]}"
+        self.caller.address_of = {OTHER: address}.get
+
+    async def links(self, node: str, port: int) -> PeerLinks:
+        links = PeerLinks(settings(node, port), Metrics())
+        await links.start()
+        self.addAsyncCleanup(links.stop)
+        return links
+
+    async def call(self, deadline_s: float) -> Any:
+        return await self.caller.call(
+            OTHER, MessageKind.KEYS, ASK, KeysIssued, deadline_s
+        )
+
+    async def test_call_returns_reply_of_handler(self) -> None:
+        other = await self.links("b", self.ports[1])
+
+        async def issue(message: KeysIssue) -> KeysIssued:
+            return KeysIssued(keys=[message.service])
+
+        other.handle(MessageKind.KEYS, KeysIssue, issue)
+        self.assertEqual(await self.call(30.0), Ok(KeysIssued(keys=["s"])))
+
+    async def test_call_to_node_that_does_not_listen_was_not_sent(self) -> None:
+        # Fails when the message waits in a queue and is delivered after the verdict.
+        self.assertEqual(await self.call(0.2), Err(PeerError.NOT_SENT))
+        other = await self.links("b", self.ports[1])
+        received: list[KeysIssue] = []
+
+        async def issue(message: KeysIssue) -> KeysIssued:
+            received.append(message)
+            return KeysIssued()
+
+        other.handle(MessageKind.KEYS, KeysIssue, issue)
+        self.assertTrue((await self.call(30.0)).is_ok())
+        self.assertEqual(len(received), 1)
+
+    async def test_failed_handler_fails_the_call(self) -> None:
+        await self.links("b", self.ports[1])
+        self.assertEqual(await self.call(30.0), Err(PeerError.FAILED))
+
+    async def test_silent_link_is_replaced_while_calls_wait(self) -> None:
+        # Fails when a connection that went silent is used for ever.
+        context = zmq.asyncio.Context()
+        silent = context.socket(zmq.ROUTER)
+        silent.bind(f"tcp://127.0.0.1:{self.ports[1]}")
+        self.addCleanup(context.destroy, 0)
+        self.assertEqual(await self.call(60.0), Err(PeerError.NO_REPLY))
+        identities = {(await silent.recv_multipart())[0]}
+        waiting = asyncio.create_task(self.call(60.0))
+        identities.add((await silent.recv_multipart())[0])
+        self.assertEqual(len(identities), 2)
+        self.assertEqual(await waiting, Err(PeerError.NO_REPLY))
+
+    async def test_malformed_message_gets_no_reply_and_stops_nothing(self) -> None:
+        other = await self.links("b", self.ports[1])
+
+        async def issue(_message: KeysIssue) -> KeysIssued:
+            return KeysIssued()
+
+        other.handle(MessageKind.KEYS, KeysIssue, issue)
+        context = zmq.asyncio.Context()
+        self.addCleanup(context.destroy, 0)
+        dealer = context.socket(zmq.DEALER)
+        dealer.connect(f"tcp://127.0.0.1:{self.ports[1]}")
+        for frames in ([b"x"], [b"\xff", b"1", b"{"], [b"keys", b"1", b"\xc1"]):
+            await dealer.send_multipart(frames)
+        self.assertTrue((await self.call(30.0)).is_ok())
--- /dev/null
+++ b/packages/fulmarpulley-node/tests/upstreams/test_engine.py
@@ -0,0 +1,251 @@
+"""Guard the classification of failed attempts by what may have run."""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+
+from result import Err, Result
+
+from fulmarpulley_core.pool.messages import Failure
+from fulmarpulley_node.upstreams.dialects import Attempt, AttemptEnd
+from fulmarpulley_node.upstreams.engine import EngineDialect
+from fulmarpulley_node.upstreams.plain import PlainDialect
+from fulmarpulley_schema.generated.document import UpstreamEntry
+from fulmarpulley_schema.generated.upstream import OrderAction, OrderRequest
+
+Reader, Writer = asyncio.StreamReader, asyncio.StreamWriter
+Script = Callable[[Reader, Writer], Awaitable[None]]
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+TOKEN = b'event: token\ndata: {"index": %d, "token": "t", "version": 1}\n\n'
+
+
+def stream_of(*events: bytes) -> bytes:
+    body = b"".join(events)
+    length = b"Content-Length: %d\r\n\r\n" % len(body)
+    return HEAD + length + body
+
+
+def end(count: int, reason: str = "stop") -> bytes:
+    return b'event: end\ndata: {"count": %d, "reason": "%s"}\n\n' % (
+        count,
+        reason.encode(),
+    )
+
+
+def entry(port: int, dialect: str = "engine") -> UpstreamEntry:
+    address = f"http://127.0.0.1:{port}"
+    return UpstreamEntry(
+        id="e1", address=address, data_centre="d", region="r", dialect=dialect
+    )
+
+
+def attempt(resume: list[str] | None = None, stall_s: float = 5.0) -> Attempt:
+    return Attempt(
+        request_id="w#1",
+        key="w",
+        model="m",
+        prompt="p",
+        prefix="",
+        max_tokens=8,
+        priority=5,
+        seed=0,
+        stall_s=stall_s,
+        resume=resume or [],
+    )
+
+
+class Served:
+    """Answer each connection by a script and count requests."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.requests = 0
+        self.connections = 0
+        self.closed = asyncio.Event()
+
+    async def handle(self, reader: Reader, writer: Writer) -> None:
+        self.connections += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = int(head.lower().split(b"content-length: ")[1].split()[0])
+                await reader.readexactly(length)
+                self.requests += 1
+                await self.script(reader, writer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.closed.set()
+        finally:
+            writer.close()
+
+
+class DialectTest(unittest.IsolatedAsyncioTestCase):
+    async def serve(self, script: Script) -> tuple[Served, int]:
+        served = Served(script)
+        server = await asyncio.start_server(served.handle, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        return served, server.sockets[0].getsockname()[1]
+
+    async def answer(self, reply: bytes) -> tuple[Served, int]:
+        async def script(_reader: Reader, writer: Writer) -> None:
+            writer.write(reply)
+
+        return await self.serve(script)
+
+    async def run_engine(
+        self, port: int, made: Attempt | None = None
+    ) -> tuple[Result[None, AttemptEnd], list[str]]:
+        dialect = EngineDialect(entry(port))
+        tokens: list[str] = []
+        done = await dialect.run(made or attempt(), lambda t, _v: tokens.append(t))
+        await dialect.close()
+        return done, tokens
+
+    async def failure_of(self, reply: bytes) -> Failure:
+        _, port = await self.answer(reply)
+        done, _ = await self.run_engine(port)
+        assert isinstance(done, Err), done
+        return done.err_value.failure
+
+    async def test_whole_stream_is_answer(self) -> None:
+        _, port = await self.answer(stream_of(TOKEN % 0, TOKEN % 1, end(2)))
+        done, tokens = await self.run_engine(port)
+        self.assertTrue(done.is_ok())
+        self.assertEqual(tokens, ["t", "t"])
+
+    async def test_stream_without_end_is_broken(self) -> None:
+        self.assertIs(await self.failure_of(stream_of(TOKEN % 0)), Failure.BROKEN)
+
+    async def test_wrong_count_is_broken(self) -> None:
+        reply = stream_of(TOKEN % 0, end(2))
+        self.assertIs(await self.failure_of(reply), Failure.BROKEN)
+
+    async def test_missing_token_is_broken(self) -> None:
+        reply = stream_of(TOKEN % 0, TOKEN % 2, end(3))
+        self.assertIs(await self.failure_of(reply), Failure.BROKEN)
+
+    async def test_resumed_stream_counts_resumed_tokens(self) -> None:
+        _, port = await self.answer(stream_of(TOKEN % 2, end(3)))
+        done, tokens = await self.run_engine(port, attempt(resume=["a", "b"]))
+        self.assertTrue(done.is_ok())
+        self.assertEqual(tokens, ["t"])
+
+    async def test_cancelled_stream_is_no_answer(self) -> None:
+        reply = stream_of(TOKEN % 0, end(1, "cancelled"))
+        self.assertIs(await self.failure_of(reply), Failure.BROKEN)
+
+    async def test_status_503_was_not_run(self) -> None:
+        reply = b"HTTP/1.1 503 No\r\nContent-Length: 0\r\nRetry-After: 2\r\n\r\n"
+        self.assertIs(await self.failure_of(reply), Failure.REFUSED)
+
+    async def test_status_500_ran_and_failed(self) -> None:
+        reply = b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+        self.assertIs(await self.failure_of(reply), Failure.ERRORED)
+
+    async def test_redirect_is_not_followed(self) -> None:
+        # Fails when a redirect makes an upstream run a request a second time.
+        reply = b"HTTP/1.1 307 R\r\nLocation: /v1/generate\r\nContent-Length: 0\r\n\r\n"
+        served, port = await self.answer(reply)
+        done, _ = await self.run_engine(port)
+        self.assertTrue(done.is_err())
+        self.assertEqual(served.requests, 1)
+
+    async def test_refused_connect_was_not_sent(self) -> None:
+        _, port = await self.answer(b"")
+        unused = await asyncio.start_server(lambda _r, _w: None, "127.0.0.1", 0)
+        port = unused.sockets[0].getsockname()[1]
+        unused.close()
+        await unused.wait_closed()
+        done, _ = await self.run_engine(port)
+        assert isinstance(done, Err)
+        self.assertIs(done.err_value.failure, Failure.NOT_SENT)
+
+    async def test_connection_lost_after_request_is_broken_and_sent_once(self) -> None:
+        # Fails when the client library resends on a dropped connection.
+        async def script(_reader: Reader, writer: Writer) -> None:
+            writer.close()
+
+        served, port = await self.serve(script)
+        done, _ = await self.run_engine(port)
+        assert isinstance(done, Err)
+        self.assertIs(done.err_value.failure, Failure.BROKEN)
+        self.assertEqual(served.requests, 1)
+
+    async def test_dropped_idle_connection_is_broken_not_resent(self) -> None:
+        # A kept-alive connection that drops may have delivered the request.
+        first = [True]
+
+        async def script(_reader: Reader, writer: Writer) -> None:
+            if first.pop() if first else False:
+                writer.write(stream_of(end(0)))
+            else:
+                writer.close()
+
+        served, port = await self.serve(script)
+        dialect = EngineDialect(entry(port))
+        self.addAsyncCleanup(dialect.close)
+        self.assertTrue((await dialect.run(attempt(), lambda _t, _v: None)).is_ok())
+        done = await dialect.run(attempt(), lambda _t, _v: None)
+        assert isinstance(done, Err)
+        self.assertIs(done.err_value.failure, Failure.BROKEN)
+        self.assertEqual((served.requests, served.connections), (2, 1))
+
+    async def test_silent_stream_is_broken_after_stall(self) -> None:
+        async def script(_reader: Reader, writer: Writer) -> None:
+            writer.write(HEAD + b"Content-Length: 999\r\n\r\n" + TOKEN % 0)
+
+        _, port = await self.serve(script)
+        done, tokens = await self.run_engine(port, attempt(stall_s=0.2))
+        assert isinstance(done, Err)
+        self.assertIs(done.err_value.failure, Failure.BROKEN)
+        self.assertEqual(tokens, ["t"])
+
+    async def test_cancelled_attempt_closes_its_connection(self) -> None:
+        # Fails when late bytes of a cancelled request reach the next one.
+        async def script(_reader: Reader, writer: Writer) -> None:
+            writer.write(HEAD + b"Content-Length: 999\r\n\r\n" + TOKEN % 0)
+
+        served, port = await self.serve(script)
+        dialect = EngineDialect(entry(port))
+        self.addAsyncCleanup(dialect.close)
+        started = asyncio.Event()
+        running = asyncio.create_task(
+            dialect.run(attempt(), lambda _t, _v: started.set())
+        )
+        await asyncio.wait_for(started.wait(), 30.0)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        await asyncio.wait_for(served.closed.wait(), 30.0)
+
+    async def test_old_fencing_number_names_newest(self) -> None:
+        body = b'{"newest_fence": 9}'
+        head = b"HTTP/1.1 409 C\r\nContent-Length: %d\r\n\r\n" % len(body)
+        _, port = await self.answer(head + body)
+        dialect = EngineDialect(entry(port))
+        self.addAsyncCleanup(dialect.close)
+        order = OrderRequest(
+            order_id="o", action=OrderAction.LOAD, model="m", version=1, fence=3
+        )
+        done = await dialect.order(order)
+        assert isinstance(done, Err)
+        self.assertEqual(done.err_value.newest_fence, 9)
+
+    async def test_plain_result_is_one_token(self) -> None:
+        body = b'{"result": "done"}'
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        _, port = await self.answer(head + body)
+        dialect = PlainDialect(entry(port, "plain"))
+        self.addAsyncCleanup(dialect.close)
+        tokens: list[str] = []
+        done = await dialect.run(attempt(), lambda t, _v: tokens.append(t))
+        self.assertTrue(done.is_ok())
+        self.assertEqual(tokens, ["done"])
+
+    async def test_unreadable_plain_result_may_have_run(self) -> None:
+        _, port = await self.answer(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{")
+        dialect = PlainDialect(entry(port, "plain"))
+        self.addAsyncCleanup(dialect.close)
+        done = await dialect.run(attempt(), lambda _t, _v: None)
+        assert isinstance(done, Err)
+        self.assertIs(done.err_value.failure, Failure.BROKEN)
