--- a/testing/src/fulmarpulley_testing/caller.py
+++ b/testing/src/fulmarpulley_testing/caller.py
@@ -32,6 +32,7 @@
     not_repeatable_ratio: float
     max_tokens: int
     patience_s: float
+    read_timeout_s: float
 
 
 class Caller:
@@ -71,7 +72,7 @@
         made = Invocation(self.client, self.history, invoked, settings.patience_s)
         made.request.stream = draws[1] < settings.stream_ratio
         if invoked.repeatable and draws[2] < settings.keyed_ratio:
-            made.request.key = f"caller-{settings.seed}-{number}"
+            made.request.key = f"key-{name}"
         return made
 
     async def measure(self, invocation: Invocation) -> None:
@@ -92,7 +93,7 @@
 
 async def load(settings: LoadSettings, nodes: list[str], history: History) -> str:
     """Run a load and return its summary."""
-    client = NodeClient(nodes, settings.seed)
+    client = NodeClient(nodes, settings.seed, settings.read_timeout_s)
     caller = Caller(settings, client, history)
     try:
         await caller.run()
@@ -115,6 +116,7 @@
     not_repeatable_ratio: float = 0.0,
     max_tokens: int = 64,
     patience_s: float = 60.0,
+    read_timeout_s: float = 10.0,
     history: str = "",
 ) -> None:
     """Send requests to a service and print outcomes and latency percentiles."""
@@ -130,6 +132,7 @@
         not_repeatable_ratio=not_repeatable_ratio,
         max_tokens=max_tokens,
         patience_s=patience_s,
+        read_timeout_s=read_timeout_s,
     )
     print(uvloop.run(load(settings, nodes, History(history))))
 
--- a/testing/src/fulmarpulley_testing/caller_client.py
+++ b/testing/src/fulmarpulley_testing/caller_client.py
@@ -130,6 +130,7 @@
         started = AttemptStarted(
             invocation=self.invoked.invocation,
             attempt=self.attempt,
+            node=self.node,
             fetch=self.fetch,
             key=self.request.key,
         )
--- a/testing/src/fulmarpulley_testing/checker.py
+++ b/testing/src/fulmarpulley_testing/checker.py
@@ -12,7 +12,7 @@
 from .check_answers import check_answers
 from .check_samples import check_samples
 from .findings import Report
-from .history import Entry, read
+from .history import Entry, HistoryReader
 from .produced import Produced
 
 
@@ -27,7 +27,7 @@
 
 def check_folder(folder: Path) -> Report:
     """Check all history files of a folder."""
-    return check(read(sorted(folder.glob("*.jsonl"))))
+    return check(HistoryReader(folder).read())
 
 
 def main(*, folder: Path) -> None:
--- a/testing/src/fulmarpulley_testing/cluster.py
+++ b/testing/src/fulmarpulley_testing/cluster.py
@@ -16,7 +16,7 @@
 
 from .checker import check_folder
 from .findings import Report
-from .history import Entry, read
+from .history import HistoryReader
 from .layout import (
     DESK,
     MODEL,
@@ -48,12 +48,13 @@
         self.leaving: set[str] = set()
         self.edits = itertools.count(1)
         self.clients: list[Process] = []
+        self.reader = HistoryReader(self.folder)
         self.starting: dict[str, str] = {}
 
     def start(self) -> None:
         """Start everything and put both documents in force."""
         self.start_platform()
-        for engine in self.layout.engines:
+        for engine in [*self.layout.engines, *self.layout.desk_engines]:
             self.start_engine(engine)
         for plain in self.layout.plains:
             self.start_plain(plain)
@@ -62,6 +63,8 @@
         self.wait_ready()
         self.apply(self.layout.training_document())
         self.apply(self.layout.desk_document())
+        if self.settings.desk_engines:
+            self.apply(self.layout.engine_desk_document())
 
     def start_platform(self) -> None:
         """Start the log, weight store, instance list and scorer."""
@@ -217,10 +220,11 @@
 
     def start_caller(self, **options: Any) -> Process:
         """Start a caller; by default of the desk, without streams."""
-        common = {"service": DESK, "dialect": "plain", "stream_ratio": 0.0}
+        common: dict[str, Any] = {"service": DESK, "dialect": "plain"}
+        common["stream_ratio"] = 0.0
+        common["name"] = f"caller-{options.get('service', DESK)}"
         merged = {**common, **options}
-        name = f"caller-{merged['service']}"
-        return self.client(name, "caller", {"name": name, **merged})
+        return self.client(merged["name"], "caller", merged)
 
     def client(self, name: str, module: str, options: dict[str, Any]) -> Process:
         """Start a client of all nodes."""
@@ -238,8 +242,7 @@
 
     def records(self, kind: type[E]) -> list[E]:
         """Return all records of a kind so far."""
-        entries: list[Entry] = read(sorted(self.folder.glob("*.jsonl")))
-        return [entry for entry in entries if isinstance(entry, kind)]
+        return [entry for entry in self.reader.read() if isinstance(entry, kind)]
 
     def wait_records(
         self,
@@ -252,8 +255,11 @@
         def enough() -> bool:
             return sum(map(where, self.records(kind))) >= count
 
-        what = f"{count} records of {kind.__name__}"
-        wait_for(enough, what, EVENT_TIMEOUT_S)
+        self.wait_until(enough, f"{count} records of {kind.__name__}")
+
+    def wait_until(self, condition: Callable[[], bool], what: str) -> None:
+        """Wait for a condition with a generous limit."""
+        wait_for(condition, what, EVENT_TIMEOUT_S)
 
     def finish(self) -> Report:
         """Wait for the ends of all clients and check their history."""
--- a/testing/src/fulmarpulley_testing/demo.py
+++ b/testing/src/fulmarpulley_testing/demo.py
@@ -3,8 +3,10 @@
 import sys
 import tempfile
 import time
+from contextlib import ExitStack
 from pathlib import Path
 
+import defopt
 import msgspec
 
 from fulmarpulley_schema.generated.document import Limits
@@ -65,18 +67,29 @@
     say(f"revision {revision} of {document.name} is in force on all live nodes")
 
 
-def main() -> int:
-    """Run the demo and return 0 when the checker finds no fault."""
+def main(*, keep: str = "") -> None:
+    """Run the demo; exit with 0 when the checker finds no fault.
+
+    :param keep: Folder for logs and histories; a temporary one when empty.
+    """
+    with ExitStack() as stack:
+        folder = keep or stack.enter_context(tempfile.TemporaryDirectory())
+        Path(folder).mkdir(exist_ok=True)
+        processes = stack.enter_context(Processes(Path(folder)))
+        sys.exit(run_and_report(processes))
+
+
+def run_and_report(processes: Processes) -> int:
+    """Run the demo, print what it found and return the exit code."""
     started = time.monotonic()
-    with tempfile.TemporaryDirectory() as name, Processes(Path(name)) as processes:
-        try:
-            cluster = start_cluster(processes, ClusterSettings(seed=DEMO_SEED))
-            report = run(cluster)
-        except Exception:
-            say(log_tails(processes.folder))
-            raise
-        if report.findings:
-            say(log_tails(processes.folder))
+    try:
+        cluster = start_cluster(processes, ClusterSettings(seed=DEMO_SEED))
+        report = run(cluster)
+    except Exception:
+        say(log_tails(processes.folder))
+        raise
+    if report.findings:
+        say(log_tails(processes.folder))
     for finding in report.findings:
         say(f"{finding.fault.value} {finding.subject}: {finding.detail}")
     say(f"unresolved={report.unresolved} refused={report.refused}")
@@ -85,4 +98,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    defopt.run(main)
--- a/testing/src/fulmarpulley_testing/engine.py
+++ b/testing/src/fulmarpulley_testing/engine.py
@@ -68,6 +68,8 @@
         try:
             await response.prepare(request)
             await self.stream(run, request, response)
+        except ConnectionResetError:
+            return response
         finally:
             self.batch.end(run, "disconnected")
         return response
--- a/testing/src/fulmarpulley_testing/history.py
+++ b/testing/src/fulmarpulley_testing/history.py
@@ -2,7 +2,6 @@
 
 import os
 import time
-from collections.abc import Iterable
 from pathlib import Path
 from typing import TypeAlias
 
@@ -87,6 +86,7 @@
     at: float = msgspec.field(default_factory=time.monotonic)
     invocation: str
     attempt: int
+    node: str
     fetch: bool
     key: str | None
 
@@ -234,13 +234,29 @@
             os.write(self.file, msgspec.json.encode(entry) + b"\n")
 
 
-def read(paths: Iterable[Path]) -> list[Entry]:
-    """Read history files, oldest record first; skip a line that is cut short.
+class HistoryReader:
+    """Read the history files of a folder as they grow.
 
     All processes of a test run on one machine, whose monotonic clock they share.
     """
-    entries: list[Entry] = []
-    for path in paths:
-        lines = path.read_bytes().split(b"\n")
-        entries += [_decoder.decode(line) for line in lines[:-1]]
-    return sorted(entries, key=lambda entry: entry.at)
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.entries: list[Entry] = []
+        self.sizes: dict[Path, int] = {}
+
+    def read(self) -> list[Entry]:
+        """Return all records so far, oldest first; a line cut short is left out."""
+        for path in sorted(self.folder.glob("*.jsonl")):
+            self._read_file(path)
+        self.entries.sort(key=lambda entry: entry.at)
+        return self.entries
+
+    def _read_file(self, path: Path) -> None:
+        start = self.sizes.get(path, 0)
+        with path.open("rb") as file:
+            file.seek(start)
+            data = file.read()
+        whole = data[: data.rfind(b"\n") + 1]
+        self.sizes[path] = start + len(whole)
+        self.entries += [_decoder.decode(line) for line in whole.splitlines()]
--- a/testing/src/fulmarpulley_testing/layout.py
+++ b/testing/src/fulmarpulley_testing/layout.py
@@ -32,6 +32,7 @@
 MODEL = "note-drafter"
 TRAINING = "note-drafters"
 DESK = "ticket-desk"
+ENGINE_DESK = "intake-desk"
 TRAINER = "notes"
 # Two data centres of one region and one of another, as the Zlatna Broenitsa has.
 PLACES = (
@@ -47,6 +48,7 @@
     nodes: int = 3
     engines: int = 3
     plains: int = 2
+    desk_engines: int = 0
     seed: int = 1
     tokens_per_s: float = 200.0
     swap_s: float = 0.3
@@ -79,6 +81,7 @@
     def __init__(self, settings: ClusterSettings) -> None:
         self.settings = settings
         count = 4 * settings.nodes + settings.engines + settings.plains + 4
+        count += settings.desk_engines
         ports = free_ports(count)
         self.log, self.store, self.instances, self.scorer = (
             ports.pop() for _ in range(4)
@@ -86,6 +89,8 @@
         self.nodes = [self._member("n", i, ports) for i in range(settings.nodes)]
         self.engines = [self._member("e", i, ports) for i in range(settings.engines)]
         self.plains = [self._member("p", i, ports) for i in range(settings.plains)]
+        desk_engines = range(settings.desk_engines)
+        self.desk_engines = [self._member("d", i, ports) for i in desk_engines]
         for node in self.nodes:
             node.peer_port = ports.pop()
             node.proxy_port = ports.pop()
@@ -102,7 +107,7 @@
 
     def instance_list(self, leaving: set[str]) -> InstanceList:
         """Return the list of all members, some of them leaving."""
-        upstreams = [*self.engines, *self.plains]
+        upstreams = [*self.engines, *self.plains, *self.desk_engines]
         kinds = [(member, InstanceKind.NODE) for member in self.nodes]
         kinds += [(member, InstanceKind.UPSTREAM) for member in upstreams]
         return InstanceList(
@@ -157,6 +162,18 @@
             retries=Retries(budget_ratio=0.5),
         )
 
+    def engine_desk_document(self) -> ServiceDocument:
+        """Return the document of a desk that engines answer."""
+        return ServiceDocument(
+            name=ENGINE_DESK,
+            kind=ServiceKind.DESK,
+            model=MODEL,
+            upstreams=[self._upstream(one, "engine") for one in self.desk_engines],
+            deadline_s=self.settings.deadline_s,
+            stall_s=self.settings.stall_s,
+            retries=Retries(budget_ratio=0.5),
+        )
+
     def _upstream(self, member: Member, dialect: str) -> UpstreamEntry:
         return UpstreamEntry(
             id=member.name,
--- a/testing/src/fulmarpulley_testing/node_client.py
+++ b/testing/src/fulmarpulley_testing/node_client.py
@@ -12,7 +12,6 @@
 T = TypeVar("T", bound=msgspec.Struct)
 
 CONNECT_TIMEOUT_S = 2.0
-READ_TIMEOUT_S = 10.0
 
 
 class CallError(Exception):
@@ -30,11 +29,11 @@
 class NodeClient:
     """Call one of several nodes, chosen at random as a balancer does."""
 
-    def __init__(self, nodes: list[str], seed: int) -> None:
+    def __init__(self, nodes: list[str], seed: int, read_timeout_s: float) -> None:
         self.nodes = nodes
         self.random = random.Random(seed)
         timeout = aiohttp.ClientTimeout(
-            sock_connect=CONNECT_TIMEOUT_S, sock_read=READ_TIMEOUT_S
+            sock_connect=CONNECT_TIMEOUT_S, sock_read=read_timeout_s
         )
         connector = aiohttp.TCPConnector(limit=0)
         self.session = aiohttp.ClientSession(timeout=timeout, connector=connector)
--- a/testing/src/fulmarpulley_testing/processes.py
+++ b/testing/src/fulmarpulley_testing/processes.py
@@ -2,18 +2,20 @@
 
 import json
 import signal
-import socket
 import subprocess
 import sys
 import time
 from collections.abc import Callable
-from contextlib import ExitStack
 from pathlib import Path
 from typing import Any, Self
 from urllib import request
 
 import msgspec
 
+from .ports import free_ports
+
+__all__ = ["Process", "Processes", "call", "free_ports", "set_faults", "wait_for"]
+
 START_TIMEOUT_S = 30.0
 POLL_S = 0.02
 CALL_TIMEOUT_S = 10.0
@@ -23,15 +25,6 @@
     """Report a condition that did not come true in time."""
 
 
-def free_ports(count: int) -> list[int]:
-    """Return distinct loopback ports that the kernel reports as free."""
-    with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
-        return [int(one.getsockname()[1]) for one in sockets]
-
-
 def wait_for(
     condition: Callable[[], bool], what: str, timeout_s: float = START_TIMEOUT_S
 ) -> None:
--- a/testing/src/fulmarpulley_testing/trainer.py
+++ b/testing/src/fulmarpulley_testing/trainer.py
@@ -93,7 +93,7 @@
     settings: TrainerSettings, nodes: list[str], history: History
 ) -> Trainer | None:
     """Run a trainer; return None when a step stayed incomplete."""
-    client = NodeClient(nodes, settings.seed)
+    client = NodeClient(nodes, settings.seed, settings.read_timeout_s)
     trainer = Trainer(settings, client, history)
     try:
         return trainer if await trainer.run() else None
@@ -115,6 +115,7 @@
     train_s: float = 0.5,
     abandon_ratio: float = 0.1,
     patience_s: float = 60.0,
+    read_timeout_s: float = 10.0,
     seed: int = 1,
     weight_store: str = "",
     weight_bytes: int = 1024,
@@ -133,6 +134,7 @@
         train_s=train_s,
         abandon_ratio=abandon_ratio,
         patience_s=patience_s,
+        read_timeout_s=read_timeout_s,
         seed=seed,
         weight_store=weight_store,
         weight_bytes=weight_bytes,
--- a/testing/src/fulmarpulley_testing/trainer_step.py
+++ b/testing/src/fulmarpulley_testing/trainer_step.py
@@ -42,6 +42,7 @@
     train_s: float
     abandon_ratio: float
     patience_s: float
+    read_timeout_s: float
     seed: int
     weight_store: str
     weight_bytes: int
--- /dev/null
+++ b/testing/tests/cluster_case.py
@@ -0,0 +1,73 @@
+"""Hold what the whole-path failure tests share."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from fulmarpulley_testing.cluster import Cluster, log_tails, start_cluster
+from fulmarpulley_testing.findings import Report
+from fulmarpulley_testing.history import AttemptAnswered, BatchTaken
+from fulmarpulley_testing.layout import ENGINE_DESK, ClusterSettings
+from fulmarpulley_testing.processes import Process, Processes
+
+
+class ClusterCase(unittest.TestCase):
+    """Run each test on a cluster of its own."""
+
+    settings = ClusterSettings()
+
+    def setUp(self) -> None:
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.processes = self.enterContext(Processes(Path(folder)))
+        try:
+            self.cluster: Cluster = start_cluster(self.processes, self.settings)
+        except Exception as error:
+            error.add_note(log_tails(Path(folder)))
+            raise
+
+    def train(self, **options: object) -> Process:
+        """Start a trainer of short steps."""
+        common: dict[str, object] = {"steps": 3, "groups": 6, "samples_per_group": 4}
+        common |= {"max_tokens": 80, "train_s": 0.3, "read_timeout_s": 4.0}
+        return self.cluster.start_trainer(**{**common, **options})
+
+    def ask(self, **options: object) -> Process:
+        """Start a caller of the plain desk; half its requests must not be repeated."""
+        common: dict[str, object] = {"count": 120, "rate": 25.0}
+        common |= {"not_repeatable_ratio": 0.5, "read_timeout_s": 4.0}
+        return self.cluster.start_caller(**{**common, **options})
+
+    def ask_engines(self, **options: object) -> Process:
+        """Start a caller of the engine desk; half its requests are streamed."""
+        common: dict[str, object] = {"service": ENGINE_DESK, "dialect": "engine"}
+        common |= {"count": 60, "rate": 15.0, "stream_ratio": 0.5}
+        common |= {"read_timeout_s": 6.0}
+        return self.cluster.start_caller(**{**common, **options})
+
+    def wait_samples(self, count: int) -> None:
+        """Wait until the trainer has received samples."""
+
+        def enough() -> bool:
+            batches = self.cluster.records(BatchTaken)
+            return sum(len(batch.samples) for batch in batches) >= count
+
+        self.cluster.wait_until(enough, f"{count} samples")
+
+    def wait_answers(self, count: int) -> None:
+        """Wait until callers have received answers."""
+        self.cluster.wait_records(AttemptAnswered, count)
+
+    def finish(self) -> Report:
+        """Wait for the clients and fail on every finding of the checker."""
+        try:
+            report = self.cluster.finish()
+        except Exception as error:
+            error.add_note(log_tails(self.processes.folder))
+            raise
+        found = [
+            f"{one.fault.value} {one.subject}: {one.detail}" for one in report.findings
+        ]
+        if found:
+            text = "\n".join(found[:20])
+            self.fail(f"{text}\n{log_tails(self.processes.folder)}")
+        return report
--- a/testing/tests/test_checker.py
+++ b/testing/tests/test_checker.py
@@ -85,7 +85,8 @@
         )
 
     def start(self, name: str, attempt: int = 1) -> None:
-        self.add(AttemptStarted, invocation=name, attempt=attempt, fetch=False, key="k")
+        sent = {"node": "n", "fetch": False, "key": "k"}
+        self.add(AttemptStarted, invocation=name, attempt=attempt, **sent)
 
     def fail(self, name: str, ran: Ran | None, attempt: int = 1) -> None:
         self.add(AttemptFailed, invocation=name, attempt=attempt, code="x", ran=ran)
--- /dev/null
+++ b/testing/tests/test_log_failures.py
@@ -0,0 +1,75 @@
+"""Guard against wrong verdicts and repeated runs when the log fails."""
+
+from cluster_case import ClusterCase
+
+from fulmarpulley_testing.history import CallExecuted, Completed
+from fulmarpulley_testing.layout import ClusterSettings, address_of
+from fulmarpulley_testing.processes import call, set_faults
+
+
+class LogOutageTest(ClusterCase):
+    settings = ClusterSettings(seed=21)
+
+    def test_outage_refuses_not_repeatable_and_carries_on_the_rest(self) -> None:
+        set_faults(self.cluster.layout.log, outage=True)
+        self.check_outage(outage=False)
+
+    def test_unanswering_log_refuses_not_repeatable_and_carries_on_the_rest(
+        self,
+    ) -> None:
+        set_faults(self.cluster.layout.log, silent=True)
+        self.check_outage(silent=False)
+
+    def check_outage(self, **cure: bool) -> None:
+        trainer = self.train(steps=2)
+        self.ask(name="once", count=10, not_repeatable_ratio=1.0, patience_s=3.0)
+        self.cluster.clients[-1].wait(60.0)
+        executed = self.cluster.records(CallExecuted)
+        self.assertEqual(executed, [])
+        outcomes = {one.outcome for one in self.cluster.records(Completed)}
+        self.assertEqual(outcomes, {"not_run"})
+        options = {"not_repeatable_ratio": 0.0, "keyed_ratio": 0.0}
+        self.ask(name="often", count=40, **options)
+        self.cluster.clients[-1].wait(60.0)
+        self.assertEqual(trainer.wait(60.0), 0)
+        set_faults(self.cluster.layout.log, **cure)
+        self.ask(name="after", count=20, not_repeatable_ratio=1.0)
+        report = self.finish()
+        self.assertEqual(report.answers, 60)
+        self.assertEqual(report.refused, 10)
+        self.assertEqual(report.samples, 48)
+
+
+class LostAppendAnswersTest(ClusterCase):
+    settings = ClusterSettings(seed=22)
+
+    def test_lost_answers_and_doubled_appends_run_nothing_twice(self) -> None:
+        self.ask(count=150, rate=25.0, not_repeatable_ratio=1.0)
+        for answers in (1, 30, 60, 90):
+            self.wait_answers(answers)
+            set_faults(self.cluster.layout.log, lose_answers=5, double_appends=5)
+        report = self.finish()
+        self.assertEqual(report.answers, 150)
+        executed = self.cluster.records(CallExecuted)
+        self.assertEqual(len(executed), 150)
+
+
+class SilentConnectionTest(ClusterCase):
+    settings = ClusterSettings(seed=23, log_proxy=True)
+
+    def silence(self) -> None:
+        """Silence every open connection between the nodes and the log."""
+        for node in self.cluster.layout.nodes:
+            url = f"{address_of(node.proxy_control_port)}/control/silence"
+            self.assertGreater(call(url, "POST")["links"], 0)
+
+    def test_silent_connections_to_the_log_are_replaced(self) -> None:
+        self.ask(count=120, rate=20.0, not_repeatable_ratio=1.0)
+        self.wait_answers(10)
+        self.silence()
+        self.cluster.apply(self.cluster.layout.desk_document())
+        self.wait_answers(60)
+        self.silence()
+        report = self.finish()
+        self.assertEqual(report.answers + report.unresolved, 120)
+        self.assertEqual(report.unresolved, 0)
--- /dev/null
+++ b/testing/tests/test_node_failures.py
@@ -0,0 +1,101 @@
+"""Guard against work lost, doubled or mislabelled when nodes fail."""
+
+import signal
+import time
+
+from cluster_case import ClusterCase
+
+from fulmarpulley_testing.history import (
+    AttemptAnswered,
+    AttemptFailed,
+    AttemptStarted,
+)
+from fulmarpulley_testing.layout import ClusterSettings, Member
+from fulmarpulley_testing.processes import call
+
+# Restarts and freezes go through all nodes, so that every home is hit once.
+
+
+class NodeKilledTest(ClusterCase):
+    settings = ClusterSettings(seed=11)
+
+    def test_each_node_killed_in_mid_step_loses_no_work(self) -> None:
+        trainer = self.train(steps=4, groups=8)
+        self.ask(count=160)
+        for number, node in enumerate(self.cluster.layout.nodes):
+            self.wait_samples(1 + 32 * number)
+            self.cluster.process(node).kill()
+            self.cluster.start_node(node)
+            self.cluster.wait_ready()
+        report = self.finish()
+        self.assertEqual(trainer.wait(), 0)
+        self.assertEqual(report.samples, 4 * 32)
+        self.assertEqual(report.answers + report.unresolved + report.refused, 160)
+
+
+class NodeFrozenTest(ClusterCase):
+    settings = ClusterSettings(seed=12)
+
+    def freeze(self, node: Member) -> None:
+        """Freeze a node until clients have given up on it and peers count it out."""
+        process = self.cluster.process(node)
+        frozen_at = time.monotonic()
+        process.freeze()
+        self.cluster.wait_records(
+            AttemptFailed,
+            1,
+            lambda one: one.at > frozen_at and one.code.startswith("lost"),
+        )
+        observer = next(one for one in self.cluster.layout.nodes if one is not node)
+
+        def counted_out() -> bool:
+            status = call(f"{observer.address()}/v1/status")
+            states = {one["node_id"]: one["state"] for one in status["nodes"]}
+            return states.get(node.name, "dead") in {"dead", "lost"}
+
+        self.cluster.wait_until(counted_out, f"{observer.name} counts out {node.name}")
+        process.wake()
+
+    def test_node_frozen_past_every_timeout_and_woken_runs_nothing_twice(self) -> None:
+        self.train(steps=3)
+        caller = self.ask(count=300, rate=20.0, not_repeatable_ratio=0.8)
+        for node in self.cluster.layout.nodes[:2]:
+            self.wait_answers(10)
+            self.freeze(node)
+        report = self.finish()
+        self.assertEqual(caller.wait(), 0)
+        self.assertEqual(report.answers + report.unresolved + report.refused, 300)
+
+
+class GracefulShutdownTest(ClusterCase):
+    settings = ClusterSettings(seed=13, desk_engines=2, plain_delay_s=0.3)
+
+    def test_graceful_shutdown_under_load_interrupts_no_request(self) -> None:
+        self.train(steps=2)
+        self.ask(count=120, rate=30.0)
+        self.ask_engines(count=80, rate=20.0, max_tokens=200)
+        leaver = self.cluster.layout.nodes[0]
+        process = self.cluster.process(leaver)
+        self.wait_answers(10)
+        told_at = time.monotonic()
+        process.signal(signal.SIGTERM)
+        self.assertEqual(process.wait(60.0), 0)
+        self.finish()
+        self.assertEqual(self.interrupted(told_at), [])
+
+    def interrupted(self, told_at: float) -> list[str]:
+        """Return the attempts in progress at a time that may have run in vain."""
+        started = {
+            (one.invocation, one.attempt)
+            for one in self.cluster.records(AttemptStarted)
+            if one.at < told_at
+        }
+        started -= {
+            (one.invocation, one.attempt)
+            for one in self.cluster.records(AttemptAnswered)
+        }
+        return [
+            f"{one.invocation}/{one.attempt}: {one.code}"
+            for one in self.cluster.records(AttemptFailed)
+            if (one.invocation, one.attempt) in started and one.at >= told_at
+        ]
--- a/testing/tests/test_standins.py
+++ b/testing/tests/test_standins.py
@@ -130,7 +130,7 @@
         self.assertIn('"version":1', text)
         spans = [
             entry.version
-            for entry in history.read([path])
+            for entry in history.HistoryReader(self.folder).read()
             if isinstance(entry, history.SpanStarted)
         ]
         self.assertEqual(spans, [0, 1])
--- /dev/null
+++ b/testing/tests/test_upstream_failures.py
@@ -0,0 +1,105 @@
+"""Guard against cut, mislabelled or lost work when upstreams fail or leave."""
+
+import time
+
+from cluster_case import ClusterCase
+
+from fulmarpulley_testing.history import (
+    BatchTaken,
+    OrderHandled,
+    RunStarted,
+    VersionPublished,
+)
+from fulmarpulley_testing.layout import ClusterSettings, Member, drain
+from fulmarpulley_testing.processes import set_faults
+
+# The promise is "after a few seconds"; nothing faster is asserted.
+LEAVE_GRACE_S = 5.0
+
+
+class EngineCrashTest(ClusterCase):
+    settings = ClusterSettings(seed=41, desk_engines=2, tokens_per_s=100.0)
+
+    def crash(self, engine: Member) -> None:
+        """End an engine after its next tokens and start it again."""
+        set_faults(engine.port, crash_after_tokens=1)
+        process = self.cluster.process(engine)
+        self.assertNotEqual(process.wait(60.0), 0)
+        self.cluster.start_engine(engine)
+        self.cluster.wait_ready()
+
+    def test_engine_crash_in_mid_stream_cuts_no_answer(self) -> None:
+        self.train(steps=3)
+        self.ask_engines(count=80, max_tokens=200)
+        self.wait_samples(1)
+        self.crash(self.cluster.layout.engines[0])
+        self.crash(self.cluster.layout.desk_engines[0])
+        self.crash(self.cluster.layout.engines[1])
+        report = self.finish()
+        self.assertEqual(report.answers, 80)
+        self.assertEqual(report.samples, 3 * 24)
+
+
+class EngineHangTest(ClusterCase):
+    settings = ClusterSettings(seed=42, desk_engines=2, tokens_per_s=100.0)
+
+    def test_engine_that_hangs_in_mid_stream_holds_nothing_up(self) -> None:
+        trainer = self.train(steps=2)
+        caller = self.ask_engines(count=60, max_tokens=200)
+        self.wait_samples(1)
+        hung = (self.cluster.layout.engines[0], self.cluster.layout.desk_engines[0])
+        for engine in hung:
+            set_faults(engine.port, hang=True)
+        self.assertEqual(trainer.wait(120.0), 0)
+        self.assertEqual(caller.wait(120.0), 0)
+        report = self.finish()
+        self.assertEqual(report.answers, 60)
+        self.assertEqual(report.samples, 2 * 24)
+
+
+class WeightSwapTest(ClusterCase):
+    settings = ClusterSettings(seed=43, tokens_per_s=60.0)
+
+    def test_swap_in_mid_stream_keeps_labels_right(self) -> None:
+        self.train(steps=4, max_tokens=160, train_s=0.1)
+        self.finish()
+        batches = self.cluster.records(BatchTaken)
+        spans = [len(sample.spans) for batch in batches for sample in batch.samples]
+        self.assertGreater(max(spans), 1, "no stream went on through a swap")
+
+    def test_failed_swap_keeps_labels_right_and_is_repeated(self) -> None:
+        for engine in self.cluster.layout.engines:
+            set_faults(engine.port, failed_swaps=1)
+        self.train(steps=3, max_tokens=160, train_s=0.1)
+        self.cluster.wait_records(VersionPublished, 1)
+        self.cluster.wait_records(OrderHandled, 1, lambda one: one.outcome == "failed")
+        self.cluster.wait_records(OrderHandled, 1, lambda one: one.outcome == "done")
+        report = self.finish()
+        self.assertEqual(report.samples, 3 * 24)
+
+
+class UpstreamLeavingTest(ClusterCase):
+    settings = ClusterSettings(seed=44, engines=4, tokens_per_s=60.0)
+
+    def test_each_sign_of_leaving_stops_new_work(self) -> None:
+        trainer = self.train(steps=8, max_tokens=160)
+        listed, drained, signalled, _stays = self.cluster.layout.engines
+        self.wait_samples(1)
+        self.cluster.list_leaving(listed)
+        set_faults(signalled.port, draining=True)
+        document = drain(self.cluster.layout.training_document(), drained.name)
+        self.cluster.apply(document)
+        told_at = time.monotonic()
+        leavers = {listed.name, drained.name, signalled.name}
+        self.cluster.wait_records(
+            RunStarted, 1, lambda run: run.at > told_at + LEAVE_GRACE_S
+        )
+        self.assertEqual(trainer.wait(120.0), 0)
+        report = self.finish()
+        self.assertEqual(report.samples, 8 * 24)
+        late = [
+            run.upstream
+            for run in self.cluster.records(RunStarted)
+            if run.upstream in leavers and run.at > told_at + LEAVE_GRACE_S
+        ]
+        self.assertEqual(late, [])
