Let samples wait for the swap that follows an announcement

Cause: a trainer opens its next step just after it published a version, so the first wave of samples started on engines that had not swapped yet. At manizales these samples passed the bound one version later and were generated again (traces: second submissions 87 to 160 s after the open in every step that idled); at zlatna they were the whole staleness. Change: for twice the pauses of all swaps in a row after an announcement, a sample starts only on an upstream with the newest version.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/freshness.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/freshness.py
@@ -13,6 +13,9 @@
 
 # Announcements that are later than this many usual intervals are not predicted.
 OVERDUE_INTERVALS = 2.0
+# Samples wait for a version that was just announced at most this many times the
+# pauses of all swaps in a row; the transfers take about as long as the pauses.
+SETTLE_SWAPS = 2.0
 
 
 class Announcements(msgspec.Struct, eq=False):
@@ -67,9 +70,24 @@
         newest = self.newest.get(work.model)
         if not self._is_labelled(item) or newest is None:
             return work.min_version
+        if now < self.settled_at(work.model):
+            return max(work.min_version, newest)
         spare = self._bound(item) - self._expected_versions(item, now)
         return max(work.min_version, Version(newest - spare))
 
+    def settled_at(self, model: ModelName) -> float:
+        """Return until when samples wait for upstreams to load the newest version.
+
+        A sample that starts on the old version during a swap is a version older, and
+        is generated twice when its trainer takes it after the next version.
+        """
+        times = self._announcements.get(model)
+        if times is None:
+            return -math.inf
+        weights = self.document.weights
+        rounds = math.ceil(len(self.document.upstreams) / weights.swaps_at_once)
+        return times.last + SETTLE_SWAPS * rounds * weights.swap_s
+
     def may_run(self, item: Item, upstream: Upstream, oldest: Version) -> bool:
         """Tell whether the upstream serves a version that is new enough.
 
