--- a/packages/fulmarpulley-core/src/fulmarpulley_core/bitmaps.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/bitmaps.py
@@ -4,6 +4,10 @@
 import binascii
 from collections.abc import Iterable, Iterator
 
+# Up to this many slots are found one by one; beyond it a pass over all bytes is
+# faster, because each step of the former copies the whole bitmap.
+FEW_SLOTS = 256
+
 
 class BitmapError(ValueError):
     """Report a bitmap that cannot be decoded or names slots that do not exist."""
@@ -29,10 +33,13 @@
 
 def slots_of(bits: int) -> Iterator[int]:
     """Yield the slots of a bitmap in ascending order."""
-    data = bits.to_bytes(-(-bits.bit_length() // 8), "little")
-    for place, byte in enumerate(data):
-        if byte:
-            yield from (place * 8 + bit for bit in range(8) if byte >> bit & 1)
+    if bits.bit_count() > FEW_SLOTS:
+        yield from _many_slots_of(bits)
+        return
+    while bits:
+        low = bits & -bits
+        yield low.bit_length() - 1
+        bits ^= low
 
 
 def bitmap_of(slots: Iterable[int]) -> int:
@@ -41,3 +48,10 @@
     for slot in slots:
         bits |= 1 << slot
     return bits
+
+
+def _many_slots_of(bits: int) -> Iterator[int]:
+    data = bits.to_bytes(-(-bits.bit_length() // 8), "little")
+    for place, byte in enumerate(data):
+        if byte:
+            yield from (place * 8 + bit for bit in range(8) if byte >> bit & 1)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/configuration.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/configuration.py
@@ -19,55 +19,27 @@
 from fulmarpulley_schema.generated.http import EditOutcome, HistoryEntry
 from fulmarpulley_schema.generated.records import Record, RecordKind, Snapshot
 
+from .config_events import (
+    Accepted,
+    ChangeBody,
+    ConfigEvent,
+    DocumentAccepted,
+    EditDecided,
+    PendingChange,
+    RecordIgnored,
+    SnapshotBody,
+)
 from .edits import EditHistory, EditResult
 from .ids import Offset, RecordId, Revision, ServiceName
 
-
-class Accepted(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold the accepted document of a service; it may be unreadable to this node."""
-
-    service: ServiceName
-    revision: Revision
-    author: str
-    document: Any
-    record_id: RecordId = RecordId("")
-
-
-class DocumentAccepted(msgspec.Struct, frozen=True):
-    """Report a document that is newer than the one known before."""
-
-    accepted: Accepted
-
-
-class EditDecided(msgspec.Struct, frozen=True):
-    """Report the outcome of a change record read from the stream."""
-
-    result: EditResult
-
-
-class RecordIgnored(msgspec.Struct, frozen=True):
-    """Report a record without the fields that the fold needs."""
-
-    offset: Offset
-    reason: str
-
-
-ConfigEvent = DocumentAccepted | EditDecided | RecordIgnored
-
-
-class _Change(msgspec.Struct, frozen=True):
-    # Looser than records.Change, so that a later version of the program may extend
-    # the record and nodes of both versions still accept the same changes.
-    service: ServiceName
-    base_revision: int
-    author: str = ""
-    document: Any = None
-
-
-class _Pending(msgspec.Struct, frozen=True):
-    offset: Offset
-    record_id: RecordId
-    change: _Change
+__all__ = [
+    "Accepted",
+    "ConfigEvent",
+    "ConfigFold",
+    "DocumentAccepted",
+    "EditDecided",
+    "RecordIgnored",
+]
 
 
 class ConfigFold:
@@ -78,7 +50,7 @@
         self.first: Offset | None = None
         self._folded: dict[ServiceName, Accepted] = {}
         self._learned: dict[ServiceName, Accepted] = {}
-        self._pending: dict[ServiceName, list[_Pending]] = {}
+        self._pending: dict[ServiceName, list[PendingChange]] = {}
         self._roster: frozenset[str] | None = None
         self._edits = EditHistory()
 
@@ -192,14 +164,15 @@
 
     def _apply_body(self, offset: Offset, record: Record) -> list[ConfigEvent]:
         if record.kind is RecordKind.CHANGE:
-            change = msgspec.convert(record.body, _Change)
-            pending = _Pending(offset, RecordId(record.record_id), change)
+            change = msgspec.convert(record.body, ChangeBody)
+            pending = PendingChange(offset, RecordId(record.record_id), change)
             return self._apply_change(pending)
         if record.kind is RecordKind.SNAPSHOT:
-            return self._apply_snapshot(offset, msgspec.convert(record.body, Snapshot))
+            snapshot = msgspec.convert(record.body, SnapshotBody)
+            return self._apply_snapshot(offset, snapshot)
         return [RecordIgnored(offset, f"unexpected kind {record.kind}")]
 
-    def _apply_change(self, pending: _Pending) -> list[ConfigEvent]:
+    def _apply_change(self, pending: PendingChange) -> list[ConfigEvent]:
         service = pending.change.service
         if service in self._folded or self._is_new(service):
             return self._judge(pending)
@@ -209,7 +182,7 @@
     def _is_new(self, service: ServiceName) -> bool:
         return self._roster is not None and service not in self._roster
 
-    def _judge(self, pending: _Pending) -> list[ConfigEvent]:
+    def _judge(self, pending: PendingChange) -> list[ConfigEvent]:
         change, service = pending.change, pending.change.service
         current = self._folded.get(service)
         accept = change.base_revision == (current.revision if current else 0)
@@ -227,7 +200,7 @@
         return self._record(pending, new, True) + self._raised(service, before)
 
     def _record(
-        self, pending: _Pending, winner: Accepted | None, accept: bool
+        self, pending: PendingChange, winner: Accepted | None, accept: bool
     ) -> list[ConfigEvent]:
         service, record_id = pending.change.service, pending.record_id
         if not accept and self.outcome_of(record_id) is not None:
@@ -243,20 +216,14 @@
         self._edits.add(entry, result)
         return [EditDecided(result)]
 
-    def _apply_snapshot(self, offset: Offset, snapshot: Snapshot) -> list[ConfigEvent]:
+    def _apply_snapshot(
+        self, offset: Offset, snapshot: SnapshotBody
+    ) -> list[ConfigEvent]:
         if snapshot.as_of >= offset or snapshot.revision > snapshot.as_of:
             return [RecordIgnored(offset, "snapshot states offsets not yet written")]
-        as_of = Offset(snapshot.as_of)
-        item = Accepted(
-            service=ServiceName(snapshot.service),
-            revision=Revision(snapshot.revision),
-            author=snapshot.author,
-            document=snapshot.document,
-            record_id=RecordId(snapshot.change_id),
-        )
-        events = self._bridge(item, as_of)
+        events = self._bridge(snapshot.accepted(), snapshot.as_of)
         if self._roster is None and snapshot.services:
-            events += self._set_roster(snapshot.services, as_of)
+            events += self._set_roster(snapshot.services, snapshot.as_of)
         return events
 
     def _bridge(self, item: Accepted, as_of: Offset) -> list[ConfigEvent]:
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/steps.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/steps.py
@@ -10,12 +10,11 @@
 import heapq
 from enum import StrEnum
 
-import msgspec
-
 from fulmarpulley_schema.generated.http import Sample, SampleBatch, StepOpen
 
 from .bitmaps import bitmap_of, encode_bitmap, slots_of
 from .ids import StepNumber, Version, WorkId
+from .ready_samples import ReadySamples
 from .step_actions import (
     GenerateSample,
     SamplesReady,
@@ -38,11 +37,6 @@
     DROPPED = "dropped"
 
 
-class _Ready(msgspec.Struct, frozen=True):
-    sample: Sample
-    oldest: Version
-
-
 class Step:
     """Hold one open step; `prefix` makes its work ids unique among all homes."""
 
@@ -59,9 +53,7 @@
         self.version = Version(body.version)
         self.held = 0
         self._all = (1 << self.slots) - 1
-        self._ready: dict[int, _Ready] = {}
-        self._ready_bits = 0
-        self._by_version: dict[Version, dict[int, None]] = {}
+        self._ready = ReadySamples()
         self._work: dict[int, WorkId] = {}
         self._started: dict[int, float] = {}
         self._work_bits = 0
@@ -85,7 +77,7 @@
         bit = 1 << slot
         if self.held & bit:
             return SlotState.HELD
-        if self._ready_bits & bit:
+        if self._ready.bits & bit:
             return SlotState.READY
         if self._work_bits & bit:
             return SlotState.IN_WORK
@@ -101,7 +93,7 @@
 
     def samples(self) -> list[Sample]:
         """List the ready samples, to be handed to the next home."""
-        return [ready.sample for ready in self._ready.values()]
+        return self._ready.samples()
 
     def held_text(self) -> str:
         """Return the bitmap of the held slots as base64."""
@@ -118,19 +110,19 @@
         """Take the trainer's statement of what it holds; generate what is missing."""
         self.held = held & self._all
         self._handed_bits = 0
-        for slot in slots_of(self.held & self._ready_bits):
-            self._drop_ready(slot)
+        for slot in slots_of(self.held & self._ready.bits):
+            self._ready.drop(slot)
         actions = self._withdraw(self.held & self._work_bits)
-        busy = self.held | self._ready_bits | self._work_bits | self._delayed_bits
+        busy = self.held | self._ready.bits | self._work_bits | self._delayed_bits
         return actions + self._generate(self._all & ~busy, now)
 
     def take(self, held: int, limit: int, now: float) -> Taken:
         """Hand over up to `limit` samples, those that expire first in front."""
         actions = self.state_held(held, now)
-        slots = self._first_ready(limit)
+        slots = self._ready.first(limit)
         self._handed_bits = bitmap_of(slots)
         missing = self.slots - self.held.bit_count() - len(slots)
-        samples = [self._ready[slot].sample for slot in slots]
+        samples = [self._ready.sample(slot) for slot in slots]
         return Taken(SampleBatch(samples=samples, missing=missing), actions)
 
     def set_version(self, version: Version, now: float) -> list[StepAction]:
@@ -150,12 +142,13 @@
         self._end_work(slot)
         oldest = oldest_version(sample)
         if oldest is None or not self._fresh(oldest):
-            if self._ready_bits >> slot & 1:
+            if self._ready.bits >> slot & 1:
                 return []
             if oldest is None:
                 return self._delay(slot, now + RETRY_S)
             return self._generate(1 << slot, now)
-        return self._keep(sample, oldest)
+        kept = self._ready.keep(sample, oldest)
+        return [SamplesReady(self.number)] if kept else []
 
     def restore(self, samples: list[Sample]) -> list[StepAction]:
         """Keep samples that a leaving home had finished."""
@@ -165,10 +158,11 @@
             if oldest is None or not self._fresh(oldest) or sample.slot >= self.slots:
                 continue
             bit = 1 << sample.slot
-            if (self.held | self._ready_bits) & bit:
+            if (self.held | self._ready.bits) & bit:
                 continue
             actions += self._withdraw(self._work_bits & bit)
-            actions += self._keep(sample, oldest)
+            if self._ready.keep(sample, oldest):
+                actions.append(SamplesReady(self.number))
         return actions
 
     def work_failed(
@@ -178,7 +172,7 @@
         if self._work.get(slot) != work_id:
             return []
         self._end_work(slot)
-        if self._ready_bits >> slot & 1:
+        if self._ready.bits >> slot & 1:
             return []
         return self._delay(
             slot, now + (RETRY_S if retry_after is None else retry_after)
@@ -190,7 +184,7 @@
         while self._delayed and self._delayed[0][0] <= now:
             slot = heapq.heappop(self._delayed)[1]
             self._delayed_bits &= ~(1 << slot)
-            busy = self.held | self._ready_bits | self._work_bits
+            busy = self.held | self._ready.bits | self._work_bits
             actions += self._generate(1 << slot & ~busy, now)
         return actions
 
@@ -200,16 +194,16 @@
         A sample that was handed over is probably held already. With a bound of 0 a
         replacement would expire together with the sample.
         """
-        expiring = self._by_version.get(Version(self.version - self.bound))
+        expiring = self._ready.of_version(Version(self.version - self.bound))
         if not self.bound or not expiring:
             return []
         busy = self._work_bits | self._handed_bits | self._delayed_bits
-        bits = bitmap_of(list(expiring)) & ~busy
+        bits = bitmap_of(expiring) & ~busy
         return self._generate(bits, now, Version(self.version - self.bound + 1))
 
     def has_expiring(self) -> bool:
         """Tell whether the next version expires ready samples."""
-        return bool(self._by_version.get(Version(self.version - self.bound)))
+        return self._ready.has_version(Version(self.version - self.bound))
 
     def next_retry(self) -> float | None:
         """Return when a delayed slot is due."""
@@ -219,18 +213,16 @@
         """Return when the work in progress of a slot was started."""
         return self._started[slot] if self._work.get(slot) == work_id else None
 
+    def withdrawals(self) -> list[WithdrawSample]:
+        """List what would withdraw the work in progress."""
+        return [WithdrawSample(work_id) for work_id in self._work.values()]
+
     def withdraw_all(self) -> list[StepAction]:
         """Withdraw all work in progress."""
         return self._withdraw(self._work_bits)
 
     def _drop_expired(self, now: float) -> list[StepAction]:
-        expired: list[int] = []
-        for oldest in sorted(self._by_version):
-            if self._fresh(oldest):
-                break
-            expired += self._by_version[oldest]
-        for slot in expired:
-            self._drop_ready(slot)
+        expired = self._ready.drop_below(Version(self.version - self.bound))
         # The trainer may hold a slot that was handed over; its next statement
         # tells, and generates the slot when it was lost.
         bits = bitmap_of(expired) & ~(self._handed_bits | self._work_bits)
@@ -239,35 +231,6 @@
     def _fresh(self, oldest: Version) -> bool:
         return self.version - oldest <= self.bound
 
-    def _first_ready(self, limit: int) -> list[int]:
-        slots: list[int] = []
-        for oldest in sorted(self._by_version):
-            for slot in self._by_version[oldest]:
-                if len(slots) == limit:
-                    return slots
-                slots.append(slot)
-        return slots
-
-    def _keep(self, sample: Sample, oldest: Version) -> list[StepAction]:
-        slot = sample.slot
-        known = self._ready.get(slot)
-        if known is not None:
-            if known.oldest >= oldest:
-                return []
-            self._drop_ready(slot)
-        self._ready[slot] = _Ready(sample, oldest)
-        self._ready_bits |= 1 << slot
-        self._by_version.setdefault(oldest, {})[slot] = None
-        return [SamplesReady(self.number)]
-
-    def _drop_ready(self, slot: int) -> None:
-        oldest = self._ready.pop(slot).oldest
-        self._ready_bits &= ~(1 << slot)
-        bucket = self._by_version[oldest]
-        del bucket[slot]
-        if not bucket:
-            del self._by_version[oldest]
-
     def _generate(
         self, bits: int, now: float, min_version: Version | None = None
     ) -> list[StepAction]:
--- /dev/null
+++ b/packages/fulmarpulley-core/tests/test_steps.py
@@ -0,0 +1,433 @@
+import sys
+from types import FrameType
+from typing import Any
+from unittest import TestCase
+
+import msgspec
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from fulmarpulley_core.bitmaps import (
+    BitmapError,
+    bitmap_of,
+    decode_bitmap,
+    encode_bitmap,
+    slots_of,
+)
+from fulmarpulley_core.handover import open_step_of, plan_handover
+from fulmarpulley_core.ids import (
+    NodeId,
+    Region,
+    ServiceName,
+    StepNumber,
+    TrainerId,
+    Version,
+    WorkId,
+)
+from fulmarpulley_core.step_actions import (
+    GenerateSample,
+    SamplesReady,
+    StepAction,
+    WithdrawSample,
+)
+from fulmarpulley_core.step_book import STEP_IDLE_S, StepBook
+from fulmarpulley_core.steps import RETRY_S, SlotState
+from fulmarpulley_schema.generated.http import (
+    PromptGroup,
+    Sample,
+    SampleBatch,
+    Span,
+    StepOpen,
+    StepTake,
+)
+
+STEP = StepNumber(1)
+GROUPS = 3
+PER_GROUP = 4
+SLOTS = GROUPS * PER_GROUP
+BOUND = 2
+FATES = ["delivered", "delivered", "lost", "stale"]
+picks = st.integers(0, 1 << 16)
+
+
+class Peer(msgspec.Struct, frozen=True):
+    node_id: NodeId
+    region: Region = Region("")
+
+
+def book(home: str = "h1") -> StepBook:
+    return StepBook(ServiceName("tutor"), TrainerId("t"), home)
+
+
+def opening(held: int = 0, version: int = 0, groups: int = GROUPS) -> StepOpen:
+    prompts = [PromptGroup(prompt=f"p{group}") for group in range(groups)]
+    return StepOpen(
+        groups=prompts,
+        samples_per_group=PER_GROUP,
+        version=version,
+        held=encode_bitmap(held),
+    )
+
+
+def taking(held: int = 0, version: int = 0, limit: int = 256) -> StepTake:
+    return StepTake(version=version, held=encode_bitmap(held), max_samples=limit)
+
+
+def sample(slot: int, *versions: int, text: str = "") -> Sample:
+    spans = [Span(version=version, tokens=1) for version in versions]
+    return Sample(slot=slot, text=text, count=len(spans), spans=spans)
+
+
+def works(actions: list[StepAction]) -> dict[WorkId, int]:
+    return {a.work_id: a.slot for a in actions if isinstance(a, GenerateSample)}
+
+
+class NaiveStep:
+    """Keeps one entry a slot and scans all of them on each question."""
+
+    def __init__(self) -> None:
+        self.ready: dict[int, tuple[int, int, str]] = {}
+        self.arrivals = 0
+
+    def keep(self, given: Sample, version: int, held: set[int]) -> None:
+        oldest = min(span.version for span in given.spans)
+        known = self.ready.get(given.slot)
+        newer = known is None or oldest > known[0]
+        if given.slot not in held and version - oldest <= BOUND and newer:
+            self.arrivals += 1
+            self.ready[given.slot] = (oldest, self.arrivals, given.text)
+
+    def take(self, held: set[int], version: int, limit: int) -> list[tuple[int, str]]:
+        self.state(held, version)
+        order = sorted(self.ready.items(), key=lambda item: item[1])
+        return [(slot, text) for slot, (_, _, text) in order[:limit]]
+
+    def state(self, held: set[int], version: int) -> None:
+        for slot, (oldest, _, _) in list(self.ready.items()):
+            if slot in held or version - oldest > BOUND:
+                del self.ready[slot]
+
+
+class StepMachine(RuleBasedStateMachine):
+    """Guards against lost, doubled and stale samples."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.version = 0
+        self.homes = 1
+        self.book = book()
+        self.naive = NaiveStep()
+        self.trainer: dict[int, str] = {}
+        self.known_held: set[int] = set()
+        self.work: dict[WorkId, int] = {}
+        self.old_work: dict[WorkId, int] = {}
+        self.texts = 0
+        self.open()
+
+    def act(self, actions: list[StepAction]) -> None:
+        self.work |= works(actions)
+        for action in actions:
+            if isinstance(action, WithdrawSample):
+                self.old_work[action.work_id] = self.work.pop(action.work_id)
+
+    def statement(self) -> int:
+        self.known_held = set(self.trainer)
+        return bitmap_of(self.trainer)
+
+    @rule()
+    def open(self) -> None:
+        body = opening(self.statement(), self.version)
+        self.act(self.book.open(STEP, body, BOUND, self.now))
+        self.naive.state(self.known_held, self.version)
+        self.every_missing_slot_is_wanted()
+
+    @rule(limit=st.integers(1, SLOTS), fate=st.sampled_from(FATES))
+    def take(self, limit: int, fate: str) -> None:
+        held = self.statement()
+        if fate == "stale":
+            # A statement that was delayed on its way names fewer slots.
+            held &= 0b101010101010
+            self.known_held = set(slots_of(held))
+        body = taking(held, self.version, limit)
+        taken = self.book.take(STEP, body, self.now)
+        if taken is None:
+            self.open()
+            return
+        self.act(taken.actions)
+        expected = self.naive.take(self.known_held, self.version, limit)
+        found = [(given.slot, given.text) for given in taken.batch.samples]
+        assert found == expected
+        known = len(self.known_held) + len(found)
+        assert taken.batch.missing == SLOTS - known
+        self.every_missing_slot_is_wanted()
+        if fate == "delivered":
+            self.deliver(taken.batch)
+
+    def deliver(self, batch: SampleBatch) -> None:
+        for given in batch.samples:
+            assert given.slot not in self.trainer, "delivered twice"
+            oldest = min(span.version for span in given.spans)
+            assert self.version - oldest <= BOUND, "delivered beyond the bound"
+            self.trainer[given.slot] = given.text
+
+    @precondition(lambda self: self.work)
+    @rule(pick=picks, age=st.integers(0, BOUND + 1), spans=st.integers(1, 2))
+    def finish_some_work(self, pick: int, age: int, spans: int) -> None:
+        for turn in range(min(len(self.work), pick % 8 + 1)):
+            self.finish_work(pick // 8 + turn, age, spans)
+
+    def finish_work(self, pick: int, age: int, spans: int) -> None:
+        work_id, slot = list(self.work.items())[pick % len(self.work)]
+        self.old_work[work_id] = self.work.pop(work_id)
+        oldest = max(0, self.version - age)
+        self.texts += 1
+        versions = [oldest, self.version][:spans]
+        given = sample(slot, *versions, text=f"x{self.texts}")
+        self.act(self.book.sample_ready(STEP, work_id, given, self.now))
+        self.naive.keep(given, self.version, self.known_held)
+
+    @precondition(lambda self: self.old_work)
+    @rule(pick=picks, failed=st.booleans())
+    def old_work_ends_again(self, pick: int, failed: bool) -> None:
+        work_id, slot = list(self.old_work.items())[pick % len(self.old_work)]
+        if failed:
+            assert not self.book.work_failed(STEP, slot, work_id, self.now)
+        given = sample(slot, self.version, text="old")
+        assert not self.book.sample_ready(STEP, work_id, given, self.now)
+
+    @precondition(lambda self: self.work)
+    @rule(pick=picks)
+    def fail_work(self, pick: int) -> None:
+        work_id, slot = list(self.work.items())[pick % len(self.work)]
+        del self.work[work_id]
+        self.act(self.book.work_failed(STEP, slot, work_id, self.now))
+
+    @rule()
+    def announce(self) -> None:
+        self.version += 1
+        actions = self.book.version_announced(Version(self.version), self.now)
+        self.act(actions)
+        self.naive.state(self.known_held, self.version)
+
+    @rule(seconds=st.sampled_from([0.5, 2.0, 60.0]))
+    def tick(self, seconds: float) -> None:
+        self.now += seconds
+        self.act(self.book.tick(self.now))
+        wakeup = self.book.next_wakeup()
+        assert wakeup is None or wakeup > self.now
+
+    @rule()
+    def home_dies(self) -> None:
+        self.new_home()
+
+    @rule()
+    def home_leaves(self) -> None:
+        peers = [Peer(NodeId("h1")), Peer(NodeId("h2"))]
+        parcels = plan_handover(NodeId("h1"), peers, [self.book])
+        kept = self.naive.ready
+        self.new_home()
+        for parcel in parcels:
+            assert parcel.target == "h2"
+            handed = open_step_of(parcel.message)
+            self.act(self.book.restore(handed, self.now))
+        self.naive.ready = kept if parcels else {}
+
+    def new_home(self) -> None:
+        self.homes += 1
+        self.book = book(f"h{self.homes}")
+        self.old_work |= self.work
+        self.work = {}
+        self.naive.ready = {}
+
+    @precondition(lambda self: self.trainer)
+    @rule(pick=picks)
+    def trainer_restarts(self, pick: int) -> None:
+        kept = {slot for slot in self.trainer if pick >> slot % 16 & 1}
+        self.trainer = {slot: self.trainer[slot] for slot in kept}
+        self.open()
+
+    def every_missing_slot_is_wanted(self) -> None:
+        step = self.book.steps[STEP]
+        assert not self.known_held & set(self.work.values())
+        for slot in range(SLOTS):
+            state = step.state_of(slot)
+            assert (state is SlotState.HELD) == (slot in self.known_held)
+            assert (state is SlotState.READY) == (slot in self.naive.ready)
+            assert state is not SlotState.DROPPED
+
+    @invariant()
+    def work_matches_the_book(self) -> None:
+        step = self.book.steps.get(STEP)
+        if step is not None:
+            assert {a.work_id for a in step.withdrawals()} == set(self.work)
+
+    def teardown(self) -> None:
+        # Once nothing fails any more, the trainer gets every slot.
+        for _ in range(SLOTS + 2):
+            self.now += RETRY_S
+            self.open()
+            self.act(self.book.tick(self.now))
+            for _ in range(len(self.work)):
+                self.finish_work(0, 0, 1)
+            self.take(SLOTS, "delivered")
+        assert set(self.trainer) == set(range(SLOTS))
+
+
+StepMachine.TestCase.settings = settings(
+    max_examples=200, stateful_step_count=40, deadline=None, derandomize=True
+)
+StepMachineTest = StepMachine.TestCase
+
+
+class StepBookTest(TestCase):
+    def filled(self, version: int = 0, groups: int = GROUPS) -> StepBook:
+        made = book()
+        actions = made.open(STEP, opening(groups=groups), BOUND, 0.0)
+        for work_id, slot in works(actions).items():
+            made.sample_ready(STEP, work_id, sample(slot, version), 10.0)
+        return made
+
+    def test_take_of_an_unknown_step_returns_none(self) -> None:
+        """Guards against an empty answer that lets a trainer wait for ever."""
+        self.assertIsNone(book().take(STEP, taking(), 0.0))
+
+    def test_bitmap_beyond_the_step_is_refused(self) -> None:
+        """Guards against slots that silently count as held."""
+        for text in (encode_bitmap(1 << SLOTS), "%%%"):
+            with self.assertRaises(BitmapError):
+                decode_bitmap(text, SLOTS)
+        self.assertEqual(decode_bitmap(encode_bitmap(0b1001), 4), 0b1001)
+
+    def test_sample_without_versions_is_tried_again(self) -> None:
+        """Guards against a sample whose versions nobody knows."""
+        made = book()
+        work_id, slot = next(iter(works(made.open(STEP, opening(), 2, 0.0)).items()))
+        made.sample_ready(STEP, work_id, sample(slot), 0.0)
+        self.assertEqual(list(works(made.tick(RETRY_S)).values()), [slot])
+
+    def test_expired_samples_are_generated_at_once(self) -> None:
+        """Guards against a slot that stays empty until the next take."""
+        made = self.filled()
+        actions = made.version_announced(Version(BOUND + 1), 20.0)
+        self.assertEqual(sorted(works(actions).values()), list(range(SLOTS)))
+
+    def test_expired_sample_that_was_handed_over_waits_for_the_trainer(self) -> None:
+        """Guards against work for samples that the trainer already holds."""
+        made = self.filled()
+        made.take(STEP, taking(), 11.0)
+        self.assertEqual(made.version_announced(Version(BOUND + 1), 20.0), [])
+        taken = made.take(STEP, taking(0b11, BOUND + 1), 21.0)
+        assert taken is not None
+        self.assertEqual(len(works(taken.actions)), SLOTS - 2)
+
+    def test_samples_close_to_expiry_are_replaced_in_time(self) -> None:
+        """Guards against a trainer that waits because all samples expired at once."""
+        made = self.filled()
+        made.version_announced(Version(1), 100.0)
+        made.version_announced(Version(2), 200.0)
+        # The next version is expected at 300 s, and a sample takes 10 s.
+        self.assertEqual(made.next_wakeup(), 290.0)
+        self.assertEqual(made.tick(289.0), [])
+        actions = made.tick(290.0)
+        self.assertEqual(len(works(actions)), SLOTS)
+        self.assertEqual({a.min_version for a in actions}, {1})
+        for work_id, slot in works(actions).items():
+            made.sample_ready(STEP, work_id, sample(slot, 2), 299.0)
+        self.assertEqual(made.version_announced(Version(3), 300.0), [])
+        taken = made.take(STEP, taking(0, 3), 300.0)
+        assert taken is not None
+        self.assertEqual(len(taken.batch.samples), SLOTS)
+
+    def test_replacement_without_newer_version_is_dropped(self) -> None:
+        """Guards against a sample that changes between two takes for nothing."""
+        made = self.filled()
+        made.version_announced(Version(1), 100.0)
+        made.version_announced(Version(2), 200.0)
+        for work_id, slot in works(made.tick(290.0)).items():
+            again = sample(slot, 0, text="again")
+            self.assertEqual(made.sample_ready(STEP, work_id, again, 299.0), [])
+        taken = made.take(STEP, taking(0, 2), 299.0)
+        assert taken is not None
+        self.assertEqual({given.text for given in taken.batch.samples}, {""})
+
+    def test_open_with_other_content_starts_again(self) -> None:
+        """Guards against samples of other prompts after a trainer restart."""
+        made = book()
+        before = works(made.open(STEP, opening(), BOUND, 0.0))
+        actions = made.open(STEP, opening(groups=GROUPS + 1), BOUND, 1.0)
+        withdrawn = {a.work_id for a in actions if isinstance(a, WithdrawSample)}
+        self.assertEqual(withdrawn, set(before))
+        self.assertFalse(set(works(actions)) & set(before))
+
+    def test_smaller_bound_drops_the_samples_beyond_it(self) -> None:
+        """Guards against samples older than a bound that an operator lowered."""
+        made = self.filled()
+        made.version_announced(Version(1), 11.0)
+        actions = made.open(STEP, opening(version=1), 0, 12.0)
+        self.assertEqual(len(works(actions)), SLOTS)
+
+    def test_close_withdraws_the_work(self) -> None:
+        """Guards against accelerators that work for a closed step."""
+        made = book()
+        made.open(STEP, opening(), BOUND, 0.0)
+        self.assertEqual(len(made.close(STEP)), SLOTS)
+        self.assertEqual(made.next_wakeup(), None)
+
+    def test_idle_step_is_dropped(self) -> None:
+        """Guards against memory held for a trainer that never returns."""
+        made = book()
+        made.open(STEP, opening(), BOUND, 0.0)
+        self.assertEqual(len(made.tick(STEP_IDLE_S)), SLOTS)
+        self.assertEqual(made.steps, {})
+
+    def test_ready_sample_wakes_a_take(self) -> None:
+        """Guards against a long poll that sleeps although a sample is there."""
+        made = book()
+        work_id, slot = next(iter(works(made.open(STEP, opening(), 2, 0.0)).items()))
+        actions = made.sample_ready(STEP, work_id, sample(slot, 0), 1.0)
+        self.assertEqual(actions, [SamplesReady(STEP)])
+
+    def test_handover_messages_stay_below_the_limit(self) -> None:
+        """Guards against a message that peers refuse, which loses the samples."""
+        made = book()
+        actions = made.open(STEP, opening(), BOUND, 0.0)
+        for work_id, slot in works(actions).items():
+            big = sample(slot, 0, text="z" * 1_000_000)
+            made.sample_ready(STEP, work_id, big, 1.0)
+        parcels = plan_handover(NodeId("a"), [Peer(NodeId("b"))], [made])
+        sizes = [len(msgspec.msgpack.encode(p.message)) for p in parcels]
+        self.assertLess(max(sizes), 8 * 1024 * 1024)
+        self.assertEqual(sum(len(p.message.samples) for p in parcels), SLOTS)
+
+    def test_events_of_single_slots_cost_the_same_in_a_large_step(self) -> None:
+        """Guards against a scan of all slots on each event, by lines executed."""
+        small, large = self.lines_executed(16), self.lines_executed(4096)
+        self.assertEqual(small, large)
+
+    def lines_executed(self, groups: int) -> int:
+        made = book()
+        actions = made.open(STEP, opening(groups=groups), BOUND, 0.0)
+        found = list(works(actions).items())
+        count = 0
+
+        def trace(frame: FrameType, event: str, argument: Any) -> Any:
+            nonlocal count
+            count += event == "line"
+            return trace
+
+        before = sys.gettrace()
+        sys.settrace(trace)
+        try:
+            for work_id, slot in found[:8]:
+                made.sample_ready(STEP, work_id, sample(slot, 0), 1.0)
+            made.work_failed(STEP, found[8][1], found[8][0], 1.0)
+            made.take(STEP, taking(0b11, 0, 4), 2.0)
+            for version in range(1, BOUND + 1):
+                made.version_announced(Version(version), 2.0 * version)
+            made.tick(9.0)
+            made.version_announced(Version(BOUND + 1), 10.0)
+        finally:
+            sys.settrace(before)
+        return count
