--- a/packages/fulmarpulley-core/tests/pool/test_fair_queue.py
+++ b/packages/fulmarpulley-core/tests/pool/test_fair_queue.py
@@ -47,6 +47,16 @@
         count = Counter(w.tenant for w in served(queue, 20))
         self.assertEqual(count["a"], 10)
 
+    def test_tenant_that_was_blocked_catches_up_within_a_bound(self) -> None:
+        works = [sample(f"b{i}", tenant="b", max_tokens=9999) for i in range(40)]
+        works += [sample(f"a{i}", tenant="a", max_tokens=9999) for i in range(40)]
+        queue = filled(works)
+        for _ in range(20):
+            queue.take(next(x for x in queue.lanes() if x.head().work.tenant == "a"))
+        turns = [each.tenant for each in served(queue, 12)]
+        # 65,536 tokens and the charge of the last item of "a" are made good.
+        self.assertEqual(turns.index("a"), 8)
+
     def test_desk_goes_first_but_trainers_keep_a_part(self) -> None:
         works = [sample(f"s{i}") for i in range(100)]
         works += [work(f"d{i}", tenant="desk") for i in range(100)]
--- a/packages/fulmarpulley-core/tests/pool/test_retries.py
+++ b/packages/fulmarpulley-core/tests/pool/test_retries.py
@@ -25,7 +25,7 @@
 
     def test_broken_work_resumes_elsewhere_after_a_back_off(self) -> None:
         driver = Driver(document())
-        first = driver.submit(work("a"))[0]
+        first = driver.submit(work("a"), work("b", max_tokens=99))[0]
         self.assertEqual(driver.fail(first.attempt_id, Failure.BROKEN, tokens=4), [])
         again = wait_for_start(driver, 1.0)[0]
         self.assertEqual((again.upstream, again.resume_from), ("u2", 4))
--- a/packages/fulmarpulley-core/tests/pool/test_stragglers.py
+++ b/packages/fulmarpulley-core/tests/pool/test_stragglers.py
@@ -59,7 +59,9 @@
         driver = tail([sample("a")])
         run(driver, 3.0)
         first, hedge = [AttemptId(s.attempt_id) for s in starts(driver.log)]
+        driver.progress(hedge, 6)
         self.assertEqual(driver.fail(first, Failure.BROKEN), [])
+        self.assertEqual(run(driver, 0.2), [])
         self.assertEqual(len(driver.finish(hedge)), 1)
 
     def test_hedges_stay_within_their_budget(self) -> None:
@@ -74,6 +76,10 @@
         self.assertEqual(hedges_of([work("a")], Hedges(desk=True)), 1)
         self.assertEqual(hedges_of([sample("a", repeatable=False)]), 0)
 
+    def test_step_with_groups_still_waiting_is_not_hedged(self) -> None:
+        unserved = sample("b", min_version=9)
+        self.assertEqual(hedges_of([sample("a"), unserved]), 0)
+
     def test_steady_attempt_is_not_hedged(self) -> None:
         driver = tail([sample("a")])
         for tokens in range(6, 10):
--- a/packages/fulmarpulley-core/tests/pool/test_weights.py
+++ b/packages/fulmarpulley-core/tests/pool/test_weights.py
@@ -7,10 +7,12 @@
     OrderFinished,
     Tick,
     VersionAnnounced,
+    Withdraw,
 )
 from fulmarpulley_schema.generated.document import ServiceKind, UpstreamEntry, Weights
+from fulmarpulley_schema.generated.http import Ran
 
-from .pool_fixtures import MODEL, Driver, document, run, sample, upstream
+from .pool_fixtures import MODEL, Driver, document, refusals, run, sample, upstream
 
 TWO_REGIONS = ["u1", "u2", upstream("far1", region="b"), upstream("far2", region="b")]
 
@@ -154,9 +156,18 @@
         driver = driver_at(1, ["u1"])
         each = sample("a", staleness_bound=0, repeatable=False)
         driver.progress(driver.submit(each)[0].attempt_id, 5, version=1)
+        driver.log.clear()
         announce(driver, 2)
         driver.report_versions(2, "u1")
-        self.assertEqual(driver.pool.view().in_flight, 1)
+        self.assertEqual([a for a in driver.log if not isinstance(a, Order)], [])
+
+    def test_sample_that_was_cut_is_not_reported_as_not_run(self) -> None:
+        driver = driver_at(1, ["u1"])
+        started = driver.submit(sample("a", staleness_bound=0))[0]
+        driver.progress(started.attempt_id, 5, version=1)
+        announce(driver, 2)
+        ended = refusals(driver.send(Withdraw(started.work_id)))
+        self.assertEqual(ended[0].ran, Ran.MAY_HAVE_RUN)
 
     def test_sample_that_cannot_finish_within_its_bound_waits(self) -> None:
         driver = driver_at(1, ["u1", "u2"])
