--- a/packages/fulmarpulley-node/src/fulmarpulley_node/documents.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/documents.py
@@ -4,6 +4,7 @@
 
 from result import Err, Ok, Result
 
+from fulmarpulley_schema.checks import check_document
 from fulmarpulley_schema.codec import convert
 from fulmarpulley_schema.generated.document import ServiceDocument
 from fulmarpulley_schema.generated.http import Finding
@@ -18,7 +19,8 @@
     done = convert(document, ServiceDocument)
     if isinstance(done, Err):
         return done
-    findings = list(_findings(service, done.ok_value))
+    findings = check_document(done.ok_value)
+    findings += _findings(service, done.ok_value)
     return Err(findings) if findings else Ok(done.ok_value)
 
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/attempts.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/attempts.py
@@ -25,17 +25,23 @@
 class AttemptRunner:
     """Own the attempts in flight."""
 
-    def __init__(self, post: Callable[[Event], None], metrics: Metrics) -> None:
+    def __init__(
+        self, post: Callable[[Event], None], metrics: Metrics, run_id: str
+    ) -> None:
         self.post = post
+        self.run_id = run_id
         self.metrics = metrics
         self.buffers: dict[AttemptId, AttemptBuffer] = {}
         self.tasks = TaskGroup()
 
     def start(
-        self, buffer: AttemptBuffer, dialect: UpstreamDialect, stall_s: float
+        self, buffer: AttemptBuffer, dialect: UpstreamDialect | None, stall_s: float
     ) -> None:
-        """Start an attempt."""
+        """Start an attempt; without connections to the upstream it is not sent."""
         self.buffers[buffer.attempt_id] = buffer
+        if dialect is None:
+            self._finish(buffer, Err(AttemptEnd(Failure.NOT_SENT, "unknown upstream")))
+            return
         buffer.task = self.tasks.spawn(self._run(buffer, dialect, stall_s))
 
     def cancel(self, attempt_id: AttemptId, dialect: UpstreamDialect | None) -> None:
@@ -46,14 +52,17 @@
         buffer.task.cancel()
         self._count(buffer, "cancelled")
         if dialect is not None:
-            self.tasks.spawn(dialect.cancel(attempt_id))
+            self.tasks.spawn(dialect.cancel(self._request_id(attempt_id)))
+
+    def _request_id(self, attempt_id: AttemptId) -> str:
+        return f"{attempt_id}@{self.run_id}"
 
     async def _run(
         self, buffer: AttemptBuffer, dialect: UpstreamDialect, stall_s: float
     ) -> None:
         submit = buffer.work.submit
         attempt = Attempt(
-            request_id=buffer.attempt_id,
+            request_id=self._request_id(buffer.attempt_id),
             key=submit.work_id,
             model=submit.model,
             prompt=submit.prompt,
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/claim_runner.py
@@ -0,0 +1,136 @@
+"""Claim requests with keys and run them under their claims."""
+
+import asyncio
+from collections.abc import Callable
+
+from msgspec.structs import replace
+from result import Err
+
+from fulmarpulley_core.claim_messages import AppendClaim, KeyOf, OwnState, RefuseKey
+from fulmarpulley_schema.generated.document import ServiceDocument
+from fulmarpulley_schema.generated.http import Ran
+from fulmarpulley_schema.generated.peer import Refusal
+from fulmarpulley_schema.generated.records import OutcomeKind
+
+from ..errors import ErrorCode, refusal
+from ..platform.dialects import PlatformFailure
+from ..progress import wait_event
+from ..work_client import Delivery, WorkClient
+from .claim_stream import ClaimStream
+from .key_refusals import key_refusal
+from .keyed import KeyedRequest, keyed_submission
+
+# An own claim that is not read back by then is given up as not run.
+READ_BACK_S = 5.0
+CLAIM_CHECK_S = 0.25
+_NOT_APPENDED = frozenset({PlatformFailure.UNAVAILABLE, PlatformFailure.RATE_LIMITED})
+_OUTCOMES = {
+    Ran.NOT_RUN.value: OutcomeKind.NOT_RUN,
+    Ran.MAY_HAVE_RUN.value: OutcomeKind.MAY_HAVE_RUN,
+    Ran.RAN.value: OutcomeKind.RAN,
+}
+
+
+class ClaimRunner:
+    """Own the deliveries of one partition."""
+
+    def __init__(
+        self,
+        stream: ClaimStream,
+        work: WorkClient,
+        document: Callable[[str], ServiceDocument | None],
+    ) -> None:
+        self.stream = stream
+        self.table = stream.table
+        self.work = work
+        self.document = document
+        self.deliveries: dict[KeyOf, Delivery] = {}
+
+    async def claim(self, request: KeyedRequest, decision: AppendClaim) -> None:
+        """Claim a request and run it when the claim is won."""
+        entry = decision.entry
+        request.claim_id = entry.claim_id
+        if decision.run_at_once:
+            self.stream.tasks.spawn(
+                self.stream.log.append_claim(self.stream.name, entry)
+            )
+            await self._deliver(request)
+            return
+        done = await self.stream.log.append_claim(self.stream.name, entry)
+        if isinstance(done, Err) and done.err_value in _NOT_APPENDED:
+            self.table.cancel_append(entry.claim_id)
+            text = f"the log takes no claims ({done.err_value.value})"
+            request.progress.refuse(refusal(ErrorCode.LOG_UNAVAILABLE, text))
+            return
+        await self._await_claim(request)
+
+    async def _await_claim(self, request: KeyedRequest) -> None:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + min(READ_BACK_S, request.remaining_s())
+        while True:
+            refused = self.stream.refused.pop(request.claim_id, None)
+            if refused is not None:
+                request.progress.refuse(key_refusal(refused))
+                return
+            own = self.table.own.get(request.claim_id)
+            if own is None:
+                return
+            if own.state is OwnState.WON and not request.cancelled:
+                await self._begin(request)
+                return
+            if loop.time() >= deadline or request.cancelled:
+                self._abandon(request)
+                return
+            changed = self.stream.changed(request.key)
+            await wait_event(changed, min(CLAIM_CHECK_S, deadline - loop.time()))
+
+    async def _begin(self, request: KeyedRequest) -> None:
+        if self.table.begin(request.claim_id):
+            await self._deliver(request)
+            return
+        ended = self.table.abandon(request.claim_id)
+        if ended.record is not None:
+            self.stream.record(ended.record)
+        expired = RefuseKey(ErrorCode.KEY_EXPIRED.value, Ran.MAY_HAVE_RUN)
+        request.progress.refuse(key_refusal(expired))
+
+    def _abandon(self, request: KeyedRequest) -> None:
+        ended = self.table.abandon(request.claim_id)
+        if ended.record is not None:
+            self.stream.record(ended.record)
+        code = ErrorCode.LOG_UNAVAILABLE
+        if request.cancelled:
+            code = ErrorCode.CANCELLED
+        elif request.remaining_s() <= 0:
+            code = ErrorCode.DEADLINE_PASSED
+        text = "the claim was not read back from the log in time"
+        request.progress.refuse(refusal(code, text, ended.ran))
+
+    async def _deliver(self, request: KeyedRequest) -> None:
+        message = request.message
+        document = self.document(request.key.service)
+        if message is None or document is None:
+            text = "the document of the service is gone"
+            self._end(request, refusal(ErrorCode.UNKNOWN_SERVICE, text))
+            return
+        submit = keyed_submission(document, request, message)
+        delivery = Delivery(self.work, submit, request.progress)
+        self.deliveries[request.key] = delivery
+        try:
+            await self.work.follow(delivery)
+        finally:
+            self.deliveries.pop(request.key, None)
+        # No await since the progress ended, so nobody has read the end yet.
+        self._end(request, request.progress.refusal)
+
+    def _end(self, request: KeyedRequest, refused: Refusal | None) -> None:
+        if refused is None:
+            ended = self.table.finish(
+                request.claim_id, OutcomeKind.ANSWERED, request.stored()
+            )
+        else:
+            ended = self.table.finish(request.claim_id, _OUTCOMES[refused.ran])
+        if ended.record is not None:
+            self.stream.record(ended.record)
+        if refused is not None:
+            request.progress.correct(replace(refused, ran=ended.ran.value))
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/keyed.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/keyed.py
@@ -35,6 +35,8 @@
         self.progress = Progress()
         self.claim_id = ""
         self.cancelled = False
+        # Set once the claims were read, so that a poll without a wait tells the truth.
+        self.decided = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
         self.started = asyncio.get_running_loop().time()
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/partition_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/partition_home.py
@@ -1,18 +1,12 @@
 """Run the requests with keys of one partition."""
 
-import asyncio
 from collections import OrderedDict
 from typing import Protocol
 
-from msgspec.structs import replace
-from result import Err
-
 from fulmarpulley_core.claim_messages import (
     AppendClaim,
     ClaimDecision,
     KeyOf,
-    OwnState,
-    RefuseKey,
     ReturnAnswer,
     WaitForOutcome,
 )
@@ -25,29 +19,21 @@
     Refusal,
     WorkState,
 )
-from fulmarpulley_schema.generated.records import OutcomeKind
 
 from ..errors import ErrorCode, refusal
 from ..peers import PeerLinks
-from ..platform.dialects import PlatformFailure
 from ..progress import wait_event
-from ..work_client import Delivery, WorkClient
+from ..work_client import WorkClient
+from .claim_runner import ClaimRunner
 from .claim_stream import ClaimStream
-from .keyed import KeyedRequest, key_of, keyed_submission
+from .key_refusals import key_refusal
+from .keyed import KeyedRequest, key_of
 
-# An own claim that is not read back by then is given up as not run.
-READ_BACK_S = 5.0
 HOLDER_WAIT_S = 1.0
 CALL_DEADLINE_S = 2.5
 RETRY_PAUSE_S = 0.1
 # Ended requests whose entry has not read the end; answers are kept by the table.
 ENDED_KEPT = 1024
-_NOT_APPENDED = frozenset({PlatformFailure.UNAVAILABLE, PlatformFailure.RATE_LIMITED})
-_OUTCOMES = {
-    Ran.NOT_RUN.value: OutcomeKind.NOT_RUN,
-    Ran.MAY_HAVE_RUN.value: OutcomeKind.MAY_HAVE_RUN,
-    Ran.RAN.value: OutcomeKind.RAN,
-}
 
 
 class KeyedSurroundings(Protocol):
@@ -69,7 +55,7 @@
         self.node = node
         self.active: dict[KeyOf, KeyedRequest] = {}
         self.ended: OrderedDict[KeyOf, KeyedRequest] = OrderedDict()
-        self.deliveries: dict[KeyOf, Delivery] = {}
+        self.runner = ClaimRunner(stream, node.work, node.document)
 
     @property
     def idle(self) -> bool:
@@ -106,6 +92,8 @@
         if known is None:
             known = KeyedRequest(key, None)
             self._start(known)
+        if known.message is None:
+            await wait_event(known.decided, HOLDER_WAIT_S)
         if message.cancel:
             await self._cancel(known)
         return await known.progress.wait(message.have, message.wait_s, message.linger_s)
@@ -136,8 +124,12 @@
         try:
             await self._read_first(request)
             while not request.progress.done:
-                await self._step(request, self._decide(request))
+                decision = self._decide(request)
+                if isinstance(decision, WaitForOutcome):
+                    request.decided.set()
+                await self._step(request, decision)
         finally:
+            request.decided.set()
             if self.active.get(request.key) is request:
                 del self.active[request.key]
                 self._keep_end(request)
@@ -163,101 +155,13 @@
 
     async def _step(self, request: KeyedRequest, decision: ClaimDecision) -> None:
         if isinstance(decision, AppendClaim):
-            await self._claim(request, decision)
+            await self.runner.claim(request, decision)
         elif isinstance(decision, WaitForOutcome):
             await self._wait(request, decision)
         elif isinstance(decision, ReturnAnswer):
             request.restore(decision.answer)
         else:
-            request.progress.refuse(_key_refusal(decision))
-
-    async def _claim(self, request: KeyedRequest, decision: AppendClaim) -> None:
-        entry = decision.entry
-        request.claim_id = entry.claim_id
-        if decision.run_at_once:
-            self.stream.tasks.spawn(
-                self.stream.log.append_claim(self.stream.name, entry)
-            )
-            await self._deliver(request)
-            return
-        done = await self.stream.log.append_claim(self.stream.name, entry)
-        if isinstance(done, Err) and done.err_value in _NOT_APPENDED:
-            self.table.cancel_append(entry.claim_id)
-            text = f"the log takes no claims ({done.err_value.value})"
-            request.progress.refuse(refusal(ErrorCode.LOG_UNAVAILABLE, text))
-            return
-        await self._await_claim(request)
-
-    async def _await_claim(self, request: KeyedRequest) -> None:
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + min(READ_BACK_S, request.remaining_s())
-        while True:
-            refused = self.stream.refused.pop(request.claim_id, None)
-            if refused is not None:
-                request.progress.refuse(_key_refusal(refused))
-                return
-            own = self.table.own.get(request.claim_id)
-            if own is None:
-                return
-            if own.state is OwnState.WON and not request.cancelled:
-                await self._begin(request)
-                return
-            if loop.time() >= deadline or request.cancelled:
-                self._abandon(request)
-                return
-            changed = self.stream.changed(request.key)
-            await wait_event(changed, min(0.25, deadline - loop.time()))
-
-    async def _begin(self, request: KeyedRequest) -> None:
-        if self.table.begin(request.claim_id):
-            await self._deliver(request)
-            return
-        ended = self.table.abandon(request.claim_id)
-        if ended.record is not None:
-            self.stream.record(ended.record)
-        expired = RefuseKey(ErrorCode.KEY_EXPIRED.value, Ran.MAY_HAVE_RUN)
-        request.progress.refuse(_key_refusal(expired))
-
-    def _abandon(self, request: KeyedRequest) -> None:
-        ended = self.table.abandon(request.claim_id)
-        if ended.record is not None:
-            self.stream.record(ended.record)
-        code = ErrorCode.LOG_UNAVAILABLE
-        if request.cancelled:
-            code = ErrorCode.CANCELLED
-        elif request.remaining_s() <= 0:
-            code = ErrorCode.DEADLINE_PASSED
-        text = "the claim was not read back from the log in time"
-        request.progress.refuse(refusal(code, text, ended.ran))
-
-    async def _deliver(self, request: KeyedRequest) -> None:
-        message = request.message
-        document = self.node.document(request.key.service)
-        if message is None or document is None:
-            text = "the document of the service is gone"
-            self._end(request, refusal(ErrorCode.UNKNOWN_SERVICE, text))
-            return
-        submit = keyed_submission(document, request, message)
-        delivery = Delivery(self.node.work, submit, request.progress)
-        self.deliveries[request.key] = delivery
-        try:
-            await self.node.work.follow(delivery)
-        finally:
-            self.deliveries.pop(request.key, None)
-        # No await since the progress ended, so nobody has read the end yet.
-        self._end(request, request.progress.refusal)
-
-    def _end(self, request: KeyedRequest, refused: Refusal | None) -> None:
-        if refused is None:
-            ended = self.table.finish(
-                request.claim_id, OutcomeKind.ANSWERED, request.stored()
-            )
-        else:
-            ended = self.table.finish(request.claim_id, _OUTCOMES[refused.ran])
-        if ended.record is not None:
-            self.stream.record(ended.record)
-        if refused is not None:
-            request.progress.correct(replace(refused, ran=ended.ran.value))
+            request.progress.refuse(key_refusal(decision))
 
     async def _wait(self, request: KeyedRequest, decision: WaitForOutcome) -> None:
         changed = self.stream.changed(request.key)
@@ -292,26 +196,10 @@
 
     async def _cancel(self, request: KeyedRequest) -> None:
         request.cancelled = True
-        delivery = self.deliveries.get(request.key)
+        delivery = self.runner.deliveries.get(request.key)
         if delivery is not None and delivery.home is not None:
             self.node.work.withdraw(delivery.submit, delivery.home)
 
 
-def _key_refusal(refused: RefuseKey) -> Refusal:
-    code = ErrorCode(refused.code)
-    return refusal(code, _TEXTS.get(code, refused.code), refused.ran)
-
-
 def _refused(refused: Refusal) -> WorkState:
     return WorkState(done=True, refusal=refused)
-
-
-_TEXTS = {
-    ErrorCode.BAD_REQUEST: "the key was not issued by this service; ask for a key",
-    ErrorCode.KEY_REUSED: "the key was used with another body; use a new key",
-    ErrorCode.KEY_EXPIRED: "the key is older than the records of the log",
-    ErrorCode.UNKNOWN_KEY: "no request with this key is known",
-    ErrorCode.UPSTREAM_BROKEN: "the holder of the request was lost",
-    ErrorCode.UPSTREAM_ERROR: "the request ran, but its answer is lost",
-    ErrorCode.LOG_UNAVAILABLE: "the claims of the key cannot be read",
-}
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
@@ -1,6 +1,7 @@
 """Drive the dispatcher of one pool shard."""
 
 import asyncio
+import uuid
 from typing import Protocol
 
 import msgspec
@@ -37,9 +38,10 @@
 from ..tasks import TaskGroup
 from .attempts import AttemptRunner
 from .pool_work import AttemptBuffer, PoolWork, WorkTable, to_work
-from .upstream_watch import UpstreamWatch
+from .watches import Watches
 
 IDLE_TICK_S = 1.0
+CLOSE_UNUSED_S = 5.0
 
 
 class Leave(msgspec.Struct, frozen=True):
@@ -71,24 +73,32 @@
         self.pool = Pool(self.document, PoolSettings(), seed)
         self.works = WorkTable()
         self.inbox: asyncio.Queue[Event | Leave] = asyncio.Queue()
-        self.attempts = AttemptRunner(self.inbox.put_nowait, node.metrics)
-        self.watches: dict[UpstreamId, UpstreamWatch] = {}
-        self.watch_tasks: dict[UpstreamId, asyncio.Task[None]] = {}
+        # Upstreams must not take a request or order of this home for one that an
+        # earlier home gave under the same number.
+        self.run_id = uuid.uuid4().hex[:8]
+        self.attempts = AttemptRunner(self.inbox.put_nowait, node.metrics, self.run_id)
+        self.watches = Watches(
+            self.inbox.put_nowait,
+            node.upstream_leaving,
+            self._in_use,
+            node.metrics,
+            self.run_id,
+        )
         self.tasks = TaskGroup()
         self.leaving = False
         self.fence_above = 0
 
     def start(self) -> None:
         """Start to dispatch."""
-        self._watch_upstreams()
+        self.watches.update(self.document)
         self.tasks.spawn(self._run())
+        self.tasks.spawn(self._close_unused())
 
     async def stop(self) -> None:
         """Cut all attempts and close all connections."""
         await self.tasks.stop()
         await self.attempts.tasks.stop()
-        for watch in self.watches.values():
-            await watch.close()
+        await self.watches.stop()
 
     @property
     def idle(self) -> bool:
@@ -128,7 +138,7 @@
     def change_document(self, document: ServiceDocument) -> None:
         """Put a new document in force."""
         self.document = shard_document(document, self.shard)
-        self._watch_upstreams()
+        self.watches.update(self.document)
         self.inbox.put_nowait(DocumentChanged(self.document))
 
     def announce(self, model: str, version: int) -> None:
@@ -137,8 +147,7 @@
 
     def list_changed(self) -> None:
         """Take a change of the instance list at once."""
-        for watch in self.watches.values():
-            watch.report_availability()
+        self.watches.list_changed()
 
     def leave(self) -> None:
         """Stop taking work, and give back work that no upstream has started."""
@@ -218,14 +227,13 @@
         )
         if not action.hedge:
             work.lead = action.attempt_id
-        watch = self.watches[action.upstream]
-        self.attempts.start(buffer, watch.dialect, self.document.stall_s)
+        dialect = self.watches.dialect(action.upstream)
+        self.attempts.start(buffer, dialect, self.document.stall_s)
 
     def _cancel(self, attempt_id: AttemptId) -> None:
         buffer = self.attempts.buffers.get(attempt_id)
         if buffer is not None:
-            watch = self.watches.get(buffer.upstream)
-            self.attempts.cancel(attempt_id, watch.dialect if watch else None)
+            self.attempts.cancel(attempt_id, self.watches.dialect(buffer.upstream))
 
     def _finish(self, action: Finish, now: float) -> None:
         work = self.works.active[action.work_id]
@@ -261,37 +269,19 @@
         )
 
     async def _order(self, order: Order) -> None:
-        watch = self.watches.get(order.upstream)
-        if watch is None:
-            return
         fence = await self.node.fence(self.service, self.shard, self.fence_above)
-        source = ""
-        if order.source is not None and order.source in self.watches:
-            source = self.watches[order.source].entry.address
-        newest = await watch.order(order, fence, source)
+        newest = await self.watches.order(order, fence)
         if newest is not None:
             self.fence_above = max(self.fence_above, newest)
 
-    def _watch_upstreams(self) -> None:
-        entries = {UpstreamId(entry.id): entry for entry in self.document.upstreams}
-        for upstream, entry in entries.items():
-            known = self.watches.get(upstream)
-            if known is not None and known.entry.address == entry.address:
-                known.entry = entry
-                continue
-            if upstream in self.watch_tasks:
-                self.watch_tasks.pop(upstream).cancel()
-            watch = UpstreamWatch(
-                entry,
-                self.inbox.put_nowait,
-                self.node.upstream_leaving,
-                self.node.metrics,
-            )
-            self.watches[upstream] = watch
-            self.watch_tasks[upstream] = self.tasks.spawn(watch.poll())
-        for upstream in self.watches.keys() - entries.keys():
-            if upstream in self.watch_tasks:
-                self.watch_tasks.pop(upstream).cancel()
+    def _in_use(self, upstream: UpstreamId) -> bool:
+        buffers = self.attempts.buffers.values()
+        return any(buffer.upstream == upstream for buffer in buffers)
+
+    async def _close_unused(self) -> None:
+        while True:
+            await asyncio.sleep(CLOSE_UNUSED_S)
+            await self.watches.close_unused()
 
 
 def shard_document(document: ServiceDocument, shard: int) -> ServiceDocument:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/upstream_watch.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/upstream_watch.py
@@ -40,12 +40,14 @@
         post: Callable[[Event], None],
         is_leaving: Callable[[str], bool],
         metrics: Metrics,
+        run_id: str,
     ) -> None:
         self.entry = entry
         self.upstream = UpstreamId(entry.id)
         self.post = post
         self.is_leaving = is_leaving
         self.metrics = metrics
+        self.run_id = run_id
         self.dialect = upstream_dialects.get(entry.dialect)(entry)
         self.versions: dict[str, int] = {}
         self.draining = False
@@ -78,7 +80,7 @@
             self._order_ended(order, False, "no fencing number without the log")
             return None
         request = OrderRequest(
-            order_id=order.order_id,
+            order_id=f"{order.order_id}@{self.run_id}",
             action=OrderAction.LOAD,
             model=order.model,
             version=order.version,
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/main.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+from collections.abc import Iterator
 from pathlib import Path
 
 import aiomisc
@@ -9,12 +10,17 @@
 import uvloop
 from result import Err, Ok, Result
 
-from fulmarpulley_schema.codec import parse
+from fulmarpulley_schema import jsonc
 from fulmarpulley_schema.generated.http import Finding
 from fulmarpulley_schema.generated.settings import NodeSettings
 
 from .app import Node
 from .observe.events import EventFeed, log_event, start_logging
+from .platform import (
+    instance_list_dialects,
+    log_dialects,
+    weight_store_dialects,
+)
 
 BAD_SETTINGS_EXIT = 2
 
@@ -57,11 +63,24 @@
 
 def read_settings(path: Path) -> Result[NodeSettings, list[Finding]]:
     """Read a settings file and collect all faults."""
-    try:
-        text = path.read_text()
-    except (OSError, UnicodeDecodeError) as error:
-        return Err([Finding(path="$", message=str(error), file=str(path))])
-    return parse(text, NodeSettings)
+    done = jsonc.load(path, NodeSettings)
+    if isinstance(done, Err):
+        return done
+    findings = list(_unknown_dialects(done.ok_value))
+    return Err(findings) if findings else done
+
+
+def _unknown_dialects(settings: NodeSettings) -> Iterator[Finding]:
+    services = {
+        "log": (settings.log, list(log_dialects)),
+        "instance_list": (settings.instance_list, list(instance_list_dialects)),
+        "weight_store": (settings.weight_store, list(weight_store_dialects)),
+    }
+    for name, (service, dialects) in services.items():
+        if service is not None and service.dialect not in dialects:
+            known = ", ".join(dialects)
+            message = f"unknown dialect {service.dialect!r}; use one of: {known}"
+            yield Finding(path=f"$.{name}.dialect", message=message)
 
 
 def _settings_or_exit(path: Path) -> NodeSettings:
@@ -69,6 +88,6 @@
     if isinstance(done, Ok):
         return done.ok_value
     for finding in done.err_value:
-        line = "" if finding.line is None else f":{finding.line}"
-        print(f"{path}{line}: {finding.path}: {finding.message}", file=sys.stderr)
+        finding.file = finding.file or str(path)
+        print(jsonc.render(finding), file=sys.stderr)
     sys.exit(BAD_SETTINGS_EXIT)
