--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/step_home.py
@@ -75,6 +75,14 @@
         self._act(actions)
         opened = self.book.steps[StepNumber(step)]
         missing = opened.slots - opened.held.bit_count()
+        log_event(
+            "step_opened",
+            service=self.service,
+            trainer=self.trainer,
+            step=step,
+            slots=opened.slots,
+            missing=missing,
+        )
         return SampleBatch(samples=[], missing=missing)
 
     async def take(self, step: int, body: StepTake, wait_s: float) -> Taken | None:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/web.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/web.py
@@ -8,8 +8,10 @@
 from result import Err
 
 from fulmarpulley_schema.codec import parse, to_json
+from fulmarpulley_schema.generated.http import Finding, Ran
 
 from .errors import ErrorCode, RequestError, error
+from .observe.events import log_event
 
 T = TypeVar("T", bound=msgspec.Struct)
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -22,14 +24,27 @@
     request: web.Request, kind: type[T], limit: int = MAX_BODY_BYTES
 ) -> T:
     """Decode a body, or raise RequestError with all its faults."""
-    done = parse(await _read(request, limit), kind)
+    data = await _read(request, limit)
+    done = parse(data, kind)
     if isinstance(done, Err):
         findings = done.err_value
         message = f"the body has {len(findings)} faults; see findings"
         raise error(ErrorCode.BAD_REQUEST, message, findings=findings)
+    if b"\\ud" in data.lower():
+        _check_encodable(done.ok_value)
     return done.ok_value
 
 
+def _check_encodable(message: msgspec.Struct) -> None:
+    # JSON can escape half of a surrogate pair, which no other node could decode.
+    try:
+        to_json(message)
+    except UnicodeEncodeError as fault:
+        text = f"the body has text that is not Unicode: {fault.reason}"
+        findings = [Finding(path="$", message=text)]
+        raise error(ErrorCode.BAD_REQUEST, text, findings=findings) from fault
+
+
 async def _read(request: web.Request, limit: int) -> bytes:
     too_large = f"the body is larger than {limit} bytes"
     if request.content_length is not None and request.content_length > limit:
@@ -67,8 +82,15 @@
         return await handler(request)
     except RequestError as failure:
         return reply_error(failure)
-    except web.HTTPRequestEntityTooLarge as failure:
-        return reply_error(error(ErrorCode.TOO_LARGE, failure.text or "too large"))
+    except web.HTTPException as refused:
+        message = f"{request.method} {request.path}: {refused.reason}"
+        return reply_error(error(ErrorCode.BAD_REQUEST, message))
+    except ConnectionError:
+        raise
+    except Exception as fault:
+        log_event("request_failed", path=request.path, error=repr(fault))
+        message = "the node failed to handle the request"
+        return reply_error(error(ErrorCode.UPSTREAM_BROKEN, message, Ran.MAY_HAVE_RUN))
 
 
 def query_number(
--- a/testing/src/fulmarpulley_testing/node_system.py
+++ b/testing/src/fulmarpulley_testing/node_system.py
@@ -76,7 +76,7 @@
 
     def engine(self, name: str, *arguments: str) -> Process:
         """Start an engine."""
-        history = str(self.folder / f"{name}.history")
+        history = str(self.folder / f"{name}.jsonl")
         named = ("--name", name, "--history", history)
         return self.stand_in(name, "engine", *named, *arguments)
 
--- a/testing/tests/test_keys_path.py
+++ b/testing/tests/test_keys_path.py
@@ -9,7 +9,7 @@
 
 from fulmarpulley_core.ids import NodeId, Region
 from fulmarpulley_core.placement import home_of
-from fulmarpulley_testing.history import CallExecuted, read
+from fulmarpulley_testing.history import CallExecuted, HistoryReader
 from fulmarpulley_testing.node_system import NodeSystem, Reply, http, stream
 from fulmarpulley_testing.processes import set_faults, wait_for
 from fulmarpulley_testing.tokens import plain_result
@@ -38,7 +38,7 @@
         system = NodeSystem(cls.folder, membership=membership, partitions=4)
         cls.system = cls.enterClassContext(system)
         system.platform()
-        history = ("--history", str(cls.folder / "plain.history"))
+        history = ("--history", str(cls.folder / "plain.jsonl"))
         system.stand_in("plain", "plain_service", *history)
         cls.nodes = system.nodes(3)
         document = {
@@ -68,8 +68,7 @@
         return http(self.url(node, "requests"), "POST", body)
 
     def runs(self, text: str) -> int:
-        path = self.folder / "plain.history"
-        entries = read([path]) if path.exists() else []
+        entries = HistoryReader(self.folder).read()
         calls = [entry for entry in entries if isinstance(entry, CallExecuted)]
         return sum(call.body == text for call in calls)
 
--- /dev/null
+++ b/testing/tests/test_loss_path.py
@@ -0,0 +1,177 @@
+"""Guard work in progress against the loss of nodes and upstreams."""
+
+import base64
+import tempfile
+import threading
+import unittest
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from fulmarpulley_core.ids import NodeId, Region
+from fulmarpulley_core.placement import home_of
+from fulmarpulley_testing import tokens
+from fulmarpulley_testing.node_system import NodeSystem, http, stream
+from fulmarpulley_testing.processes import set_faults, wait_for
+
+DESK, TRAINING = "ticket-desk", "note-drafters"
+REGION = Region("risaralda")
+
+
+class Place(NamedTuple):
+    """Hold what placement needs to know about a node."""
+
+    node_id: NodeId
+    region: Region
+
+
+class Generated(NamedTuple):
+    """Hold the events of a streamed answer."""
+
+    events: list[tuple[str, Any]]
+
+
+def bitmap(held: set[int]) -> str:
+    bits = sum(1 << slot for slot in held)
+    return base64.b64encode(bits.to_bytes(8, "little")).decode()
+
+
+class LossTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        membership = {"period_s": 0.4, "probe_timeout_s": 0.2}
+        self.system = self.enterContext(
+            NodeSystem(self.folder, membership=membership, partitions=2)
+        )
+        self.system.platform()
+        for name in ("engine-0", "engine-1"):
+            self.system.engine(name, "--tokens-per-s", "40", "--version", "1")
+        self.nodes = self.system.nodes(3)
+        upstreams = [self.system.upstream(n) for n in ("engine-0", "engine-1")]
+        common = {"model": "model", "upstreams": upstreams, "stall_s": 2.0}
+        self.publish({"name": DESK, "kind": "desk"} | common)
+        trainers = [{"id": "t"}]
+        training = {"name": TRAINING, "kind": "training", "trainers": trainers}
+        self.publish(training | common)
+
+    def publish(self, document: dict[str, Any]) -> None:
+        reply = self.system.publish(self.nodes[0], document)
+        self.assertEqual(reply.status, 200, reply.body)
+        revision = reply.body["revision"]
+        self.system.wait_revision(self.nodes, document["name"], revision)
+
+    def home(self, key: str) -> str:
+        places = [Place(NodeId(name), REGION) for name in self.nodes]
+        found = home_of(key, places, REGION)
+        assert found is not None
+        return found
+
+    def long_input(self, least: int, limit: int) -> str:
+        number = 0
+        while tokens.whole_length(f"long {number}", 0, limit) < least:
+            number += 1
+        return f"long {number}"
+
+    def start_stream(self, node: str, text: str) -> list[Generated]:
+        url = f"{self.system.url(node)}/v1/services/{DESK}/requests"
+        body = {"input": text, "max_tokens": 200, "stream": True}
+        found: list[Generated] = []
+        threading.Thread(
+            target=lambda: found.append(Generated(stream(url, body))), daemon=True
+        ).start()
+        wait_for(lambda: self.in_flight(DESK) > 0, "start of the request")
+        return found
+
+    def in_flight(self, service: str) -> int:
+        alive = [n for n in self.nodes if self.system.processes.by_name[n].running()]
+        status = http(f"{self.system.url(alive[0])}/v1/status").body
+        pools = [pool for node in status["nodes"] for pool in node["pools"]]
+        return sum(p["in_flight"] for p in pools if p["service"] == service)
+
+    def check_whole(self, generated: Generated, text: str) -> None:
+        events = generated.events
+        self.assertEqual(events[-1][0], "end", events[-1])
+        count = tokens.whole_length(text, 0, 200)
+        self.assertEqual(events[-1][1]["count"], count)
+        received = tokens.parse("".join(data["text"] for _, data in events[:-1]))
+        assert received is not None
+        self.assertEqual([token.position for token in received], list(range(count)))
+        hashes = {token.prompt_hash for token in received}
+        self.assertEqual(hashes, {tokens.prompt_hash(text)})
+
+    def test_stream_goes_on_when_pool_home_dies(self) -> None:
+        # Fails when the owner loses its tokens, or submits without them.
+        pool = self.home(f"{DESK}/pool-0")
+        entry = next(node for node in self.nodes if node != pool)
+        text = self.long_input(80, 200)
+        found = self.start_stream(entry, text)
+        self.system.processes.by_name[pool].kill()
+        wait_for(lambda: bool(found), "end of the stream")
+        self.check_whole(found[0], text)
+
+    def test_stream_goes_on_when_pool_home_freezes(self) -> None:
+        pool = self.home(f"{DESK}/pool-0")
+        entry = next(node for node in self.nodes if node != pool)
+        text = self.long_input(80, 200)
+        found = self.start_stream(entry, text)
+        self.system.processes.by_name[pool].freeze()
+        try:
+            wait_for(lambda: bool(found), "end of the stream")
+        finally:
+            self.system.processes.by_name[pool].wake()
+        self.check_whole(found[0], text)
+
+    def test_stream_goes_on_when_engine_cuts_it(self) -> None:
+        # Fails when a cut stream is taken for a whole answer.
+        text = self.long_input(80, 200)
+        for name in ("engine-0", "engine-1"):
+            set_faults(self.system.ports[name], cut_streams=1)
+        found = self.start_stream(self.nodes[0], text)
+        wait_for(lambda: bool(found), "end of the stream")
+        self.check_whole(found[0], text)
+
+    def test_stream_goes_on_when_engine_hangs(self) -> None:
+        text = self.long_input(80, 200)
+        found = self.start_stream(self.nodes[0], text)
+        status = http(f"{self.system.url(self.nodes[0])}/v1/status").body
+        pools = [pool for node in status["nodes"] for pool in node["pools"]]
+        upstreams = [u for p in pools if p["service"] == DESK for u in p["upstreams"]]
+        busy = next(u["id"] for u in upstreams if u["in_flight"])
+        set_faults(self.system.ports[busy], hang=True)
+        wait_for(lambda: bool(found), "end of the stream")
+        self.check_whole(found[0], text)
+
+    def test_step_completes_when_its_home_dies(self) -> None:
+        # Fails when slots are lost or handed over twice after the step home is gone.
+        home = self.home(f"{TRAINING}/t")
+        node = next(name for name in self.nodes if name != home)
+        path = f"{self.system.url(node)}/v1/services/{TRAINING}/trainers/t/steps/1"
+        groups = [{"prompt": f"p{number}"} for number in range(8)]
+        opened = {
+            "groups": groups,
+            "samples_per_group": 2,
+            "version": 1,
+            "max_tokens": 60,
+        }
+        self.assertEqual(http(path, "PUT", opened).status, 200)
+        held: set[int] = set()
+        killed = False
+        reopened = 0
+        for _ in range(200):
+            take = {"version": 1, "held": bitmap(held), "wait_s": 2}
+            reply = http(f"{path}/take", "POST", take)
+            if reply.status == 404:
+                reopened += 1
+                again = http(path, "PUT", opened | {"held": bitmap(held)})
+                self.assertIn(again.status, {200, 503}, again.body)
+                continue
+            if reply.status == 200:
+                slots = {sample["slot"] for sample in reply.body["samples"]}
+                self.assertFalse(slots & held)
+                held |= slots
+            if held and not killed:
+                self.system.processes.by_name[home].kill()
+                killed = True
+            if len(held) == 16:
+                break
+        self.assertEqual(held, set(range(16)))
+        self.assertGreaterEqual(reopened, 1)
