Add a soak run of random faults by seed

The failure tests cover chosen faults only; combinations that nobody thought of stayed untried.

soak.py runs rounds of trainer and caller traffic, injects four faults a round from a registry, two at a time, heals them and checks the history after each round. The choices depend on the seed only.

--- a/testing/src/fulmarpulley_testing/cluster.py
+++ b/testing/src/fulmarpulley_testing/cluster.py
@@ -139,17 +139,26 @@
         """Return the nodes whose processes run."""
         return [node for node in self.layout.nodes if self.process(node).running()]
 
+    def wait_nodes(self) -> None:
+        """Wait until all nodes are ready."""
+        for node in self.layout.nodes:
+            self.processes.wait_ready(node.name, f"{node.address()}/ready")
+
     def apply(self, document: ServiceDocument) -> int:
         """Put a document in force on all live nodes and return its revision."""
+        revision = self.edit(document)
+        self.wait_in_force(document.name, revision)
+        return revision
+
+    def edit(self, document: ServiceDocument) -> int:
+        """Publish a document and return its revision."""
         edit = DocumentEdit(
             record_id=f"edit-{self.settings.seed}-{next(self.edits)}",
             base_revision=self.revision(document.name),
             author="test",
             document=codec.to_builtins(document),
         )
-        revision = self.send_edit(edit, document.name)
-        self.wait_in_force(document.name, revision)
-        return revision
+        return self.send_edit(edit, document.name)
 
     def revision(self, service: str) -> int:
         """Return the current revision of a service, or 0 when it is new."""
--- /dev/null
+++ b/testing/src/fulmarpulley_testing/soak.py
@@ -0,0 +1,118 @@
+"""Run a cluster under random faults and check its history."""
+
+import itertools
+import random
+import sys
+import tempfile
+import time
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
+from pathlib import Path
+
+import defopt
+
+from .checker import check_folder
+from .cluster import Cluster, log_tails, start_cluster
+from .faults import Injection, Targets, faults
+from .findings import Report
+from .layout import ENGINE_DESK, ClusterSettings
+from .processes import NotReadyError, Processes
+
+FAULTS_AT_ONCE = 2
+FAULTS_PER_ROUND = 4
+STEPS_PER_ROUND = 4
+PATIENCE_S = 90.0
+
+
+def say(text: str) -> None:
+    """Print a line at once."""
+    print(text, flush=True)
+
+
+class Soak:
+    """Run rounds of traffic and faults until the time is over."""
+
+    def __init__(self, cluster: Cluster, seed: int) -> None:
+        self.cluster = cluster
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.targets = Targets()
+
+    def run(self, seconds: float) -> Report:
+        """Run rounds; stop at the first one with a finding."""
+        deadline = time.monotonic() + seconds
+        for number in itertools.count():
+            self.run_round(number)
+            report = check_folder(self.cluster.folder)
+            say(f"round {number}: {report.line()} unresolved={report.unresolved}")
+            if report.findings or time.monotonic() > deadline:
+                return report
+        raise AssertionError("unreachable")
+
+    def run_round(self, number: int) -> None:
+        """Inject faults under traffic, heal them and wait for the clients."""
+        self.start_clients(number)
+        names = self.random.choices(list(faults), k=FAULTS_PER_ROUND)
+        say(f"round {number}: {' '.join(names)}")
+        with ThreadPoolExecutor(FAULTS_AT_ONCE) as pool:
+            seeds = [f"{self.seed}/{number}/{place}" for place in range(len(names))]
+            list(pool.map(self.inject, names, seeds))
+        self.cluster.wait_nodes()
+        for client in self.cluster.clients:
+            client.wait(2 * PATIENCE_S)
+        self.cluster.clients.clear()
+
+    def inject(self, name: str, seed: str) -> None:
+        """Inject one fault after a random delay and heal it."""
+        injection = Injection(self.cluster, seed, self.targets)
+        injection.last()
+        faults.get(name)(injection)
+
+    def start_clients(self, number: int) -> None:
+        """Start a trainer and callers whose requests differ from earlier rounds."""
+        common = {"seed": self.seed * 1000 + number, "patience_s": PATIENCE_S}
+        common["read_timeout_s"] = 5.0
+        first = number * STEPS_PER_ROUND
+        steps = {"first_step": first, "steps": STEPS_PER_ROUND, "train_s": 1.0}
+        self.cluster.start_trainer(groups=6, max_tokens=100, **steps, **common)
+        load = {"count": 200, "rate": 20.0, **common}
+        self.cluster.start_caller(not_repeatable_ratio=0.6, stream_ratio=0.2, **load)
+        engine_desk = {"service": ENGINE_DESK, "dialect": "engine"}
+        load |= {"count": 100, "rate": 10.0}
+        self.cluster.start_caller(
+            not_repeatable_ratio=0.2, stream_ratio=0.5, **engine_desk, **load
+        )
+
+
+def main(*, seed: int = 1, seconds: float = 600.0, keep: str = "") -> None:
+    """Run random faults for some seconds; exit with 1 when the checker finds a fault.
+
+    :param keep: Folder for logs and histories; a temporary one when empty.
+    """
+    with ExitStack() as stack:
+        folder = keep or stack.enter_context(tempfile.TemporaryDirectory())
+        Path(folder).mkdir(exist_ok=True)
+        processes = stack.enter_context(Processes(Path(folder)))
+        sys.exit(run_and_report(processes, seed, seconds))
+
+
+def run_and_report(processes: Processes, seed: int, seconds: float) -> int:
+    """Run a soak, print its seed and findings and return the exit code."""
+    started = time.monotonic()
+    settings = ClusterSettings(seed=seed, desk_engines=2, log_proxy=True)
+    try:
+        report = Soak(start_cluster(processes, settings), seed).run(seconds)
+    except (NotReadyError, TimeoutError):
+        say(log_tails(processes.folder))
+        say(f"soak seed={seed} stopped")
+        raise
+    for finding in report.findings:
+        say(f"{finding.fault.value} {finding.subject}: {finding.detail}")
+    ends = f"unresolved={report.unresolved} refused={report.refused}"
+    took = f"seconds={time.monotonic() - started:.1f}"
+    say(f"soak seed={seed} {report.line()} {ends} {took}")
+    return 1 if report.findings else 0
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/testing/src/fulmarpulley_testing/trainer.py
+++ b/testing/src/fulmarpulley_testing/trainer.py
@@ -26,19 +26,22 @@
         self.settings = settings
         self.client = client
         self.history = history
-        self.version = 0
+        # Each step ends with a new version, also those of an earlier process.
+        self.version = settings.first_step
         self.idle_s = 0.0
 
     async def run(self) -> bool:
         """Run all steps and say whether each was complete."""
         complete = True
-        step = await self.open(0)
-        for number in range(self.settings.steps):
+        first = self.settings.first_step
+        end = first + self.settings.steps
+        step = await self.open(first)
+        for number in range(first, end):
             started = time.monotonic()
             complete &= await step.collect(self.version)
             self.idle_s += time.monotonic() - started
             await step.close()
-            last = number + 1 == self.settings.steps
+            last = number + 1 == end
             # The next step is open while this one trains, so that engines stay busy.
             following = step if last else await self.open(number + 1)
             await self.train(following)
@@ -107,6 +110,7 @@
     service: str,
     trainer: str,
     model: str = "model",
+    first_step: int = 0,
     steps: int = 3,
     groups: int = 4,
     samples_per_group: int = 4,
@@ -126,6 +130,7 @@
         service=service,
         trainer=trainer,
         model=model,
+        first_step=first_step,
         steps=steps,
         groups=groups,
         samples_per_group=samples_per_group,
--- a/testing/src/fulmarpulley_testing/trainer_step.py
+++ b/testing/src/fulmarpulley_testing/trainer_step.py
@@ -34,6 +34,7 @@
     service: str
     trainer: str
     model: str
+    first_step: int
     steps: int
     groups: int
     samples_per_group: int
