--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/health.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/health.py
@@ -12,7 +12,9 @@
 
 EJECT_FAILURES = 3
 EJECT_BASE_S = 2.0
-EJECT_MAX_S = 60.0
+# Longer pauses prolong an outage after the upstream is back: with 60 s a restart after
+# 60 s was found up to 30 s late, and the desk stayed overloaded meanwhile.
+EJECT_MAX_S = 4.0
 EJECT_SPREAD = (0.75, 1.25)
 # Ejecting more would move so much load to the rest that it fails as well.
 MAX_EJECTED_SHARE = 0.5
