Measure real node processes: idle cost, requests, tokens, latency

Cause: the cost of a node is more than that of its state machines. Change: fulmarpulley_bench.slopes starts nodes and stand-ins on loopback and reads processor time and memory from /proc and the bytes of open TCP connections from ss.

--- /dev/null
+++ b/bench/src/fulmarpulley_bench/processes.py
@@ -0,0 +1,58 @@
+"""Read processor time, memory and socket bytes of processes of this benchmark."""
+
+import os
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+IMPORTS = "import fulmarpulley_node.app, fulmarpulley_node.main"
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """Hold what a process has used since its start."""
+
+    cpu_s: float
+    resident: int
+    socket_bytes: int
+
+
+def usage(pid: int) -> Usage:
+    """Return the use of a process; bytes cover its open TCP connections."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return Usage(ticks / TICKS_PER_S, resident_bytes(pid), _socket_bytes(pid))
+
+
+def resident_bytes(pid: int) -> int:
+    """Return the resident memory of a process."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    found = re.search(r"VmRSS:\s+(\d+) kB", status)
+    return int(found.group(1)) * 1024 if found else 0
+
+
+def interpreter_bytes() -> int:
+    """Return the resident memory of an interpreter with the imports of a node."""
+    program = f"{IMPORTS}\nprint('ready', flush=True)\ninput()"
+    child = subprocess.Popen(
+        [sys.executable, "-c", program], stdin=subprocess.PIPE, stdout=subprocess.PIPE
+    )
+    try:
+        if child.stdout is not None:
+            child.stdout.readline()
+        return resident_bytes(child.pid)
+    finally:
+        child.communicate(b"\n")
+
+
+def _socket_bytes(pid: int) -> int:
+    command = ["ss", "--tcp", "--info", "--processes", "--numeric", "--no-header"]
+    done = subprocess.run(
+        [*command, "--oneline"], capture_output=True, text=True, check=True
+    )
+    lines = [line for line in done.stdout.splitlines() if f"pid={pid}," in line]
+    counts = re.findall(r"bytes_(?:sent|received):(\d+)", "\n".join(lines))
+    return sum(int(count) for count in counts)
--- a/bench/src/fulmarpulley_bench/slopes.py
+++ b/bench/src/fulmarpulley_bench/slopes.py
@@ -6,11 +6,25 @@
 import defopt
 import msgspec
 
-from . import slope_claims, slope_config, slope_members, slope_pool, slope_steps
+from . import (
+    slope_claims,
+    slope_config,
+    slope_members,
+    slope_node,
+    slope_pool,
+    slope_steps,
+)
 from .measure import MEASUREMENTS, Series
 from .policy import RESULTS, ROOT, commit
 
-MODULES = (slope_claims, slope_config, slope_members, slope_pool, slope_steps)
+MODULES = (
+    slope_claims,
+    slope_config,
+    slope_members,
+    slope_node,
+    slope_pool,
+    slope_steps,
+)
 
 
 class SlopeReport(msgspec.Struct, kw_only=True):
