--- a/testing/src/fulmarpulley_testing/runner.py
+++ b/testing/src/fulmarpulley_testing/runner.py
@@ -1,4 +1,4 @@
-"""Run the tests of every package with nose2 and sum up their results."""
+"""Run the test modules of every package with nose2 and sum up their results."""
 
 import json
 import os
@@ -14,11 +14,19 @@
 ROOT = Path(__file__).resolve().parents[3]
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 SUITE_TIMEOUT_S = 1500
-PARALLEL_SUITES = 3
+# More would let the processes of the whole-path tests compete for ten cores.
+PARALLEL_SUITES = 4
+
+
+class TestModule(msgspec.Struct):
+    """Name a test module and the directory that it is imported from."""
+
+    folder: Path
+    name: str
 
 
 class Suite(msgspec.Struct):
-    """Hold the results of one test directory."""
+    """Hold the results of one test module."""
 
     passed: list[str] = []
     failed: list[str] = []
@@ -29,8 +37,9 @@
     """Run all suites, or those named on the command line, and print the sum."""
     names = sys.argv[1:]
     folders = [ROOT / name for name in names] if names else test_folders()
+    modules = [module for folder in folders for module in test_modules(folder)]
     with ThreadPoolExecutor(PARALLEL_SUITES) as pool:
-        suites = list(pool.map(run_suite, folders))
+        suites = list(pool.map(run_suite, modules))
     known = known_red()
     failed = [name for suite in suites for name in suite.failed]
     passed = sum(len(suite.passed) for suite in suites)
@@ -46,11 +55,21 @@
 
 def test_folders() -> list[Path]:
     """List the test directories of the workspace."""
-    found = sorted(ROOT.glob("packages/*/tests"))
-    found += [ROOT / "testing" / "tests", ROOT / "bench" / "tests"]
+    # The whole-path tests take longest, so they start first.
+    found = [ROOT / "testing" / "tests", ROOT / "bench" / "tests"]
+    found += sorted(ROOT.glob("packages/*/tests"))
     return [folder for folder in found if any(folder.rglob("test_*.py"))]
 
 
+def test_modules(folder: Path) -> list[TestModule]:
+    """List the test modules of a directory."""
+    found = sorted(folder.rglob("test_*.py"))
+    return [
+        TestModule(folder, ".".join(path.relative_to(folder).with_suffix("").parts))
+        for path in found
+    ]
+
+
 def known_red() -> set[str]:
     """Read the names of tests that fail for a recorded, unfixed fault."""
     if not KNOWN_RED.exists():
@@ -59,17 +78,17 @@
     return {line.split()[1] for line in lines if line.startswith("test: ")}
 
 
-def run_suite(folder: Path) -> Suite:
-    """Run one test directory in a process of its own."""
+def run_suite(module: TestModule) -> Suite:
+    """Run one test module in a process of its own."""
     with tempfile.NamedTemporaryFile(suffix=".json") as report:
         command = [sys.executable, "-m", "fulmarpulley_testing.runner_suite"]
-        command += [str(folder), report.name]
+        command += [str(module.folder), module.name, report.name]
         environment = {**os.environ, "PYTHONHASHSEED": "0"}
         code = _run(command, environment)
         text = Path(report.name).read_text()
-    name = str(folder.relative_to(ROOT))
     if not text:
-        return Suite(failed=[f"{name}: ended with code {code} and no report"])
+        place = f"{module.folder.relative_to(ROOT)}/{module.name}"
+        return Suite(failed=[f"{place}: ended with code {code} and no report"])
     return msgspec.convert(json.loads(text), Suite)
 
 
--- a/testing/src/fulmarpulley_testing/runner_suite.py
+++ b/testing/src/fulmarpulley_testing/runner_suite.py
@@ -1,4 +1,4 @@
-"""Run one test directory with nose2 and write its results to a file."""
+"""Run one test module with nose2 and write its results to a file."""
 
 import sys
 from pathlib import Path
@@ -11,13 +11,13 @@
 from .runner_plugin import ResultCollector
 
 
-def run(folder: Path, report: Path) -> None:
-    """Run the tests of a folder and write the report."""
+def run(folder: Path, module: str, report: Path) -> None:
+    """Run one test module and write the report."""
     settings.register_profile("ci", derandomize=True, deadline=None, database=None)
     settings.load_profile("ci")
     ResultCollector.prefix = str(folder.relative_to(ROOT))
     discover(
-        argv=["nose2", "-s", str(folder), "-t", str(folder)],
+        argv=["nose2", "-s", str(folder), "-t", str(folder), module],
         plugins=[ResultCollector.__module__],
         exit=False,
     )
@@ -25,4 +25,4 @@
 
 
 if __name__ == "__main__":
-    run(Path(sys.argv[1]), Path(sys.argv[2]))
+    run(Path(sys.argv[1]), sys.argv[2], Path(sys.argv[3]))
