Move repeatable work off an upstream after its drain time

Attempts left after that time are cancelled and resumed elsewhere; work that must not repeat is left to finish.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/fleet.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/fleet.py
@@ -12,6 +12,7 @@
     VersionReport,
 )
 from .parts import Parts
+from .state import Upstream
 
 
 class Fleet:
@@ -29,6 +30,7 @@
             self._parts.health.joined(upstream, now)
         self._parts.health.refresh(upstream)
         self._parts.weights.replan()
+        self._watch_drain(upstream, now)
 
     def load_report(self, event: LoadReport, now: float) -> None:
         """Record a load report."""
@@ -63,7 +65,25 @@
 
     def document_changed(self, event: DocumentChanged, now: float) -> None:
         """Put a new document in force."""
+        before = list(self._parts.ledger.upstreams.values())
         for upstream in self._parts.change_document(event.document):
             self._parts.health.joined(upstream, now)
         self._parts.health.refresh_all()
         self._parts.weights.replan()
+        for upstream in before:
+            self._watch_drain(upstream, now)
+
+    def _watch_drain(self, upstream: Upstream, now: float) -> None:
+        if upstream.availability() is Availability.AVAILABLE:
+            upstream.closed_at = None
+        elif upstream.closed_at is None:
+            upstream.closed_at = now
+            due = now + self._parts.document.drain_s
+            self._parts.timers.at(due, lambda _: self._end_drain(upstream, now))
+
+    def _end_drain(self, upstream: Upstream, closed_at: float) -> None:
+        if upstream.closed_at != closed_at:
+            return
+        for attempt in list(upstream.attempts.values()):
+            if attempt.item.work.repeatable:
+                self._parts.move(attempt)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
@@ -82,6 +82,14 @@
                 self.ledger.cancel(attempt)
             self.enqueue(item)
 
+    def move(self, attempt: Attempt) -> None:
+        """Cancel an attempt and resume its item at another upstream."""
+        item = attempt.item
+        self.ledger.cancel(attempt)
+        item.avoid = attempt.upstream.upstream_id
+        if not item.attempts:
+            self.enqueue(item)
+
     def refuse(self, item: Item, code: str, retry_after: float | None = None) -> None:
         """End an item without an answer."""
         self.queue.remove(item)
--- a/packages/fulmarpulley-core/tests/pool/test_dispatcher.py
+++ b/packages/fulmarpulley-core/tests/pool/test_dispatcher.py
@@ -15,7 +15,7 @@
 from fulmarpulley_schema.generated.document import AttachState
 from fulmarpulley_schema.generated.http import Ran
 
-from .pool_fixtures import Driver, document, refusals, starts, upstream, work
+from .pool_fixtures import Driver, document, refusals, run, starts, upstream, work
 
 
 class DispatchTest(TestCase):
@@ -62,6 +62,20 @@
         driver.send(DocumentChanged(document([draining])))
         self.assertEqual(driver.submit(work("c")), [])
 
+    def test_work_left_after_the_drain_time_moves_unless_it_must_not_repeat(
+        self,
+    ) -> None:
+        works = [work("a", max_tokens=99), work("b", repeatable=False)]
+        for closed in (["u2"], [upstream("u1", state=AttachState.DRAINING), "u2"]):
+            driver = Driver(document(["u1"], drain_s=4.0))
+            first = driver.submit(*works)[0]
+            driver.progress(first.attempt_id, 7)
+            driver.send(DocumentChanged(document(closed, drain_s=4.0)))
+            self.assertEqual(run(driver, 3.9), [])
+            moved = run(driver, 0.2)
+            self.assertEqual([(m.work_id, m.resume_from) for m in moved], [("a", 7)])
+            self.assertIn(CancelAttempt(first.attempt_id), driver.log)
+
     def test_upstream_listed_again_is_still_leaving(self) -> None:
         driver = Driver(document())
         driver.send(UpstreamState(UpstreamId("u1"), Availability.LEAVING))
