Plan swaps in one pass and scan only attempts that lag for hedges

A plan looked for a source once per upstream and model, also for models whose first copy was still on its way, and an upstream that waited for such a copy did not load another model meanwhile. The hedge scan predicted the length of every attempt, also of those that keep pace. Reports of upstreams move to reports.py.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
@@ -4,7 +4,6 @@
 
 from fulmarpulley_schema.generated.document import ServiceDocument
 
-from .fleet import Fleet
 from .messages import (
     Action,
     AttemptFailed,
@@ -25,6 +24,7 @@
 )
 from .outcomes import Outcomes
 from .parts import Parts
+from .reports import Reports
 from .state import HealthState, Item, Upstream
 
 
@@ -38,20 +38,20 @@
         self.parts = Parts(document, settings, seed)
         self.outcomes = Outcomes(self.parts)
         self.parts.hedges.start_hedge = self._start_hedge
-        fleet = Fleet(self.parts)
+        reports = Reports(self.parts)
         self.handlers: dict[type, Callable[..., None]] = {
             Submit: self._submit,
             Withdraw: self._withdraw,
             AttemptFinished: self.outcomes.finished,
             AttemptFailed: self.outcomes.failed,
             AttemptProgress: self.outcomes.progress,
-            UpstreamState: fleet.upstream_state,
-            LoadReport: fleet.load_report,
-            CacheReport: fleet.cache_report,
-            OrderFinished: fleet.order_finished,
-            VersionReport: fleet.version_report,
-            VersionAnnounced: fleet.version_announced,
-            DocumentChanged: fleet.document_changed,
+            UpstreamState: reports.upstream_state,
+            LoadReport: reports.load_report,
+            CacheReport: reports.cache_report,
+            OrderFinished: reports.order_finished,
+            VersionReport: reports.version_report,
+            VersionAnnounced: reports.version_announced,
+            DocumentChanged: reports.document_changed,
         }
 
     def handle(self, event: Event, now: float) -> list[Action]:
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/fleet.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/reports.py
@@ -15,8 +15,8 @@
 from .state import Upstream
 
 
-class Fleet:
-    """Keep what a pool knows about its upstreams."""
+class Reports:
+    """Apply reports to what a pool knows about its upstreams."""
 
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/stragglers.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/stragglers.py
@@ -24,6 +24,8 @@
 # much, since it takes a place at another upstream.
 HEDGE_GAIN = 2.0
 HEDGE_MIN_GAIN_S = 0.25
+# Attempts below this multiple of the usual time per token need no closer look.
+MILD_DELAY = 1.5
 # Hedges that may start at once, as a multiple of the budget's part of all slots.
 HEDGE_BURST_STEPS = 2.0
 MIN_HEDGE_BURST = 2.0
@@ -136,9 +138,16 @@
         return any(upstream.is_free() for upstream in self._ledger.upstreams.values())
 
     def _candidates(self, now: float) -> Iterator[Candidate]:
+        usual = self._lengths.pace_s
+        if not usual.count:
+            return
         for attempt in self._ledger.attempts.values():
+            stay_pace, silence = _progress(attempt, usual.value, now)
+            # Most attempts keep pace, and are left out before anything costly.
+            if stay_pace <= MILD_DELAY * usual.value and silence < HEDGE_MIN_GAIN_S:
+                continue
             if self._may_hedge(attempt.item):
-                gain = self._gain(attempt, now)
+                gain = self._gain(attempt, stay_pace, silence)
                 if gain >= HEDGE_MIN_GAIN_S:
                     yield Candidate(gain, attempt)
 
@@ -149,21 +158,22 @@
             return self.document.hedges.desk and not self._queue.desk_waiting
         return not self._queue.has_waiting(item.work.tenant, item.work.step)
 
-    def _gain(self, attempt: Attempt, now: float) -> float:
-        usual = self._lengths.pace_s
-        if not usual.count:
-            return 0.0
+    def _gain(self, attempt: Attempt, pace: float, silence: float) -> float:
         left = self._lengths.predict(attempt.item) - attempt.tokens
-        produced = attempt.tokens - attempt.resume_from
-        since = attempt.silent_since(now)
-        silence = now - since
-        pace = (since - attempt.started) / produced if produced else usual.value
         # A silence is expected to last as long again as it has lasted.
         stay = left * pace + silence
-        move = self._lengths.first_token_s.value + left * usual.value
+        move = self._lengths.first_token_s.value + left * self._lengths.pace_s.value
         return stay - move if stay > HEDGE_GAIN * move else 0.0
 
 
+def _progress(attempt: Attempt, usual: float, now: float) -> tuple[float, float]:
+    """Return the seconds per token of an attempt and since its last token."""
+    since = attempt.silent_since(now)
+    produced = attempt.tokens - attempt.resume_from
+    pace = (since - attempt.started) / produced if produced else usual
+    return pace, now - since
+
+
 def _burst(document: ServiceDocument) -> float:
     ratio = document.hedges.budget_ratio
     slots = sum(entry.capacity for entry in document.upstreams)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/weights.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/weights.py
@@ -116,13 +116,44 @@
         room = self.document.weights.swaps_at_once - loading
         if room <= 0 or not self._freshness.newest:
             return
+        # Models whose first copy is on its way to a region, found in this pass.
+        crossing: set[tuple[str, ModelName]] = set()
+        models = self._models()
         for upstream in self._by_work():
-            model = self._model_to_load(upstream, now)
-            if model is not None and self._order(upstream, model, now):
+            if self._order_first(upstream, models, crossing, now):
                 room -= 1
                 if not room:
                     return
 
+    def _models(self) -> list[ModelName]:
+        served = {ModelName(self.document.model)}
+        served |= {ModelName(t.model) for t in self.document.trainers if t.model}
+        # The dict of newest versions keeps the order in which models came.
+        return [model for model in self._freshness.newest if model in served]
+
+    def _order_first(
+        self,
+        upstream: Upstream,
+        models: list[ModelName],
+        crossing: set[tuple[str, ModelName]],
+        now: float,
+    ) -> bool:
+        region = upstream.entry.region
+        for model in models:
+            if (region, model) in crossing or not self._is_due(upstream, model, now):
+                continue
+            if self._order(upstream, model, now):
+                return True
+            crossing.add((region, model))
+        return False
+
+    def _is_due(self, upstream: Upstream, model: ModelName, now: float) -> bool:
+        served = upstream.versions.get(model)
+        if served is not None and served >= self._freshness.newest[model]:
+            return False
+        target = self._targets.get((upstream.upstream_id, model))
+        return target is None or target.not_before <= now
+
     def _by_work(self) -> list[Upstream]:
         busy = {load.order.upstream for load in self._loads.values()}
         able = [
@@ -135,19 +166,6 @@
         ejected = HealthState.EJECTED
         return sorted(able, key=lambda u: (u.health.state is ejected, len(u.attempts)))
 
-    def _model_to_load(self, upstream: Upstream, now: float) -> ModelName | None:
-        models = {ModelName(self.document.model)}
-        models |= {ModelName(t.model) for t in self.document.trainers if t.model}
-        # The dict of newest versions keeps the order in which models came.
-        for model, newest in self._freshness.newest.items():
-            served = upstream.versions.get(model)
-            if model not in models or (served is not None and served >= newest):
-                continue
-            target = self._targets.get((upstream.upstream_id, model))
-            if target is None or target.not_before <= now:
-                return model
-        return None
-
     def _order(self, upstream: Upstream, model: ModelName, now: float) -> bool:
         version = self._freshness.newest[model]
         region = Region(upstream.entry.region)
--- a/packages/fulmarpulley-core/tests/pool/test_weights.py
+++ b/packages/fulmarpulley-core/tests/pool/test_weights.py
@@ -1,6 +1,6 @@
 from unittest import TestCase
 
-from fulmarpulley_core.ids import Version
+from fulmarpulley_core.ids import ModelName, Version
 from fulmarpulley_core.pool.messages import (
     Action,
     Order,
@@ -9,7 +9,12 @@
     VersionAnnounced,
     Withdraw,
 )
-from fulmarpulley_schema.generated.document import ServiceKind, UpstreamEntry, Weights
+from fulmarpulley_schema.generated.document import (
+    ServiceKind,
+    TrainerEntry,
+    UpstreamEntry,
+    Weights,
+)
 from fulmarpulley_schema.generated.http import Ran
 
 from .pool_fixtures import MODEL, Driver, document, refusals, run, sample, upstream
@@ -64,6 +69,14 @@
         self.assertEqual(set(first), {"u3"})
         self.assertEqual(len(load(driver, first["u3"])), 1)
 
+    def test_second_model_loads_while_the_first_crosses_the_link(self) -> None:
+        trainers = [TrainerEntry(id="a"), TrainerEntry(id="b", model="n")]
+        driver = Driver(document(kind=ServiceKind.TRAINING, trainers=trainers))
+        given = announce(driver, 2)
+        given |= orders(driver.send(VersionAnnounced(ModelName("n"), Version(2))))
+        models = {u: order.model for u, order in given.items()}
+        self.assertEqual(models, {"u1": "m", "u2": "n"})
+
     def test_version_that_is_superseded_is_skipped(self) -> None:
         driver = driver_at(1, ["u1", "u2"], swaps_at_once=1)
         first = announce(driver, 2)["u1"]
