--- a/packages/fulmarpulley-core/tests/pool/pool_fixtures.py
+++ b/packages/fulmarpulley-core/tests/pool/pool_fixtures.py
@@ -8,23 +8,8 @@
     Version,
     WorkId,
 )
+from fulmarpulley_core.pool import messages as m
 from fulmarpulley_core.pool.dispatcher import Pool
-from fulmarpulley_core.pool.messages import (
-    Action,
-    AttemptFailed,
-    AttemptFinished,
-    AttemptProgress,
-    Event,
-    Failure,
-    PoolSettings,
-    Refuse,
-    StartAttempt,
-    Submit,
-    Tick,
-    VersionReport,
-    Work,
-    WorkKind,
-)
 from fulmarpulley_schema.generated.document import (
     ServiceDocument,
     ServiceKind,
@@ -56,70 +41,70 @@
     return ServiceDocument(name="s", kind=kind, model="m", upstreams=entries, **fields)  # type: ignore[arg-type]
 
 
-def work(name: str, **fields: object) -> Work:
+def work(name: str, **fields: object) -> m.Work:
     base: dict[str, object] = {
         "tenant": TenantId("t"),
-        "kind": WorkKind.DESK,
+        "kind": m.WorkKind.DESK,
         "model": MODEL,
         "max_tokens": 10,
     }
-    return Work(work_id=WorkId(name), **{**base, **fields})  # type: ignore[arg-type]
+    return m.Work(work_id=WorkId(name), **{**base, **fields})  # type: ignore[arg-type]
 
 
-def sample(name: str, **fields: object) -> Work:
-    return work(name, **{"kind": WorkKind.SAMPLE, **fields})
+def sample(name: str, **fields: object) -> m.Work:
+    return work(name, **{"kind": m.WorkKind.SAMPLE, **fields})
 
 
 class Driver:
     """Drives a pool and keeps the actions of every event."""
 
     def __init__(self, doc: ServiceDocument, **settings: object) -> None:
-        self.pool = Pool(doc, PoolSettings(**settings), seed=7)  # type: ignore[arg-type]
+        self.pool = Pool(doc, m.PoolSettings(**settings), seed=7)  # type: ignore[arg-type]
         self.now = 0.0
-        self.log: list[Action] = []
+        self.log: list[m.Action] = []
 
-    def send(self, event: Event, after: float = 0.0) -> list[Action]:
+    def send(self, event: m.Event, after: float = 0.0) -> list[m.Action]:
         self.now += after
         actions = self.pool.handle(event, self.now)
         self.log += actions
         return actions
 
-    def submit(self, *works: Work) -> list[StartAttempt]:
-        actions = [action for item in works for action in self.send(Submit(item))]
+    def submit(self, *works: m.Work) -> list[m.StartAttempt]:
+        actions = [action for item in works for action in self.send(m.Submit(item))]
         return starts(actions)
 
     def report_versions(self, version: int, *names: str) -> None:
         for name in names:
-            self.send(VersionReport(UpstreamId(name), MODEL, Version(version)))
+            self.send(m.VersionReport(UpstreamId(name), MODEL, Version(version)))
 
     def progress(
         self, attempt: AttemptId, tokens: int, version: int | None = None
-    ) -> list[Action]:
+    ) -> list[m.Action]:
         label = None if version is None else Version(version)
-        return self.send(AttemptProgress(attempt, tokens, label))
+        return self.send(m.AttemptProgress(attempt, tokens, label))
 
-    def finish(self, attempt: AttemptId, tokens: int = 10) -> list[Action]:
-        return self.send(AttemptFinished(attempt, tokens))
+    def finish(self, attempt: AttemptId, tokens: int = 10) -> list[m.Action]:
+        return self.send(m.AttemptFinished(attempt, tokens))
 
     def fail(
-        self, attempt: AttemptId, failure: Failure, tokens: int = 0, **fields: float
-    ) -> list[Action]:
-        return self.send(AttemptFailed(attempt, failure, tokens, **fields))
+        self, attempt: AttemptId, failure: m.Failure, tokens: int = 0, **fields: float
+    ) -> list[m.Action]:
+        return self.send(m.AttemptFailed(attempt, failure, tokens, **fields))
 
 
-def starts(actions: Iterable[Action]) -> list[StartAttempt]:
-    return [action for action in actions if isinstance(action, StartAttempt)]
+def starts(actions: Iterable[m.Action]) -> list[m.StartAttempt]:
+    return [action for action in actions if isinstance(action, m.StartAttempt)]
 
 
-def refusals(actions: Iterable[Action]) -> list[Refuse]:
-    return [action for action in actions if isinstance(action, Refuse)]
+def refusals(actions: Iterable[m.Action]) -> list[m.Refuse]:
+    return [action for action in actions if isinstance(action, m.Refuse)]
 
 
-def run(driver: Driver, seconds: float) -> list[StartAttempt]:
+def run(driver: Driver, seconds: float) -> list[m.StartAttempt]:
     """Lets time pass, with a tick at every wakeup, and returns the starts."""
     until, started = driver.now + seconds, []
     while (due := driver.pool.next_wakeup()) is not None and due <= until:
         driver.now = due
-        started += starts(driver.send(Tick()))
+        started += starts(driver.send(m.Tick()))
     driver.now = until
     return started
--- a/packages/fulmarpulley-core/tests/pool/pool_model.py
+++ b/packages/fulmarpulley-core/tests/pool/pool_model.py
@@ -1,15 +1,5 @@
 from fulmarpulley_core.ids import AttemptId, UpstreamId, WorkId
-from fulmarpulley_core.pool.messages import (
-    Action,
-    Availability,
-    CancelAttempt,
-    Failure,
-    Finish,
-    Order,
-    Refuse,
-    StartAttempt,
-    Work,
-)
+from fulmarpulley_core.pool import messages as m
 from fulmarpulley_schema.generated.document import AttachState, ServiceDocument
 from fulmarpulley_schema.generated.http import Ran
 
@@ -19,15 +9,15 @@
 
     def __init__(self, document: ServiceDocument) -> None:
         self.document = document
-        self.states: dict[UpstreamId, Availability] = {}
-        self.held: dict[WorkId, Work] = {}
-        self.ended: dict[WorkId, Work] = {}
-        self.live: dict[AttemptId, StartAttempt] = {}
+        self.states: dict[UpstreamId, m.Availability] = {}
+        self.held: dict[WorkId, m.Work] = {}
+        self.ended: dict[WorkId, m.Work] = {}
+        self.live: dict[AttemptId, m.StartAttempt] = {}
         self.dead: list[AttemptId] = []
         self.may_have_run: set[WorkId] = set()
-        self.orders: list[Order] = []
+        self.orders: list[m.Order] = []
 
-    def submitted(self, work: Work) -> None:
+    def submitted(self, work: m.Work) -> None:
         self.expected_repeat = False
         if work.work_id in self.held:
             return
@@ -37,28 +27,28 @@
         self.held[work.work_id] = work
         self.may_have_run.discard(work.work_id)
 
-    def failed(self, attempt: AttemptId, failure: Failure) -> None:
+    def failed(self, attempt: AttemptId, failure: m.Failure) -> None:
         start = self._ends(attempt)
-        if failure in {Failure.BROKEN, Failure.ERRORED}:
+        if failure in {m.Failure.BROKEN, m.Failure.ERRORED}:
             self.may_have_run.add(start.work_id)
 
-    def apply(self, actions: list[Action], repeated: WorkId | None = None) -> None:
+    def apply(self, actions: list[m.Action], repeated: WorkId | None = None) -> None:
         for action in actions:
             match action:
-                case StartAttempt():
+                case m.StartAttempt():
                     self._started(action)
-                case CancelAttempt(attempt_id):
+                case m.CancelAttempt(attempt_id):
                     self.may_have_run.add(self._ends(attempt_id).work_id)
-                case Finish(work_id, attempt_id):
+                case m.Finish(work_id, attempt_id):
                     assert self._ends(attempt_id).work_id == work_id
                     self.may_have_run.add(work_id)
                     self._end(work_id)
-                case Refuse(work_id, _, ran):
+                case m.Refuse(work_id, _, ran):
                     if work_id != repeated:
                         self._end(work_id)
                     if ran is Ran.NOT_RUN:
                         assert work_id not in self.may_have_run
-                case Order():
+                case m.Order():
                     self.orders.append(action)
         for start in self.live.values():
             assert start.work_id in self.held, f"{start} outlives its work"
@@ -66,11 +56,11 @@
     def takes_work(self, upstream: UpstreamId) -> bool:
         entries = {entry.id: entry for entry in self.document.upstreams}
         entry = entries.get(upstream)
-        state = self.states.get(upstream, Availability.AVAILABLE)
+        state = self.states.get(upstream, m.Availability.AVAILABLE)
         attached = entry is not None and entry.state is AttachState.ATTACHED
-        return attached and state is Availability.AVAILABLE
+        return attached and state is m.Availability.AVAILABLE
 
-    def _started(self, start: StartAttempt) -> None:
+    def _started(self, start: m.StartAttempt) -> None:
         work = self.held[start.work_id]
         assert self.takes_work(start.upstream), f"{start} on a closed upstream"
         assert start.attempt_id not in self.live
@@ -85,7 +75,7 @@
         capacity = {e.id: e.capacity for e in self.document.upstreams}
         assert len(running) <= capacity[start.upstream]
 
-    def _ends(self, attempt: AttemptId) -> StartAttempt:
+    def _ends(self, attempt: AttemptId) -> m.StartAttempt:
         self.dead.append(attempt)
         return self.live.pop(attempt)
 
--- a/packages/fulmarpulley-core/tests/pool/test_dispatcher.py
+++ b/packages/fulmarpulley-core/tests/pool/test_dispatcher.py
@@ -1,17 +1,7 @@
 from unittest import TestCase, mock
 
 from fulmarpulley_core.ids import UpstreamId, WorkId
-from fulmarpulley_core.pool.messages import (
-    Availability,
-    CancelAttempt,
-    DocumentChanged,
-    Failure,
-    Finish,
-    Refuse,
-    Tick,
-    UpstreamState,
-    Withdraw,
-)
+from fulmarpulley_core.pool import messages as m
 from fulmarpulley_schema.generated.document import AttachState, ServiceKind
 from fulmarpulley_schema.generated.http import Ran
 
@@ -48,27 +38,27 @@
     def test_late_event_of_an_ended_attempt_has_no_effect(self) -> None:
         driver = Driver(document())
         attempt = driver.submit(work("a"))[0].attempt_id
-        self.assertEqual(driver.finish(attempt), [Finish(WorkId("a"), attempt)])
+        self.assertEqual(driver.finish(attempt), [m.Finish(WorkId("a"), attempt)])
         self.assertEqual(driver.finish(attempt), [])
-        self.assertEqual(driver.fail(attempt, Failure.BROKEN), [])
+        self.assertEqual(driver.fail(attempt, m.Failure.BROKEN), [])
 
     def test_withdraw_cancels_and_says_that_the_work_may_have_run(self) -> None:
         driver = Driver(document())
         attempt = driver.submit(work("a"))[0].attempt_id
-        actions = driver.send(Withdraw(WorkId("a")))
-        self.assertIn(CancelAttempt(attempt), actions)
-        ended = Refuse(WorkId("a"), "cancelled", Ran.MAY_HAVE_RUN)
+        actions = driver.send(m.Withdraw(WorkId("a")))
+        self.assertIn(m.CancelAttempt(attempt), actions)
+        ended = m.Refuse(WorkId("a"), "cancelled", Ran.MAY_HAVE_RUN)
         self.assertEqual(refusals(actions), [ended])
 
     def test_draining_and_unlisted_upstreams_get_no_attempt(self) -> None:
         driver = Driver(document())
-        for state in (Availability.DRAINING, Availability.LEAVING):
-            driver.send(UpstreamState(UpstreamId("u1"), state))
+        for state in (m.Availability.DRAINING, m.Availability.LEAVING):
+            driver.send(m.UpstreamState(UpstreamId("u1"), state))
             self.assertEqual(driver.submit(work(state))[0].upstream, "u2")
-        driver.send(DocumentChanged(document(["u3"])))
+        driver.send(m.DocumentChanged(document(["u3"])))
         self.assertEqual(driver.submit(work("b"))[0].upstream, "u3")
         draining = upstream("u3", state=AttachState.DRAINING)
-        driver.send(DocumentChanged(document([draining])))
+        driver.send(m.DocumentChanged(document([draining])))
         self.assertEqual(driver.submit(work("c")), [])
 
     def test_work_left_after_the_drain_time_moves_unless_it_must_not_repeat(
@@ -79,23 +69,23 @@
             driver = Driver(document(["u1"], drain_s=4.0))
             first = driver.submit(*works)[0]
             driver.progress(first.attempt_id, 7)
-            driver.send(DocumentChanged(document(closed, drain_s=4.0)))
+            driver.send(m.DocumentChanged(document(closed, drain_s=4.0)))
             self.assertEqual(run(driver, 3.9), [])
             moved = run(driver, 0.2)
             self.assertEqual([(m.work_id, m.resume_from) for m in moved], [("a", 7)])
-            self.assertIn(CancelAttempt(first.attempt_id), driver.log)
+            self.assertIn(m.CancelAttempt(first.attempt_id), driver.log)
 
     def test_upstream_listed_again_is_still_leaving(self) -> None:
         driver = Driver(document())
-        driver.send(UpstreamState(UpstreamId("u1"), Availability.LEAVING))
+        driver.send(m.UpstreamState(UpstreamId("u1"), m.Availability.LEAVING))
         for names in (["u2"], ["u1"]):
-            driver.send(DocumentChanged(document(names)))
+            driver.send(m.DocumentChanged(document(names)))
         self.assertEqual(driver.submit(work("a")), [])
 
     def test_deadline_ends_queued_work_as_not_run(self) -> None:
         driver = Driver(document([upstream("u1", capacity=1)], deadline_s=5.0))
         driver.submit(work("a"), work("b"))
-        ended = refusals(driver.send(Tick(), after=5.0))
+        ended = refusals(driver.send(m.Tick(), after=5.0))
         self.assertEqual([r.ran for r in ended], [Ran.MAY_HAVE_RUN, Ran.NOT_RUN])
 
 
@@ -120,8 +110,8 @@
     def test_broken_attempt_is_refused_as_may_have_run(self) -> None:
         driver = Driver(document())
         attempt = driver.submit(work("a", repeatable=False))[0].attempt_id
-        ended = Refuse(WorkId("a"), "upstream_broken", Ran.MAY_HAVE_RUN)
-        self.assertEqual(driver.fail(attempt, Failure.BROKEN), [ended])
+        ended = m.Refuse(WorkId("a"), "upstream_broken", Ran.MAY_HAVE_RUN)
+        self.assertEqual(driver.fail(attempt, m.Failure.BROKEN), [ended])
 
     def test_submit_after_the_end_repeats_the_end(self) -> None:
         driver = Driver(document())
--- a/packages/fulmarpulley-core/tests/pool/test_health.py
+++ b/packages/fulmarpulley-core/tests/pool/test_health.py
@@ -1,13 +1,7 @@
 from unittest import TestCase
 
 from fulmarpulley_core.ids import AttemptId, UpstreamId
-from fulmarpulley_core.pool.messages import (
-    Availability,
-    CancelAttempt,
-    DocumentChanged,
-    Failure,
-    UpstreamState,
-)
+from fulmarpulley_core.pool import messages as m
 from fulmarpulley_schema.generated.document import Retries
 
 from .pool_fixtures import Driver, document, refusals, run, starts, upstream, work
@@ -19,7 +13,7 @@
     for number in range(200):
         for start in driver.submit(work(f"c{name}{number}-{driver.now}")):
             if start.upstream == name:
-                driver.fail(start.attempt_id, Failure.ERRORED)
+                driver.fail(start.attempt_id, m.Failure.ERRORED)
                 failed += 1
             else:
                 driver.finish(start.attempt_id)
@@ -29,7 +23,7 @@
 
 def ejected(driver: Driver) -> set[str]:
     views = driver.pool.view().upstreams
-    return {v.upstream for v in views if v.availability is Availability.EJECTED}
+    return {v.upstream for v in views if v.availability is m.Availability.EJECTED}
 
 
 FIVE = [f"u{i}" for i in range(1, 6)]
@@ -101,7 +95,7 @@
     def test_refusal_rests_an_upstream_without_ejection(self) -> None:
         driver = Driver(document())
         attempt = driver.submit(work("a"))[0].attempt_id
-        driver.fail(attempt, Failure.REFUSED, retry_after=4.0)
+        driver.fail(attempt, m.Failure.REFUSED, retry_after=4.0)
         works = [work(f"w{i}", max_tokens=1) for i in range(2)]
         self.assertEqual({s.upstream for s in driver.submit(*works)}, {"u2"})
         run(driver, 4.1)
@@ -125,7 +119,7 @@
 
     def test_joined_upstream_starts_slowly(self) -> None:
         driver = Driver(document(["u1"]))
-        driver.send(DocumentChanged(document(["u1", upstream("u2", capacity=8)])))
+        driver.send(m.DocumentChanged(document(["u1", upstream("u2", capacity=8)])))
         driver.submit(*[work(f"w{i}") for i in range(20)])
         self.assertEqual(in_flight(driver, "u2"), 2)
         run(driver, 6.0)
@@ -133,8 +127,8 @@
 
     def test_upstream_that_returns_starts_slowly(self) -> None:
         driver = Driver(document(["u1"], capacity=8))
-        for state in (Availability.LEAVING, Availability.AVAILABLE):
-            driver.send(UpstreamState(UpstreamId("u1"), state))
+        for state in (m.Availability.LEAVING, m.Availability.AVAILABLE):
+            driver.send(m.UpstreamState(UpstreamId("u1"), state))
         self.assertEqual(len(driver.submit(*[work(f"w{i}") for i in range(9)])), 2)
 
 
@@ -152,7 +146,7 @@
     def test_silent_attempt_is_cancelled_and_resumed_elsewhere(self) -> None:
         driver, attempt = self.stalled()
         started = run(driver, 1.0)
-        self.assertIn(CancelAttempt(attempt), driver.log)
+        self.assertIn(m.CancelAttempt(attempt), driver.log)
         self.assertEqual([(s.upstream, s.resume_from) for s in started], [("u2", 4)])
 
     def test_silent_work_that_must_not_repeat_ends_as_may_have_run(self) -> None:
--- a/packages/fulmarpulley-core/tests/pool/test_pool_invariants.py
+++ b/packages/fulmarpulley-core/tests/pool/test_pool_invariants.py
@@ -3,25 +3,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
 from fulmarpulley_core.ids import UpstreamId, Version
-from fulmarpulley_core.pool.messages import (
-    AttemptFailed,
-    AttemptFinished,
-    AttemptProgress,
-    Availability,
-    DocumentChanged,
-    Event,
-    Failure,
-    LoadReport,
-    OrderFinished,
-    Submit,
-    Tick,
-    UpstreamState,
-    VersionAnnounced,
-    VersionReport,
-    Withdraw,
-    Work,
-    WorkKind,
-)
+from fulmarpulley_core.pool import messages as m
 from fulmarpulley_schema.generated.document import (
     AttachState,
     Hedges,
@@ -66,14 +48,14 @@
         super().__init__()
         self.driver = Driver(service(NAMES, set(), 2))
         self.model = PoolModel(service(NAMES, set(), 2))
-        self.works: list[Work] = []
+        self.works: list[m.Work] = []
         self.version = 1
         for name in NAMES:
-            self.send(VersionReport(UpstreamId(name), MODEL, Version(1)))
+            self.send(m.VersionReport(UpstreamId(name), MODEL, Version(1)))
 
-    def send(self, event: Event) -> None:
+    def send(self, event: m.Event) -> None:
         repeated = None
-        if isinstance(event, Submit):
+        if isinstance(event, m.Submit):
             self.model.submitted(event.work)
             repeated = event.work.work_id if self.model.expected_repeat else None
         self.model.apply(self.driver.send(event), repeated)
@@ -84,7 +66,7 @@
         assert wakeup is None or wakeup > self.driver.now
 
     @rule(
-        kind=st.sampled_from(WorkKind),
+        kind=st.sampled_from(m.WorkKind),
         tenant=st.sampled_from(["a", "b"]),
         repeatable=st.booleans(),
         max_tokens=st.integers(1, 80),
@@ -107,63 +89,63 @@
             **fields,
         )
         self.works.append(each)
-        self.send(Submit(each))
+        self.send(m.Submit(each))
 
     @precondition(lambda self: self.works)
     @rule(index=INDEX, withdraw=st.booleans())
     def submit_again_or_withdraw(self, index: int, withdraw: bool) -> None:
         each = self.works[index % len(self.works)]
-        self.send(Withdraw(each.work_id) if withdraw else Submit(each))
+        self.send(m.Withdraw(each.work_id) if withdraw else m.Submit(each))
 
     @precondition(lambda self: self.model.live)
     @rule(index=INDEX, tokens=TOKENS, version=st.booleans())
     def progress(self, index: int, tokens: int, version: bool) -> None:
         attempt = list(self.model.live)[index % len(self.model.live)]
         label = Version(self.version) if version else None
-        self.send(AttemptProgress(attempt, tokens, label))
+        self.send(m.AttemptProgress(attempt, tokens, label))
 
     @precondition(lambda self: self.model.live)
     @rule(index=INDEX, tokens=TOKENS)
     def finish(self, index: int, tokens: int) -> None:
         attempt = list(self.model.live)[index % len(self.model.live)]
-        self.send(AttemptFinished(attempt, tokens))
+        self.send(m.AttemptFinished(attempt, tokens))
 
     @precondition(lambda self: self.model.live)
-    @rule(index=INDEX, failure=st.sampled_from(Failure), tokens=TOKENS)
-    def fail(self, index: int, failure: Failure, tokens: int) -> None:
+    @rule(index=INDEX, failure=st.sampled_from(m.Failure), tokens=TOKENS)
+    def fail(self, index: int, failure: m.Failure, tokens: int) -> None:
         attempt = list(self.model.live)[index % len(self.model.live)]
         self.model.failed(attempt, failure)
-        self.send(AttemptFailed(attempt, failure, tokens))
+        self.send(m.AttemptFailed(attempt, failure, tokens))
 
     @precondition(lambda self: self.model.live)
     @rule(name=UPSTREAMS)
     def crash(self, name: UpstreamId) -> None:
         for start in list(self.model.live.values()):
             if start.upstream == name and start.attempt_id in self.model.live:
-                self.model.failed(start.attempt_id, Failure.BROKEN)
-                self.send(AttemptFailed(start.attempt_id, Failure.BROKEN))
+                self.model.failed(start.attempt_id, m.Failure.BROKEN)
+                self.send(m.AttemptFailed(start.attempt_id, m.Failure.BROKEN))
 
     @precondition(lambda self: self.model.dead)
     @rule(index=INDEX, finished=st.booleans())
     def report_late(self, index: int, finished: bool) -> None:
         attempt = self.model.dead[index % len(self.model.dead)]
-        late: Event = AttemptFailed(attempt, Failure.BROKEN, 9)
-        self.send(AttemptFinished(attempt, 9) if finished else late)
+        late: m.Event = m.AttemptFailed(attempt, m.Failure.BROKEN, 9)
+        self.send(m.AttemptFinished(attempt, 9) if finished else late)
 
     @rule(seconds=st.sampled_from([0.05, 0.5, 3.0, 12.0, 70.0]))
     def wait(self, seconds: float) -> None:
         until = self.driver.now + seconds
         while (due := self.driver.pool.next_wakeup()) is not None and due <= until:
             self.driver.now = due
-            self.send(Tick())
+            self.send(m.Tick())
         self.driver.now = until
-        self.send(Tick())
+        self.send(m.Tick())
 
-    @rule(name=UPSTREAMS, state=st.sampled_from(Availability))
-    def change_state(self, name: UpstreamId, state: Availability) -> None:
-        if state is not Availability.EJECTED:
+    @rule(name=UPSTREAMS, state=st.sampled_from(m.Availability))
+    def change_state(self, name: UpstreamId, state: m.Availability) -> None:
+        if state is not m.Availability.EJECTED:
             self.model.states[name] = state
-            self.send(UpstreamState(name, state))
+            self.send(m.UpstreamState(name, state))
 
     @rule(
         names=st.sets(st.sampled_from(NAMES)),
@@ -174,40 +156,40 @@
         self, names: set[str], draining: set[str], capacity: int
     ) -> None:
         self.model.document = service(sorted(names), draining, capacity)
-        self.send(DocumentChanged(self.model.document))
+        self.send(m.DocumentChanged(self.model.document))
 
     @rule(name=UPSTREAMS, newer=st.booleans(), behind=st.integers(0, 2))
     def report_version(self, name: UpstreamId, newer: bool, behind: int) -> None:
         self.version += newer
-        self.send(VersionAnnounced(MODEL, Version(self.version)))
+        self.send(m.VersionAnnounced(MODEL, Version(self.version)))
         version = Version(max(1, self.version - behind))
-        self.send(VersionReport(name, MODEL, version))
-        self.send(LoadReport(name, behind, behind, age=behind))
+        self.send(m.VersionReport(name, MODEL, version))
+        self.send(m.LoadReport(name, behind, behind, age=behind))
 
     @precondition(lambda self: self.model.orders)
     @rule(index=INDEX, ok=st.booleans())
     def finish_order(self, index: int, ok: bool) -> None:
         order = self.model.orders[index % len(self.model.orders)]
-        self.send(OrderFinished(order.order_id, ok))
+        self.send(m.OrderFinished(order.order_id, ok))
         if ok:
-            self.send(VersionReport(order.upstream, MODEL, order.version))
+            self.send(m.VersionReport(order.upstream, MODEL, order.version))
 
     def teardown(self) -> None:
         """Heals everything; then every held work item must end."""
         self.model.document = service(NAMES, set(), 2)
-        self.send(DocumentChanged(self.model.document))
+        self.send(m.DocumentChanged(self.model.document))
         for name in map(UpstreamId, NAMES):
-            self.model.states[name] = Availability.AVAILABLE
-            self.send(UpstreamState(name, Availability.AVAILABLE))
-            self.send(VersionReport(name, MODEL, Version(self.version + 1)))
+            self.model.states[name] = m.Availability.AVAILABLE
+            self.send(m.UpstreamState(name, m.Availability.AVAILABLE))
+            self.send(m.VersionReport(name, MODEL, Version(self.version + 1)))
         until = self.driver.now + HEAL_S
         while self.model.held and self.driver.now < until:
             for attempt in list(self.model.live):
                 if attempt in self.model.live:
-                    self.send(AttemptFinished(attempt, 5))
+                    self.send(m.AttemptFinished(attempt, 5))
             due = self.driver.pool.next_wakeup()
             self.driver.now = until if due is None else max(due, self.driver.now)
-            self.send(Tick())
+            self.send(m.Tick())
         assert not self.model.held, f"never ended: {self.model.held}"
 
 
--- a/packages/fulmarpulley-core/tests/pool/test_retries.py
+++ b/packages/fulmarpulley-core/tests/pool/test_retries.py
@@ -1,7 +1,7 @@
 from unittest import TestCase
 
+from fulmarpulley_core.pool import messages as m
 from fulmarpulley_core.pool.jitter import Jitter
-from fulmarpulley_core.pool.messages import Failure, StartAttempt, Tick
 from fulmarpulley_core.pool.retries import MIN_BURST, Budget
 from fulmarpulley_schema.generated.document import Retries
 from fulmarpulley_schema.generated.http import Ran
@@ -9,11 +9,11 @@
 from .pool_fixtures import Driver, document, refusals, starts, work
 
 
-def wait_for_start(driver: Driver, until: float) -> list[StartAttempt]:
+def wait_for_start(driver: Driver, until: float) -> list[m.StartAttempt]:
     wakeup = driver.pool.next_wakeup()
     while wakeup is not None and wakeup <= until:
         driver.now = wakeup
-        started = starts(driver.send(Tick()))
+        started = starts(driver.send(m.Tick()))
         if started:
             return started
         wakeup = driver.pool.next_wakeup()
@@ -26,7 +26,7 @@
     def test_broken_work_resumes_elsewhere_after_a_back_off(self) -> None:
         driver = Driver(document())
         first = driver.submit(work("a"), work("b", max_tokens=99))[0]
-        self.assertEqual(driver.fail(first.attempt_id, Failure.BROKEN, tokens=4), [])
+        self.assertEqual(driver.fail(first.attempt_id, m.Failure.BROKEN, tokens=4), [])
         again = wait_for_start(driver, 1.0)[0]
         self.assertEqual((again.upstream, again.resume_from), ("u2", 4))
         self.assertTrue(0.05 <= driver.now <= 0.15)
@@ -37,7 +37,7 @@
         waits = []
         for _ in range(4):
             before = driver.now
-            driver.fail(attempt.attempt_id, Failure.REFUSED)
+            driver.fail(attempt.attempt_id, m.Failure.REFUSED)
             attempt = wait_for_start(driver, 100.0)[0]
             waits.append(driver.now - before)
         self.assertGreater(waits[3], 2 * waits[0])
@@ -48,7 +48,7 @@
         retried = 0
         while started or driver.now < 5.0:
             for start in started:
-                driver.fail(start.attempt_id, Failure.NOT_SENT)
+                driver.fail(start.attempt_id, m.Failure.NOT_SENT)
             started = wait_for_start(driver, 5.0)
             retried += len(started)
             if not started:
@@ -58,18 +58,18 @@
     def test_attempts_are_bounded_and_the_end_says_that_it_ran(self) -> None:
         driver = Driver(document(retries=Retries(attempts=2)))
         attempt = driver.submit(work("a"))[0]
-        driver.fail(attempt.attempt_id, Failure.BROKEN)
+        driver.fail(attempt.attempt_id, m.Failure.BROKEN)
         attempt = wait_for_start(driver, 1.0)[0]
-        ended = refusals(driver.fail(attempt.attempt_id, Failure.ERRORED))
+        ended = refusals(driver.fail(attempt.attempt_id, m.Failure.ERRORED))
         self.assertEqual((ended[0].code, ended[0].ran), ("upstream_error", Ran.RAN))
 
     def test_work_that_must_not_repeat_is_retried_only_if_it_did_not_run(self) -> None:
-        for failure in Failure:
+        for failure in m.Failure:
             driver = Driver(document())
             attempt = driver.submit(work("a", repeatable=False))[0]
             driver.fail(attempt.attempt_id, failure)
             started = wait_for_start(driver, 1.0)
-            safe = failure in {Failure.NOT_SENT, Failure.REFUSED}
+            safe = failure in {m.Failure.NOT_SENT, m.Failure.REFUSED}
             self.assertEqual(bool(started), safe, failure)
 
 
--- a/packages/fulmarpulley-core/tests/pool/test_routing.py
+++ b/packages/fulmarpulley-core/tests/pool/test_routing.py
@@ -1,19 +1,14 @@
 from unittest import TestCase
 
 from fulmarpulley_core.ids import PrefixId, UpstreamId
-from fulmarpulley_core.pool.messages import (
-    CacheReport,
-    LoadReport,
-    StartAttempt,
-    VersionAnnounced,
-)
+from fulmarpulley_core.pool import messages as m
 from fulmarpulley_core.registry import UnknownPluginError
 from fulmarpulley_schema.generated.document import ServiceKind
 
 from .pool_fixtures import MODEL, Driver, document, sample, upstream, work
 
 
-def upstreams_of(started: list[StartAttempt]) -> list[str]:
+def upstreams_of(started: list[m.StartAttempt]) -> list[str]:
     return [start.upstream for start in started]
 
 
@@ -22,7 +17,7 @@
 
     def test_foreign_load_of_a_report_is_avoided_until_it_ages(self) -> None:
         driver = Driver(document(capacity=8, stall_s=99.0))
-        driver.send(LoadReport(UpstreamId("u1"), running=4, queued=0))
+        driver.send(m.LoadReport(UpstreamId("u1"), running=4, queued=0))
         self.assertEqual(upstreams_of(driver.submit(work("a"))), ["u2"])
         driver.now += 60.0
         self.assertEqual(upstreams_of(driver.submit(work("b"))), ["u1"])
@@ -33,7 +28,7 @@
         driver.now = 1.0
         driver.finish(first[0].attempt_id)
         driver.now = 1.5
-        driver.send(LoadReport(UpstreamId("u1"), running=1, queued=0, age=1.0))
+        driver.send(m.LoadReport(UpstreamId("u1"), running=1, queued=0, age=1.0))
         self.assertEqual(upstreams_of(driver.submit(work("c"))), ["u1"])
 
     def test_received_tokens_leave_the_load(self) -> None:
@@ -58,17 +53,17 @@
 
     def test_cache_hints_move_the_affinity(self) -> None:
         driver = Driver(document())
-        driver.send(CacheReport(UpstreamId("u2"), added=[PrefixId("p")]))
+        driver.send(m.CacheReport(UpstreamId("u2"), added=[PrefixId("p")]))
         started = driver.submit(work("a", prefix="p"))
         self.assertEqual(upstreams_of(started), ["u2"])
-        driver.send(CacheReport(UpstreamId("u2"), removed=[PrefixId("p")]))
+        driver.send(m.CacheReport(UpstreamId("u2"), removed=[PrefixId("p")]))
         self.assertEqual(upstreams_of(driver.submit(work("b", prefix="p"))), ["u1"])
 
     def test_up_to_date_upstream_is_preferred(self) -> None:
         driver = Driver(document(kind=ServiceKind.TRAINING))
         driver.report_versions(1, "u1")
         driver.report_versions(2, "u2")
-        driver.send(VersionAnnounced(MODEL, 2))
+        driver.send(m.VersionAnnounced(MODEL, 2))
         self.assertEqual(upstreams_of(driver.submit(sample("a"))), ["u2"])
 
 
--- a/packages/fulmarpulley-core/tests/pool/test_stragglers.py
+++ b/packages/fulmarpulley-core/tests/pool/test_stragglers.py
@@ -1,13 +1,7 @@
 from unittest import TestCase
 
 from fulmarpulley_core.ids import AttemptId
-from fulmarpulley_core.pool.messages import (
-    CancelAttempt,
-    Failure,
-    Finish,
-    StartAttempt,
-    Work,
-)
+from fulmarpulley_core.pool import messages as m
 from fulmarpulley_core.pool.state import Item
 from fulmarpulley_core.pool.stragglers import Lengths
 from fulmarpulley_schema.generated.document import Hedges
@@ -15,7 +9,7 @@
 from .pool_fixtures import Driver, document, run, sample, starts, work
 
 
-def tail(works: list[Work], hedges: Hedges | None = None) -> Driver:
+def tail(works: list[m.Work], hedges: Hedges | None = None) -> Driver:
     """Answers 20 items at 0.1 s a token, then starts `works`, which go silent."""
     driver = Driver(document(["u1", "u2", "u3"], hedges=hedges or Hedges()))
     for number in range(20):
@@ -30,7 +24,7 @@
     return driver
 
 
-def hedges(driver: Driver) -> list[StartAttempt]:
+def hedges(driver: Driver) -> list[m.StartAttempt]:
     return [start for start in starts(driver.log) if start.hedge]
 
 
@@ -51,7 +45,7 @@
         first, hedge = [AttemptId(s.attempt_id) for s in starts(driver.log)]
         ended = driver.finish(hedge)
         self.assertEqual(
-            ended, [Finish(sample("a").work_id, hedge), CancelAttempt(first)]
+            ended, [m.Finish(sample("a").work_id, hedge), m.CancelAttempt(first)]
         )
         self.assertEqual(driver.finish(first), [])
 
@@ -60,7 +54,7 @@
         run(driver, 3.0)
         first, hedge = [AttemptId(s.attempt_id) for s in starts(driver.log)]
         driver.progress(hedge, 6)
-        self.assertEqual(driver.fail(first, Failure.BROKEN), [])
+        self.assertEqual(driver.fail(first, m.Failure.BROKEN), [])
         self.assertEqual(run(driver, 0.2), [])
         self.assertEqual(len(driver.finish(hedge)), 1)
 
@@ -88,7 +82,7 @@
         self.assertEqual(hedges(driver), [])
 
 
-def hedges_of(works: list[Work], settings: Hedges | None = None) -> int:
+def hedges_of(works: list[m.Work], settings: Hedges | None = None) -> int:
     driver = tail(works, settings)
     run(driver, 6.0)
     return len(hedges(driver))
--- a/packages/fulmarpulley-core/tests/pool/test_weights.py
+++ b/packages/fulmarpulley-core/tests/pool/test_weights.py
@@ -1,14 +1,7 @@
 from unittest import TestCase
 
 from fulmarpulley_core.ids import ModelName, Version
-from fulmarpulley_core.pool.messages import (
-    Action,
-    Order,
-    OrderFinished,
-    Tick,
-    VersionAnnounced,
-    Withdraw,
-)
+from fulmarpulley_core.pool import messages as m
 from fulmarpulley_schema.generated.document import (
     ServiceKind,
     TrainerEntry,
@@ -32,17 +25,17 @@
     return driver
 
 
-def announce(driver: Driver, version: int) -> dict[str, Order]:
-    return orders(driver.send(VersionAnnounced(MODEL, Version(version))))
+def announce(driver: Driver, version: int) -> dict[str, m.Order]:
+    return orders(driver.send(m.VersionAnnounced(MODEL, Version(version))))
 
 
-def orders(actions: list[Action]) -> dict[str, Order]:
-    return {a.upstream: a for a in actions if isinstance(a, Order)}
+def orders(actions: list[m.Action]) -> dict[str, m.Order]:
+    return {a.upstream: a for a in actions if isinstance(a, m.Order)}
 
 
-def load(driver: Driver, order: Order) -> dict[str, Order]:
+def load(driver: Driver, order: m.Order) -> dict[str, m.Order]:
     """Finishes an order and reports the version; returns the orders that follow."""
-    given = orders(driver.send(OrderFinished(order.order_id, True)))
+    given = orders(driver.send(m.OrderFinished(order.order_id, True)))
     before = len(driver.log)
     driver.report_versions(order.version, order.upstream)
     return given | orders(driver.log[before:])
@@ -73,7 +66,7 @@
         trainers = [TrainerEntry(id="a"), TrainerEntry(id="b", model="n")]
         driver = Driver(document(kind=ServiceKind.TRAINING, trainers=trainers))
         given = announce(driver, 2)
-        given |= orders(driver.send(VersionAnnounced(ModelName("n"), Version(2))))
+        given |= orders(driver.send(m.VersionAnnounced(ModelName("n"), Version(2))))
         models = {u: order.model for u, order in given.items()}
         self.assertEqual(models, {"u1": "m", "u2": "n"})
 
@@ -86,9 +79,9 @@
     def test_failed_order_is_retried_after_a_back_off(self) -> None:
         driver = driver_at(1, ["u1"])
         order = announce(driver, 2)["u1"]
-        self.assertEqual(driver.send(OrderFinished(order.order_id, False)), [])
+        self.assertEqual(driver.send(m.OrderFinished(order.order_id, False)), [])
         driver.now += 0.3
-        self.assertEqual(orders(driver.send(Tick())), {})
+        self.assertEqual(orders(driver.send(m.Tick())), {})
         run(driver, 0.5)
         self.assertEqual(orders(driver.log)["u1"].version, 2)
         self.assertNotEqual(orders(driver.log)["u1"], order)
@@ -96,7 +89,7 @@
     def test_failed_source_is_not_named_again(self) -> None:
         driver = driver_at(1, ["u1", "u2"])
         second = load(driver, announce(driver, 2)["u1"])["u2"]
-        driver.send(OrderFinished(second.order_id, False))
+        driver.send(m.OrderFinished(second.order_id, False))
         run(driver, 1.0)
         self.assertIsNone(orders(driver.log)["u2"].source)
 
@@ -105,7 +98,7 @@
             driver = driver_at(1, ["u1"])
             order = announce(driver, 2)["u1"]
             if ok:
-                driver.send(OrderFinished(order.order_id, ok))
+                driver.send(m.OrderFinished(order.order_id, ok))
             run(driver, 120.0)
             self.assertNotEqual(orders(driver.log)["u1"], order)
 
@@ -172,14 +165,14 @@
         driver.log.clear()
         announce(driver, 2)
         driver.report_versions(2, "u1")
-        self.assertEqual([a for a in driver.log if not isinstance(a, Order)], [])
+        self.assertEqual([a for a in driver.log if not isinstance(a, m.Order)], [])
 
     def test_sample_that_was_cut_is_not_reported_as_not_run(self) -> None:
         driver = driver_at(1, ["u1"])
         started = driver.submit(sample("a", staleness_bound=0))[0]
         driver.progress(started.attempt_id, 5, version=1)
         announce(driver, 2)
-        ended = refusals(driver.send(Withdraw(started.work_id)))
+        ended = refusals(driver.send(m.Withdraw(started.work_id)))
         self.assertEqual(ended[0].ran, Ran.MAY_HAVE_RUN)
 
     def test_sample_that_cannot_finish_within_its_bound_waits(self) -> None:
