Close gaps in resuming, probation and work that must not repeat

A sample whose tokens became too old while it was queued resumed from them. Work that must not repeat and that its owner had tokens of ran once more. An upstream on probation stayed there for good when only such work was left, and such work waited for upstreams that serve no suitable version. Tokens are now checked again at the start, such work is refused as may_have_run, and an upstream without attempts leaves probation after ten seconds.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from fulmarpulley_schema.generated.document import ServiceDocument
+from fulmarpulley_schema.generated.http import Ran
 
 from .messages import (
     Action,
@@ -21,6 +22,7 @@
     VersionAnnounced,
     VersionReport,
     Withdraw,
+    Work,
 )
 from .outcomes import Outcomes
 from .parts import Parts
@@ -84,14 +86,19 @@
         return self.parts.freshness.versions_behind(item, upstream)
 
     def _submit(self, event: Submit, now: float) -> None:
-        parts, ledger, work = self.parts, self.parts.ledger, event.work
-        if work.work_id in ledger.items:
-            return
+        ledger, work = self.parts.ledger, event.work
         repeated = ledger.repeated_end(work)
         if repeated is not None:
             ledger.actions.append(repeated)
-            return
+        elif work.work_id not in ledger.items:
+            self._admit(work, now)
+
+    def _admit(self, work: Work, now: float) -> None:
+        parts, ledger = self.parts, self.parts.ledger
         item = ledger.add(work, now)
+        if item.past_runs is not Ran.NOT_RUN and not work.repeatable:
+            ledger.refuse(item, "upstream_broken")
+            return
         upstreams = ledger.upstreams.values()
         charge = parts.charge(item)
         refusal = parts.admission.check(item, charge, parts.queue, upstreams, now)
@@ -153,13 +160,9 @@
         oldest = parts.freshness.oldest_allowed(item, parts.now)
         may_run = parts.freshness.may_run
         fit = [u for u in free if u.has_room(cost, limit) and may_run(item, u, oldest)]
-        if not item.work.repeatable:
-            fit = self._without_probes(fit)
+        if not item.work.repeatable and fit:
+            # A probe is likely to fail, which ends work that must not repeat.
+            able = [u for u in self.usable() if may_run(item, u, oldest)]
+            if not all(u.health.state is HealthState.PROBING for u in able):
+                fit = [u for u in fit if u.health.state is not HealthState.PROBING]
         return parts.routing.choose(item, fit, self, parts.now) if fit else None
-
-    def _without_probes(self, fit: list[Upstream]) -> list[Upstream]:
-        # A probe is likely to fail, which ends work that must not repeat.
-        probing = HealthState.PROBING
-        if all(u.health.state is probing for u in self.usable()):
-            return fit
-        return [u for u in fit if u.health.state is not probing]
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/health.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/health.py
@@ -23,6 +23,9 @@
 MAX_REFUSAL_PAUSE_S = 30.0
 # Successful probes in a row that end a probation.
 PROBES = 2
+# Work that must not repeat is no probe, so an upstream that gets no other work is
+# trusted again after this time.
+UNPROBED_S = 10.0
 RAMP_S = 5.0
 RAMP_STEPS = 4
 # After this time without an ejection the next one is short again.
@@ -129,7 +132,7 @@
         record.ejections += 1
         due = now + time * self._jitter.between(*EJECT_SPREAD)
         epoch = record.epoch
-        self._timers.at(due, lambda _: self._probe(upstream, epoch))
+        self._timers.at(due, lambda later: self._probe(upstream, epoch, later))
         self.refresh(upstream)
 
     def _may_eject(self) -> bool:
@@ -141,14 +144,22 @@
         out = sum(s in {HealthState.EJECTED, HealthState.PROBING} for s in states)
         return out + 1 <= MAX_EJECTED_SHARE * len(states)
 
-    def _probe(self, upstream: Upstream, epoch: int) -> None:
+    def _probe(self, upstream: Upstream, epoch: int, now: float) -> None:
         record = upstream.health
         if record.epoch == epoch:
             record.state = HealthState.PROBING
             record.probes = 0
             record.failures = 0
+            due = now + UNPROBED_S
+            self._timers.at(
+                due, lambda later: self._end_probation(upstream, epoch, later)
+            )
             self.refresh(upstream)
 
+    def _end_probation(self, upstream: Upstream, epoch: int, now: float) -> None:
+        if upstream.health.epoch == epoch and not upstream.attempts:
+            self.joined(upstream, now)
+
     def _ramp(self, upstream: Upstream, epoch: int, now: float) -> None:
         record = upstream.health
         if record.epoch != epoch:
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
@@ -76,10 +76,8 @@
         return item.work.prompt_tokens + self.lengths.predict(item) - item.received
 
     def enqueue(self, item: Item) -> None:
-        """Queue an item; tokens that are too old by now are given up."""
-        if self.freshness.has_expired(item):
-            item.received = 0
-            item.oldest = None
+        """Queue an item."""
+        self._drop_expired_tokens(item)
         self.queue.push(item, self.charge(item))
         self.can_dispatch = True
 
@@ -105,12 +103,19 @@
 
     def start(self, item: Item, upstream: Upstream, hedge: bool = False) -> Attempt:
         """Start an attempt."""
+        if not hedge:
+            self._drop_expired_tokens(item)
         attempt = self.ledger.start(item, upstream, self.now, hedge)
         self.routing.started(item, upstream)
         note_attempts(upstream, self.now)
         self.hedges.arm(self.now)
         return attempt
 
+    def _drop_expired_tokens(self, item: Item) -> None:
+        if self.freshness.has_expired(item):
+            item.received = 0
+            item.oldest = None
+
     def _released(self, attempt: Attempt) -> None:
         self.can_dispatch = True
         self.gained.add(attempt.upstream)
--- a/packages/fulmarpulley-core/tests/pool/pool_model.py
+++ b/packages/fulmarpulley-core/tests/pool/pool_model.py
@@ -26,6 +26,8 @@
             return
         self.held[work.work_id] = work
         self.may_have_run.discard(work.work_id)
+        if work.resume_tokens:
+            self.may_have_run.add(work.work_id)
 
     def failed(self, attempt: AttemptId, failure: m.Failure) -> None:
         start = self._ends(attempt)
--- a/packages/fulmarpulley-core/tests/pool/test_dispatcher.py
+++ b/packages/fulmarpulley-core/tests/pool/test_dispatcher.py
@@ -113,6 +113,13 @@
         ended = m.Refuse(WorkId("a"), "upstream_broken", Ran.MAY_HAVE_RUN)
         self.assertEqual(driver.fail(attempt, m.Failure.BROKEN), [ended])
 
+    def test_work_that_ran_at_another_home_is_not_run_again(self) -> None:
+        driver = Driver(document())
+        self.assertEqual(
+            driver.submit(work("a", repeatable=False, resume_tokens=1)), []
+        )
+        self.assertEqual(refusals(driver.log)[0].ran, Ran.MAY_HAVE_RUN)
+
     def test_submit_after_the_end_repeats_the_end(self) -> None:
         driver = Driver(document())
         item = work("a", repeatable=False)
--- a/packages/fulmarpulley-core/tests/pool/test_health.py
+++ b/packages/fulmarpulley-core/tests/pool/test_health.py
@@ -107,6 +107,7 @@
         run(driver, 3.0)
         works = [work(f"w{i}", repeatable=False) for i in range(33)]
         self.assertNotIn("u1", {s.upstream for s in driver.submit(*works)})
+        self.assertIn("u1", {s.upstream for s in run(driver, 12.0)})
 
 
 def in_flight(driver: Driver, name: str) -> int:
--- a/packages/fulmarpulley-core/tests/pool/test_weights.py
+++ b/packages/fulmarpulley-core/tests/pool/test_weights.py
@@ -10,7 +10,16 @@
 )
 from fulmarpulley_schema.generated.http import Ran
 
-from .pool_fixtures import MODEL, Driver, document, refusals, run, sample, upstream
+from .pool_fixtures import (
+    MODEL,
+    Driver,
+    document,
+    refusals,
+    run,
+    sample,
+    starts,
+    upstream,
+)
 
 TWO_REGIONS = ["u1", "u2", upstream("far1", region="b"), upstream("far2", region="b")]
 
@@ -158,6 +167,16 @@
         again = driver.log[-1]
         self.assertEqual((again.work_id, again.resume_from), ("a", 0))  # type: ignore[union-attr]
 
+    def test_queued_sample_whose_tokens_become_too_old_starts_over(self) -> None:
+        driver = driver_at(0, ["u1"])
+        old = {"staleness_bound": 0, "resume_tokens": 5, "oldest_version": 1}
+        announce(driver, 1)
+        driver.submit(sample("a", **old))
+        announce(driver, 2)
+        driver.log.clear()
+        driver.report_versions(2, "u1")
+        self.assertEqual([s.resume_from for s in starts(driver.log)], [0])
+
     def test_running_sample_that_must_not_repeat_is_left_alone(self) -> None:
         driver = driver_at(1, ["u1"])
         each = sample("a", staleness_bound=0, repeatable=False)
