--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 
 from fulmarpulley_schema.generated.document import ServiceDocument
+from fulmarpulley_schema.generated.http import Ran
 
-from .fleet import Fleet
 from .messages import (
     Action,
     AttemptFailed,
@@ -22,9 +22,11 @@
     VersionAnnounced,
     VersionReport,
     Withdraw,
+    Work,
 )
 from .outcomes import Outcomes
 from .parts import Parts
+from .reports import Reports
 from .state import HealthState, Item, Upstream
 
 
@@ -38,20 +40,20 @@
         self.parts = Parts(document, settings, seed)
         self.outcomes = Outcomes(self.parts)
         self.parts.hedges.start_hedge = self._start_hedge
-        fleet = Fleet(self.parts)
+        reports = Reports(self.parts)
         self.handlers: dict[type, Callable[..., None]] = {
             Submit: self._submit,
             Withdraw: self._withdraw,
             AttemptFinished: self.outcomes.finished,
             AttemptFailed: self.outcomes.failed,
             AttemptProgress: self.outcomes.progress,
-            UpstreamState: fleet.upstream_state,
-            LoadReport: fleet.load_report,
-            CacheReport: fleet.cache_report,
-            OrderFinished: fleet.order_finished,
-            VersionReport: fleet.version_report,
-            VersionAnnounced: fleet.version_announced,
-            DocumentChanged: fleet.document_changed,
+            UpstreamState: reports.upstream_state,
+            LoadReport: reports.load_report,
+            CacheReport: reports.cache_report,
+            OrderFinished: reports.order_finished,
+            VersionReport: reports.version_report,
+            VersionAnnounced: reports.version_announced,
+            DocumentChanged: reports.document_changed,
         }
 
     def handle(self, event: Event, now: float) -> list[Action]:
@@ -84,14 +86,19 @@
         return self.parts.freshness.versions_behind(item, upstream)
 
     def _submit(self, event: Submit, now: float) -> None:
-        parts, ledger, work = self.parts, self.parts.ledger, event.work
-        if work.work_id in ledger.items:
-            return
+        ledger, work = self.parts.ledger, event.work
         repeated = ledger.repeated_end(work)
         if repeated is not None:
             ledger.actions.append(repeated)
-            return
+        elif work.work_id not in ledger.items:
+            self._admit(work, now)
+
+    def _admit(self, work: Work, now: float) -> None:
+        parts, ledger = self.parts, self.parts.ledger
         item = ledger.add(work, now)
+        if item.past_runs is not Ran.NOT_RUN and not work.repeatable:
+            ledger.refuse(item, "upstream_broken")
+            return
         upstreams = ledger.upstreams.values()
         charge = parts.charge(item)
         refusal = parts.admission.check(item, charge, parts.queue, upstreams, now)
@@ -116,17 +123,25 @@
         self.parts.weights.plan(self.parts.now)
         while self.parts.queue.waiting and self._start_next():
             pass
+        self.parts.gained.clear()
 
     def _start_next(self) -> bool:
-        free = [u for u in self.parts.ledger.upstreams.values() if u.is_free()]
+        parts = self.parts
+        free = [u for u in parts.ledger.upstreams.values() if u.is_free()]
         if not free:
             return False
-        for lane in self.parts.queue.lanes():
-            upstream = self._choose(lane.head(), free)
+        gained = [u for u in free if u in parts.gained]
+        # A lane that no upstream could take is blocked until an upstream gains
+        # room or the epoch, in which versions, health and steps stand, is over.
+        epoch = parts.epoch + parts.ledger.steps_ended
+        for lane in parts.queue.lanes():
+            candidates = gained if lane.is_blocked(epoch) else free
+            upstream = self._choose(lane.head(), candidates) if candidates else None
             if upstream is not None:
-                item = self.parts.queue.take(lane)
-                self.outcomes.started(self.parts.start(item, upstream))
+                item = parts.queue.take(lane)
+                self.outcomes.started(parts.start(item, upstream))
                 return True
+            lane.block(epoch)
         return False
 
     def _start_hedge(self, item: Item, excluded: set[Upstream]) -> bool:
@@ -145,13 +160,9 @@
         oldest = parts.freshness.oldest_allowed(item, parts.now)
         may_run = parts.freshness.may_run
         fit = [u for u in free if u.has_room(cost, limit) and may_run(item, u, oldest)]
-        if not item.work.repeatable:
-            fit = self._without_probes(fit)
+        if not item.work.repeatable and fit:
+            # A probe is likely to fail, which ends work that must not repeat.
+            able = [u for u in self.usable() if may_run(item, u, oldest)]
+            if not all(u.health.state is HealthState.PROBING for u in able):
+                fit = [u for u in fit if u.health.state is not HealthState.PROBING]
         return parts.routing.choose(item, fit, self, parts.now) if fit else None
-
-    def _without_probes(self, fit: list[Upstream]) -> list[Upstream]:
-        # A probe is likely to fail, which ends work that must not repeat.
-        probing = HealthState.PROBING
-        if all(u.health.state is probing for u in self.usable()):
-            return fit
-        return [u for u in fit if u.health.state is not probing]
