Keep outcomes when a peer is ahead, and claim ids apart

Reading how the node uses the state machines showed three faults.

- A complete fold that adopted a peer's state jumped over the records in between and lost the outcomes of their edits, so that an operator who lost a conflict got no answer.
It now learns the documents and goes on in the stream; known_offset tells how far documents are known.
Documents that the peer had only learned count as learned, not as its state.
- The node makes several tables of one partition with one start_id.
Their claim ids repeated, and a table could take an old claim in the stream for its own new one and run it before its claim was read back.
- A node that restarts while the instance list still calls it leaving marked itself as leaving for good.
Only news in the list counts now.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/claims.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/claims.py
@@ -51,7 +51,7 @@
 
 
 class ClaimTable:
-    """Decide for one node; `start_id` differs between all tables ever made."""
+    """Decide for one node; `start_id` differs between all starts of the node."""
 
     def __init__(self, partition: Partition, node_id: NodeId, start_id: str) -> None:
         self.node_id = node_id
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/configuration.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/configuration.py
@@ -47,6 +47,8 @@
 
     def __init__(self) -> None:
         self.offset = Offset(0)
+        # Documents are known up to here, from the stream or from complete peers.
+        self.known_offset = Offset(0)
         self.first: Offset | None = None
         self._folded: dict[ServiceName, Accepted] = {}
         self._learned: dict[ServiceName, Accepted] = {}
@@ -121,15 +123,25 @@
         return self._raised(accepted.service, before)
 
     def adopt(self, documents: list[Accepted], as_of: Offset) -> list[ConfigEvent]:
-        """Take the whole state of a complete peer that folded up to `as_of`."""
+        """Take the whole state of a complete peer that folded up to `as_of`.
+
+        A complete fold only learns the documents and goes on in the stream itself;
+        a jump would lose the outcomes of the edits in between.
+        """
+        events: list[ConfigEvent] = []
+        self.known_offset = max(self.known_offset, as_of)
+        if self.complete:
+            for item in documents:
+                events += self.learn(item)
+            return events
         if as_of > self.offset or self.first is None:
             self.start_at(Offset(as_of + 1))
-        services = [item.service for item in documents]
-        events: list[ConfigEvent] = []
         for item in documents:
-            events += self._bridge(item, as_of)
+            # A revision above as_of was learned by the peer and is not its state.
+            folded = item.revision <= as_of
+            events += self._bridge(item, as_of) if folded else self.learn(item)
         if not self.complete:
-            events += self._set_roster(services, as_of)
+            events += self._set_roster([item.service for item in documents], as_of)
         return events
 
     def documents(self) -> list[Accepted]:
@@ -160,6 +172,7 @@
         if offset <= self.offset:
             return False
         self.offset = offset
+        self.known_offset = max(self.known_offset, offset)
         return True
 
     def _apply_body(self, offset: Offset, record: Record) -> list[ConfigEvent]:
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/member_view.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/member_view.py
@@ -61,15 +61,24 @@
                 # Not passed on: the other nodes read the same list.
                 member = self._add(update, now)
                 self.queue.discard(member.node_id)
-            member.listed = True
-            leaving = update.state is MemberState.LEAVING
-            if leaving and member.state is MemberState.ALIVE:
-                self._set_state(member, MemberState.LEAVING, now)
+            self._note_listed(member, update.state is MemberState.LEAVING, now)
         for member in self.members.values():
             if member.listed and member.node_id not in names:
                 member.listed = False
                 self.suspect(member, now)
 
+    def _note_listed(self, member: Member, leaving: bool, now: float) -> None:
+        # The list lags, so a member that restarts may still be listed as leaving.
+        # Only the first sight of that counts, and for this node itself only a change
+        # since it started.
+        news = leaving and not member.listed_leaving
+        if member is self.me and not member.listed:
+            news = False
+        if news and member.state is MemberState.ALIVE:
+            self._set_state(member, MemberState.LEAVING, now)
+        member.listed = True
+        member.listed_leaving = leaving
+
     def suspect(self, member: Member, now: float) -> None:
         """Start a suspicion of a member."""
         if member.state in {MemberState.ALIVE, MemberState.LEAVING}:
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/members.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/members.py
@@ -32,6 +32,7 @@
     config_offset: Offset = Offset(0)
     since: float = 0.0
     listed: bool = False
+    listed_leaving: bool = False
 
     @classmethod
     def from_update(cls, update: MemberUpdate, now: float = 0.0) -> "Member":
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/own_claims.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/own_claims.py
@@ -1,5 +1,6 @@
 """Hold the claims of one node in one partition, and answers too large for the log."""
 
+import itertools
 from collections import OrderedDict
 from typing import Any
 
@@ -18,6 +19,10 @@
 # Estimated size of a finished claim without its answer.
 CLAIM_BYTES = 512
 
+# Tells apart the tables that one process makes for a partition one after the other;
+# a claim id that repeats would be taken for one that was read back before.
+_tables = itertools.count(1)
+
 _NOT_BEGUN = {OwnState.PENDING, OwnState.WON}
 _RAN = {
     OutcomeKind.NOT_RUN: Ran.NOT_RUN,
@@ -32,7 +37,7 @@
 
     def __init__(self, node_id: NodeId, start_id: str) -> None:
         self.node_id = node_id
-        self.start_id = start_id
+        self.prefix = f"{node_id}.{start_id}.{next(_tables)}"
         self.claims: dict[str, OwnClaim] = {}
         self._newest: dict[KeyOf, str] = {}
         self._kept: OrderedDict[str, int] = OrderedDict()
@@ -64,7 +69,7 @@
             key=key.key,
             fingerprint=fingerprint,
             holder=self.node_id,
-            claim_id=f"{self.node_id}.{self.start_id}.{self._count}",
+            claim_id=f"{self.prefix}.{self._count}",
             repeatable=repeatable,
         )
         state = OwnState.RUNNING if repeatable else OwnState.PENDING
--- a/packages/fulmarpulley-core/tests/test_claims.py
+++ b/packages/fulmarpulley-core/tests/test_claims.py
@@ -350,6 +350,16 @@
         first = self.claim(self.a, self.key).entry.claim_id
         self.assertNotEqual(self.claim(restarted, self.key).entry.claim_id, first)
 
+    def test_second_table_of_a_process_makes_new_claim_ids(self) -> None:
+        """Guards against an old claim that a new table takes for its own."""
+        tables = [ClaimTable(PARTITION, NodeId("n0"), "s") for _ in range(2)]
+        ids = set()
+        for table in tables:
+            decision = table.request(self.key, "f")
+            assert isinstance(decision, AppendClaim)
+            ids.add(decision.entry.claim_id)
+        self.assertEqual(len(ids), 2)
+
     def test_answer_is_final(self) -> None:
         """Guards against a key that a contradicting record opens again."""
         claim_id = self.win(self.a)
--- a/packages/fulmarpulley-core/tests/test_configuration.py
+++ b/packages/fulmarpulley-core/tests/test_configuration.py
@@ -312,13 +312,38 @@
     def test_adopted_state_is_the_base_of_later_changes(self) -> None:
         """Guards against a node that starts from a peer and cannot follow the log."""
         peer = self.fold(change("ann", "desk", 0), change("bob", "desk", 0))
-        fold = self.fold()
+        fold = ConfigFold()
         fold.adopt(peer.documents(), peer.offset)
         self.assertTrue(fold.complete)
         self.assertEqual(fold.offset, 2)
         fold.apply(Offset(3), change("cid", "desk", 1))
         self.assertEqual(fold.documents()[0].record_id, "cid")
 
+    def test_complete_fold_keeps_outcomes_when_a_peer_is_ahead(self) -> None:
+        """Guards against a conflict that its operator never hears of."""
+        records = [change("ann", "desk", 0), change("bob", "desk", 0)]
+        peer, fold = self.fold(*records), self.fold()
+        events = fold.adopt(peer.documents(), peer.offset)
+        self.assertEqual([type(event) for event in events], [DocumentAccepted])
+        self.assertEqual((fold.offset, fold.known_offset), (0, 2))
+        for offset, record in enumerate(records, 1):
+            fold.apply(Offset(offset), record)
+        result = fold.outcome_of(RecordId("bob"))
+        assert result is not None
+        self.assertEqual(result.outcome, EditOutcome.CONFLICT)
+
+    def test_document_that_a_peer_only_learned_is_no_state(self) -> None:
+        """Guards against `conflict` for the change that made the document."""
+        ahead = self.fold(change("ann", "desk", 0), change("bob", "desk", 1))
+        fold = ConfigFold()
+        fold.adopt(ahead.documents(), Offset(1))
+        self.assertFalse(fold.complete)
+        known = fold.accepted(SERVICES[0])
+        assert known is not None
+        self.assertEqual(known.record_id, "bob")
+        fold.apply(Offset(2), change("bob", "desk", 1))
+        self.assertEqual(fold.documents(), [])
+
     def test_buffered_change_below_the_snapshot_is_not_folded(self) -> None:
         """Guards against a change on a future base that wins after a truncation."""
         whole = self.fold(
--- a/packages/fulmarpulley-core/tests/test_membership.py
+++ b/packages/fulmarpulley-core/tests/test_membership.py
@@ -217,6 +217,24 @@
         alive = {member.node_id for member in node.alive()}
         self.assertEqual(alive, {"node-0", "node-2"})
 
+    def test_restarted_member_takes_work_although_listed_as_leaving(self) -> None:
+        """Guards against a replaced node without work while the list lags."""
+        made = world(4)
+        made.run(5)
+        listed = [update(0), update(1), update(2), update(3, MemberState.LEAVING)]
+        for node in made.nodes.values():
+            node.seed(listed, made.now)
+        made.run(3)
+        self.assertEqual(made.states(VICTIM), {MemberState.LEAVING})
+        made.nodes[VICTIM] = Membership(MembershipSettings(), update(3), seed=9)
+        for _ in range(10):
+            for node in made.nodes.values():
+                node.seed(listed, made.now)
+            made.run(1)
+        self.assertEqual(made.states(VICTIM), ALIVE)
+        alive = {member.node_id for member in made.nodes[VICTIM].alive()}
+        self.assertIn(VICTIM, alive)
+
     def test_offsets_name_a_peer_that_is_ahead(self) -> None:
         """Guards against a node that does not notice missing configuration."""
         made = world(3)
