--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/partition_home.py
@@ -0,0 +1,205 @@
+"""Run the requests with keys of one partition."""
+
+from collections import OrderedDict
+from typing import Protocol
+
+from fulmarpulley_core.claim_messages import (
+    AppendClaim,
+    ClaimDecision,
+    KeyOf,
+    ReturnAnswer,
+    WaitForOutcome,
+)
+from fulmarpulley_core.ids import NodeId
+from fulmarpulley_schema.generated.document import ServiceDocument
+from fulmarpulley_schema.generated.http import Ran
+from fulmarpulley_schema.generated.peer import (
+    KeyedPoll,
+    KeyedSubmit,
+    Refusal,
+    WorkState,
+)
+
+from ..errors import ErrorCode, refusal
+from ..peers import PeerLinks
+from ..progress import wait_event
+from ..work_client import WorkClient
+from .claim_runner import ClaimRunner
+from .claim_stream import ClaimStream
+from .key_refusals import key_refusal
+from .keyed import KeyedRequest, key_of
+
+HOLDER_WAIT_S = 1.0
+CALL_DEADLINE_S = 2.5
+RETRY_PAUSE_S = 0.1
+# Ended requests whose entry has not read the end; answers are kept by the table.
+ENDED_KEPT = 1024
+
+
+class KeyedSurroundings(Protocol):
+    """Define what a partition home asks of its node."""
+
+    work: WorkClient
+    peers: PeerLinks
+
+    def document(self, service: str) -> ServiceDocument | None:
+        """Return the document in force."""
+
+
+class PartitionHome:
+    """Own the claims of a partition and the requests that run under them."""
+
+    def __init__(self, stream: ClaimStream, node: KeyedSurroundings) -> None:
+        self.stream = stream
+        self.table = stream.table
+        self.node = node
+        self.active: dict[KeyOf, KeyedRequest] = {}
+        self.ended: OrderedDict[KeyOf, KeyedRequest] = OrderedDict()
+        self.runner = ClaimRunner(stream, node.work, node.document)
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether no request is in progress."""
+        return not self.active
+
+    def knows(self, service: str, key: str) -> bool:
+        """Tell whether a request was submitted here."""
+        wanted = key_of(service, key)
+        return wanted in self.active or wanted in self.ended
+
+    def forgettable(self) -> bool:
+        """Tell whether nothing but the log holds what this home knows."""
+        return self.idle and not self.table.own.claims and not self.stream.tasks_left()
+
+    def submit(self, message: KeyedSubmit) -> WorkState:
+        """Take a request; one in progress or with an answer is not run again."""
+        key = key_of(message.service, message.key)
+        request = KeyedRequest(key, message)
+        known = self.active.get(key) or self.ended.get(key)
+        if known is not None and known.message is not None:
+            if known.fingerprint != request.fingerprint:
+                text = "the key was used with another body; use a new key"
+                return _refused(refusal(ErrorCode.KEY_REUSED, text))
+            if known.progress.refusal is None:
+                return known.progress.state(0)
+        self._start(request)
+        return request.progress.state(0)
+
+    async def poll(self, message: KeyedPoll) -> WorkState:
+        """Wait for the answer to a request."""
+        key = key_of(message.service, message.key)
+        known = self.active.get(key) or self.ended.get(key)
+        if known is None:
+            known = KeyedRequest(key, None)
+            self._start(known)
+        if known.message is None:
+            await wait_event(known.decided, HOLDER_WAIT_S)
+        if message.cancel:
+            await self._cancel(known)
+        return await known.progress.wait(message.have, message.wait_s, message.linger_s)
+
+    async def poll_holder(self, message: KeyedPoll) -> WorkState:
+        """Answer a partition home that asks this node for a claim it holds."""
+        key = key_of(message.service, message.key)
+        active = self.active.get(key)
+        if active is not None and active.claim_id == message.claim_id:
+            return await active.progress.wait(
+                message.have, message.wait_s, message.linger_s
+            )
+        own = self.table.own.get(message.claim_id)
+        if own is None:
+            return WorkState(known=False)
+        if own.answer is not None:
+            request = KeyedRequest(key, None)
+            request.restore(own.answer)
+            return request.progress.state(0)
+        return WorkState()
+
+    def _start(self, request: KeyedRequest) -> None:
+        self.ended.pop(request.key, None)
+        self.active[request.key] = request
+        request.task = self.stream.tasks.spawn(self._run(request))
+
+    async def _run(self, request: KeyedRequest) -> None:
+        try:
+            await self._read_first(request)
+            while not request.progress.done:
+                decision = self._decide(request)
+                if isinstance(decision, WaitForOutcome):
+                    request.decided.set()
+                await self._step(request, decision)
+        finally:
+            request.decided.set()
+            if self.active.get(request.key) is request:
+                del self.active[request.key]
+                self._keep_end(request)
+
+    def _keep_end(self, request: KeyedRequest) -> None:
+        self.ended[request.key] = request
+        if len(self.ended) > ENDED_KEPT:
+            self.ended.popitem(last=False)
+
+    async def _read_first(self, request: KeyedRequest) -> None:
+        # A repeatable request runs without the log; the others see it by its failure.
+        if request.message is None:
+            await self.stream.refresh()
+        else:
+            await wait_event(self.stream.caught_up, HOLDER_WAIT_S)
+
+    def _decide(self, request: KeyedRequest) -> ClaimDecision:
+        if request.message is None:
+            return self.table.fetch(request.key)
+        return self.table.request(
+            request.key, request.fingerprint, request.message.repeatable
+        )
+
+    async def _step(self, request: KeyedRequest, decision: ClaimDecision) -> None:
+        if isinstance(decision, AppendClaim):
+            await self.runner.claim(request, decision)
+        elif isinstance(decision, WaitForOutcome):
+            await self._wait(request, decision)
+        elif isinstance(decision, ReturnAnswer):
+            request.restore(decision.answer)
+        else:
+            request.progress.refuse(key_refusal(decision))
+
+    async def _wait(self, request: KeyedRequest, decision: WaitForOutcome) -> None:
+        changed = self.stream.changed(request.key)
+        if request.message is not None and request.remaining_s() <= 0:
+            text = "the request is still in progress at the holder of its claim"
+            refused = refusal(ErrorCode.DEADLINE_PASSED, text, Ran.MAY_HAVE_RUN)
+            request.progress.refuse(refused)
+        elif decision.holder == self.table.node_id:
+            await wait_event(changed, HOLDER_WAIT_S)
+        else:
+            await self._ask_holder(request, decision.holder, decision.claim_id)
+            if not request.progress.done:
+                await wait_event(changed, RETRY_PAUSE_S)
+
+    async def _ask_holder(
+        self, request: KeyedRequest, holder: NodeId, claim_id: str
+    ) -> None:
+        message = KeyedPoll(
+            service=request.key.service,
+            key=request.key.key,
+            claim_id=claim_id,
+            have=len(request.progress.tokens),
+            wait_s=HOLDER_WAIT_S,
+        )
+        state = await self.node.work.fetch(holder, message)
+        if state is None:
+            return
+        if not state.known:
+            self.stream.orphan(request.key, claim_id)
+        else:
+            request.progress.take_state(state)
+
+    async def _cancel(self, request: KeyedRequest) -> None:
+        request.cancelled = True
+        delivery = self.runner.deliveries.get(request.key)
+        if delivery is not None and delivery.home is not None:
+            self.node.work.withdraw(delivery.submit, delivery.home)
+
+
+def _refused(refused: Refusal) -> WorkState:
+    return WorkState(done=True, refusal=refused)
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/main.py
@@ -0,0 +1,93 @@
+"""Run the daemon, or check its settings."""
+
+import asyncio
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import aiomisc
+import defopt
+import uvloop
+from result import Err, Ok, Result
+
+from fulmarpulley_schema import jsonc
+from fulmarpulley_schema.generated.http import Finding
+from fulmarpulley_schema.generated.settings import NodeSettings
+
+from .app import Node
+from .observe.events import EventFeed, log_event, start_logging
+from .platform import (
+    instance_list_dialects,
+    log_dialects,
+    weight_store_dialects,
+)
+
+BAD_SETTINGS_EXIT = 2
+
+
+def run(settings: Path) -> None:
+    """Run a node until it is told to stop.
+
+    :param settings: settings file in JSON with comments
+    """
+    node_settings = _settings_or_exit(settings)
+    uvloop.run(serve(node_settings))
+
+
+def check(settings: Path) -> None:
+    """Check a settings file and print all its faults.
+
+    :param settings: settings file in JSON with comments
+    """
+    node_settings = _settings_or_exit(settings)
+    print(f"{settings}: settings of node {node_settings.node_id} are correct")
+
+
+def main() -> None:
+    """Run the command line."""
+    defopt.run({"run": run, "check": check}, no_negated_flags=True)
+
+
+async def serve(settings: NodeSettings) -> None:
+    """Start all services and stop them after a graceful shutdown."""
+    feed = EventFeed()
+    start_logging(settings.node_id, feed)
+    node = Node(settings, feed)
+    loop = asyncio.get_running_loop()
+    node.shutdown.install(loop)
+    async with aiomisc.entrypoint(*node.services(), log_config=False, catch_signals=()):
+        log_event("node_started", http_port=settings.http.port)
+        await node.shutdown.run()
+    log_event("node_stopped")
+
+
+def read_settings(path: Path) -> Result[NodeSettings, list[Finding]]:
+    """Read a settings file and collect all faults."""
+    done = jsonc.load(path, NodeSettings)
+    if isinstance(done, Err):
+        return done
+    findings = list(_unknown_dialects(done.ok_value))
+    return Err(findings) if findings else done
+
+
+def _unknown_dialects(settings: NodeSettings) -> Iterator[Finding]:
+    services = {
+        "log": (settings.log, list(log_dialects)),
+        "instance_list": (settings.instance_list, list(instance_list_dialects)),
+        "weight_store": (settings.weight_store, list(weight_store_dialects)),
+    }
+    for name, (service, dialects) in services.items():
+        if service is not None and service.dialect not in dialects:
+            known = ", ".join(dialects)
+            message = f"unknown dialect {service.dialect!r}; use one of: {known}"
+            yield Finding(path=f"$.{name}.dialect", message=message)
+
+
+def _settings_or_exit(path: Path) -> NodeSettings:
+    done = read_settings(path)
+    if isinstance(done, Ok):
+        return done.ok_value
+    for finding in done.err_value:
+        finding.file = finding.file or str(path)
+        print(jsonc.render(finding), file=sys.stderr)
+    sys.exit(BAD_SETTINGS_EXIT)
