--- a/testing/src/fulmarpulley_testing/trainer_step.py
+++ b/testing/src/fulmarpulley_testing/trainer_step.py
@@ -26,6 +26,7 @@
 from .node_client import CallError, NodeClient
 
 LONGEST_ABANDON_S = 0.5
+LONGEST_TAKE_S = 2.0
 
 
 class TrainerSettings(msgspec.Struct, kw_only=True):
@@ -149,7 +150,11 @@
 
     async def take(self, version: int) -> None:
         """Take finished samples once; now and then give up and drop the answer."""
-        body = StepTake(version=version, held=bitmap(self.held, self.slots), wait_s=2.0)
+        body = StepTake(
+            version=version,
+            held=bitmap(self.held, self.slots),
+            wait_s=min(LONGEST_TAKE_S, self.settings.read_timeout_s / 2),
+        )
         call = self.client.call(
             self.node, "POST", f"{self.path}/take", SampleBatch, body
         )
