Report a false not_run: a leaving node tells it to fetches

The cause is Gate.check, which refuses fetches and new requests alike. A caller that lost its answer would send the request again with a new key. Expected: ran=may_have_run for a refused fetch.

Also adds ZeroStalenessTest, where samples expire while they wait.

--- a/testing/tests/test_node_failures.py
+++ b/testing/tests/test_node_failures.py
@@ -1,7 +1,11 @@
 """Guard against work lost, doubled or mislabelled when nodes fail."""
 
+import json
 import signal
 import time
+from contextlib import suppress
+from http.client import HTTPException
+from urllib.error import HTTPError, URLError
 
 from cluster_case import ClusterCase
 
@@ -10,7 +14,7 @@
     AttemptFailed,
     AttemptStarted,
 )
-from fulmarpulley_testing.layout import ClusterSettings, Member
+from fulmarpulley_testing.layout import DESK, ClusterSettings, Member
 from fulmarpulley_testing.processes import call
 
 # Calls take a while, so that some are in progress at each failure. Kills go through
@@ -101,3 +105,34 @@
             for one in self.cluster.records(AttemptFailed)
             if (one.invocation, one.attempt) in started and one.at >= told_at
         ]
+
+
+class FetchAtLeavingNodeTest(ClusterCase):
+    settings = ClusterSettings(seed=14, desk_engines=2, tokens_per_s=40.0)
+
+    def fetch(self, node: Member, key: str) -> str:
+        """Fetch an answer by key; return what the node says on whether it ran."""
+        url = f"{node.address()}/v1/services/{DESK}/requests/{key}"
+        try:
+            call(url)
+        except HTTPError as error:
+            return str(json.loads(error.read())["ran"])
+        return "answered"
+
+    def test_fetch_of_executed_request_is_never_told_not_run(self) -> None:
+        leaver = self.cluster.layout.nodes[0]
+        self.ask(count=10, not_repeatable_ratio=1.0)
+        # Long streams keep the leaving node from its end for some seconds.
+        self.ask_engines(count=40, rate=40.0, max_tokens=300, stream_ratio=1.0)
+        self.wait_answers(10)
+        started = self.cluster.records(AttemptStarted)
+        keys = [one.key for one in started if one.key and DESK in one.invocation]
+        key = keys[0]
+        process = self.cluster.process(leaver)
+        process.terminate()
+        told = set()
+        while process.running():
+            with suppress(ConnectionError, URLError, HTTPException):
+                told.add(self.fetch(leaver, key))
+        self.finish()
+        self.assertNotIn("not_run", told)
--- a/testing/tests/test_upstream_failures.py
+++ b/testing/tests/test_upstream_failures.py
@@ -78,6 +78,19 @@
         self.assertEqual(report.samples, 3 * 24)
 
 
+class ZeroStalenessTest(ClusterCase):
+    settings = ClusterSettings(seed=46, swap_s=0.1)
+
+    def test_samples_that_expire_while_they_wait_are_replaced(self) -> None:
+        # Samples of the next step finish while the trainer still trains. With a
+        # bound of 0 all of them expire when it announces the next version.
+        self.train(steps=3, bound=0, train_s=1.5, abandon_ratio=0.2)
+        report = self.finish()
+        self.assertEqual(report.samples, 3 * 24)
+        runs = self.cluster.records(RunStarted)
+        self.assertGreater(len(runs), 3 * 24, "no sample expired")
+
+
 class UpstreamLeavingTest(ClusterCase):
     settings = ClusterSettings(seed=44, engines=4, tokens_per_s=120.0)
 
