--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/partitions.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/partitions.py
@@ -77,8 +77,10 @@
 
     @property
     def idle(self) -> bool:
-        """Tell whether no request with a key is in progress."""
-        return all(home.idle for home in self.homes.values())
+        """Tell whether no request is in progress and no outcome waits for the log."""
+        return all(
+            home.idle and not home.stream.tasks_left() for home in self.homes.values()
+        )
 
     def document(self, service: str) -> ServiceDocument | None:
         """Return the document in force."""
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
@@ -239,6 +239,7 @@
         work = self.works.active[action.work_id]
         self.attempts.buffers[action.attempt_id].win()
         self.works.end(work)
+        work.measure(self.node.metrics, now)
         log_event(
             "work_finished",
             service=self.service,
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_work.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_work.py
@@ -17,6 +17,7 @@
 from fulmarpulley_core.pool.messages import Work, WorkKind
 from fulmarpulley_schema.generated.peer import WorkSubmit
 
+from ..observe.metrics import Metrics
 from ..progress import Progress
 
 # Ended work is kept until its owner has read the end; owners that died never do.
@@ -36,6 +37,16 @@
         if submit.resume is not None:
             self.progress.apply(submit.resume)
 
+    def measure(self, metrics: Metrics, now: float) -> None:
+        """Measure a finished sample; requests are measured at their entry."""
+        if self.submit.kind != WorkKind.SAMPLE.value:
+            return
+        labels = {"service": self.submit.service, "tenant": self.submit.tenant}
+        if self.progress.first_token is not None:
+            waited = max(0.0, self.progress.first_token - self.submitted)
+            metrics.first_token.observe(labels, waited)
+        metrics.total.observe(labels, now - self.submitted)
+
 
 class AttemptBuffer:
     """Hold the tokens of one attempt, the resumed ones included."""
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/upstream_watch.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/upstream_watch.py
@@ -5,9 +5,10 @@
 
 from result import Err, Ok
 
-from fulmarpulley_core.ids import ModelName, UpstreamId, Version
+from fulmarpulley_core.ids import ModelName, PrefixId, UpstreamId, Version
 from fulmarpulley_core.pool.messages import (
     Availability,
+    CacheReport,
     Event,
     LoadReport,
     Order,
@@ -17,6 +18,7 @@
 )
 from fulmarpulley_schema.generated.document import UpstreamEntry
 from fulmarpulley_schema.generated.upstream import (
+    CacheEvents,
     LoadBody,
     OrderAction,
     OrderRequest,
@@ -27,6 +29,7 @@
 from ..upstreams import upstream_dialects
 
 LOAD_PERIOD_S = 0.25
+CACHE_PERIOD_S = 0.5
 # Load reports lag; a version that is not reported after this time is not served.
 READ_BACK_S = 5.0
 
@@ -62,6 +65,19 @@
             self.report_availability()
             await asyncio.sleep(LOAD_PERIOD_S)
 
+    async def poll_cache(self) -> None:
+        """Report cached prefixes for ever; they are hints that may be wrong."""
+        start = 1
+        while True:
+            done = await self.dialect.cache_events(start)
+            if isinstance(done, Ok) and done.ok_value is None:
+                return
+            if isinstance(done, Ok) and done.ok_value is not None:
+                # An engine that starts again counts its events from the beginning.
+                start = done.ok_value.next
+                self._take_cache(done.ok_value)
+            await asyncio.sleep(CACHE_PERIOD_S)
+
     def report_availability(self) -> None:
         """Report whether the list or the upstream itself stops new work."""
         state = Availability.AVAILABLE
@@ -112,6 +128,12 @@
                     VersionReport(self.upstream, ModelName(model), Version(version))
                 )
 
+    def _take_cache(self, page: CacheEvents) -> None:
+        for event in page.events:
+            added = [PrefixId(prefix) for prefix in event.added]
+            removed = [PrefixId(prefix) for prefix in event.removed]
+            self.post(CacheReport(self.upstream, added, removed))
+
     async def _read_back(self, order: Order) -> bool:
         deadline = asyncio.get_running_loop().time() + READ_BACK_S
         while asyncio.get_running_loop().time() < deadline:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/watches.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/watches.py
@@ -30,7 +30,7 @@
         self.metrics = metrics
         self.run_id = run_id
         self.watches: dict[UpstreamId, UpstreamWatch] = {}
-        self.polls: dict[UpstreamId, asyncio.Task[None]] = {}
+        self.polls: dict[UpstreamId, list[asyncio.Task[None]]] = {}
         # Watches without a poll, kept while attempts use their connections.
         self.retired: list[UpstreamWatch] = []
         self.tasks = TaskGroup()
@@ -90,10 +90,14 @@
             entry, self.post, self.is_leaving, self.metrics, self.run_id
         )
         self.watches[upstream] = watch
-        self.polls[upstream] = self.tasks.spawn(watch.poll())
+        self.polls[upstream] = [
+            self.tasks.spawn(watch.poll()),
+            self.tasks.spawn(watch.poll_cache()),
+        ]
 
     def _retire(self, upstream: UpstreamId) -> None:
-        self.polls.pop(upstream).cancel()
+        for poll in self.polls.pop(upstream):
+            poll.cancel()
         self.retired.append(self.watches.pop(upstream))
 
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/dialects.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/dialects.py
@@ -9,7 +9,7 @@
 from fulmarpulley_core.pool.messages import Failure
 from fulmarpulley_core.registry import Registry
 from fulmarpulley_schema.generated.document import UpstreamEntry
-from fulmarpulley_schema.generated.upstream import LoadBody, OrderRequest
+from fulmarpulley_schema.generated.upstream import CacheEvents, LoadBody, OrderRequest
 
 TokenSink = Callable[[str, int | None], None]
 
@@ -56,6 +56,9 @@
     async def load(self) -> Result[LoadBody | None, str]:
         """Return the load, or None where the upstream reports none."""
 
+    async def cache_events(self, start: int) -> Result[CacheEvents | None, str]:
+        """Return cache events from an offset on, or None where there are none."""
+
     async def order(self, order: OrderRequest) -> Result[None, OrderRefused]:
         """Give an order and wait until it is done."""
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/engine.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/engine.py
@@ -1,5 +1,7 @@
 """Speak the dialect of model engines."""
 
+from typing import TypeVar
+
 import aiohttp
 import msgspec
 from result import Err, Ok, Result
@@ -8,6 +10,7 @@
 from fulmarpulley_schema.codec import from_json
 from fulmarpulley_schema.generated.document import UpstreamEntry
 from fulmarpulley_schema.generated.upstream import (
+    CacheEvents,
     CancelRequest,
     EndEvent,
     GenerateRequest,
@@ -27,6 +30,8 @@
 )
 from .event_stream import ServerEvent, StreamFormatError, read_events
 
+T = TypeVar("T", bound=msgspec.Struct)
+
 # Loading a version takes seconds; an order that takes longer than this has failed.
 ORDER_TIMEOUT_S = 60.0
 
@@ -74,16 +79,11 @@
 
     async def load(self) -> Result[LoadBody | None, str]:
         """Return the load."""
-        try:
-            return Ok(from_json(await self.connection.get("/v1/load"), LoadBody))
-        except (
-            aiohttp.ClientError,
-            TimeoutError,
-            OSError,
-            msgspec.DecodeError,
-            UnicodeError,
-        ) as error:
-            return Err(f"{type(error).__name__}: {error}")
+        return await self._read("/v1/load", LoadBody)
+
+    async def cache_events(self, start: int) -> Result[CacheEvents | None, str]:
+        """Return cache events from an offset on."""
+        return await self._read(f"/v1/cache-events?from={start}", CacheEvents)
 
     async def order(self, order: OrderRequest) -> Result[None, OrderRefused]:
         """Give an order and wait until it is done."""
@@ -103,6 +103,18 @@
         """Close all connections."""
         await self.connection.close()
 
+    async def _read(self, path: str, kind: type[T]) -> Result[T | None, str]:
+        try:
+            return Ok(from_json(await self.connection.get(path), kind))
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            msgspec.DecodeError,
+            UnicodeError,
+        ) as error:
+            return Err(f"{type(error).__name__}: {error}")
+
 
 class Generation:
     """Check that the events of one stream make a whole answer."""
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/plain.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/plain.py
@@ -7,6 +7,7 @@
 from fulmarpulley_schema.codec import from_json
 from fulmarpulley_schema.generated.document import UpstreamEntry
 from fulmarpulley_schema.generated.upstream import (
+    CacheEvents,
     LoadBody,
     OrderRequest,
     PlainCall,
@@ -52,6 +53,10 @@
         """Return None; a plain service reports no load."""
         return Ok(None)
 
+    async def cache_events(self, start: int) -> Result[CacheEvents | None, str]:
+        """Return None; a plain service has no cache of prefixes."""
+        return Ok(None)
+
     async def order(self, order: OrderRequest) -> Result[None, OrderRefused]:
         """Refuse; a plain service takes no orders."""
         return Err(OrderRefused("a plain service takes no orders"))
