--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/step_home.py
@@ -31,8 +31,9 @@
 from .scorer import Scorer
 
 TICK_S = 0.5
-# Tokens of samples matter to their owner only after the loss of a pool home.
-SAMPLE_LINGER_S = 0.5
+# Tokens of samples matter to their owner only after the loss of a pool home, which
+# then costs at most the tokens of this time.
+SAMPLE_LINGER_S = 2.0
 
 
 class StepSurroundings(Protocol):
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/peer_link.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/peer_link.py
@@ -7,10 +7,12 @@
 
 from fulmarpulley_schema.generated.peer import MessageKind
 
-# Polls between nodes return within 1 s, so a healthy link is never silent for 2 s
-# while a call is outstanding.
+# A link with outstanding calls is pinged after the first and replaced after the
+# second time without a message.
+PING_AFTER_S = 1.0
 SILENCE_S = 2.0
 UNUSED_S = 60.0
+PING_ID = b"ping"
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 1000
@@ -81,6 +83,12 @@
         finally:
             self.calls.pop(call_id, None)
 
+    async def ping_if_quiet(self) -> None:
+        """Ask for a sign of life when calls are outstanding on a quiet link."""
+        if self.calls and self.loop.time() - self.heard >= PING_AFTER_S:
+            frames = [MessageKind.PING.value.encode(), PING_ID, b""]
+            await self.send(frames, SILENCE_S - PING_AFTER_S)
+
     def replace_if_silent(self) -> bool:
         """Open a new connection when calls are outstanding on a silent one."""
         if not self.calls or self.loop.time() - self.heard < SILENCE_S:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/peers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/peers.py
@@ -26,6 +26,8 @@
 AddressOf = Callable[[NodeId], str | None]
 
 LINK_CHECK_S = 0.5
+PING = MessageKind.PING.value.encode()
+REPLY = MessageKind.REPLY.value.encode()
 
 
 class PeerError(StrEnum):
@@ -155,13 +157,19 @@
             for link in list(self.links.values()):
                 if link.replace_if_silent():
                     log_event("peer_link_replaced", address=link.address)
+                else:
+                    self._spawn(link.ping_if_quiet())
                 if link.unused():
                     self.links.pop(link.address).close()
 
     async def _serve(self, router: zmq.asyncio.Socket) -> None:
         while True:
             frames = await router.recv_multipart()
-            if len(frames) == 4:
+            if len(frames) != 4:
+                continue
+            if frames[1] == PING:
+                await router.send_multipart([frames[0], REPLY, frames[2], b""])
+            else:
                 self._spawn(self._answer(router, frames))
 
     async def _answer(self, router: zmq.asyncio.Socket, frames: list[bytes]) -> None:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/work_client.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/work_client.py
@@ -27,8 +27,8 @@
 from .tasks import TaskGroup
 from .versions import NoReply
 
-# A poll returns within this time, so that a link with calls is never silent for 2 s.
-POLL_WAIT_S = 1.0
+# Links are pinged while polls wait, so that long waits hide no loss.
+POLL_WAIT_S = 30.0
 CALL_DEADLINE_S = 2.5
 RETRY_PAUSE_S = 0.1
 # Time after its deadline for which the owner still waits for the pool's own verdict.
@@ -85,8 +85,10 @@
 
     async def _follow(self, home: NodeId) -> None:
         while not self.progress.done and not self._overdue():
+            poll = self._poll()
+            deadline_s = poll.wait_s + poll.linger_s + CALL_DEADLINE_S
             done = await self.client.peers.call(
-                home, MessageKind.PROGRESS, self._poll(), WorkState, CALL_DEADLINE_S
+                home, MessageKind.PROGRESS, poll, WorkState, deadline_s
             )
             if isinstance(done, Err):
                 if self._lost(home):
@@ -106,10 +108,14 @@
             shard=self.submit.shard,
             work_id=self.submit.work_id,
             have=len(self.progress.tokens),
-            wait_s=POLL_WAIT_S,
+            wait_s=self._wait_s(),
             linger_s=self.linger_s,
         )
 
+    def _wait_s(self) -> float:
+        remaining = self._remaining_s()
+        return POLL_WAIT_S if remaining is None else min(POLL_WAIT_S, remaining + 0.5)
+
     def _elsewhere(self, state: WorkState) -> bool:
         # The home did not run the work and leaves; another home may run it.
         refused = state.refusal
--- a/packages/fulmarpulley-node/tests/test_peers.py
+++ b/packages/fulmarpulley-node/tests/test_peers.py
@@ -90,10 +90,21 @@
         self.assertEqual(await self.call(60.0), Err(PeerError.NO_REPLY))
         identities = {(await silent.recv_multipart())[0]}
         waiting = asyncio.create_task(self.call(60.0))
-        identities.add((await silent.recv_multipart())[0])
-        self.assertEqual(len(identities), 2)
+        while len(identities) < 2:
+            identities.add((await silent.recv_multipart())[0])
         self.assertEqual(await waiting, Err(PeerError.NO_REPLY))
 
+    async def test_long_call_on_healthy_link_is_not_given_up(self) -> None:
+        # Fails when a link is replaced only because its handlers take long.
+        other = await self.links("b", self.ports[1])
+
+        async def issue(_message: KeysIssue) -> KeysIssued:
+            await asyncio.sleep(3.0)
+            return KeysIssued(keys=["late"])
+
+        other.handle(MessageKind.KEYS, KeysIssue, issue)
+        self.assertEqual(await self.call(60.0), Ok(KeysIssued(keys=["late"])))
+
     async def test_malformed_message_gets_no_reply_and_stops_nothing(self) -> None:
         other = await self.links("b", self.ports[1])
 
