Use a fresh connection for each call of a plain service

A service that closes an idle connection just as a call is written leaves a call that may have run. Cancelling reaches the holder of a claim at another node, a record_id of another service is refused, and a fault in an append does not leave its batch waiting.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/editing.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/editing.py
@@ -66,6 +66,9 @@
         An edit with a known record_id is not appended again.
         """
         known = self.configuration.fold.outcome_of(RecordId(edit.record_id))
+        if known is not None and known.service != service:
+            message = f"record_id was used for service {known.service!r}; use another"
+            return Err(refusal(ErrorCode.BAD_REQUEST, message))
         if known is not None:
             return self._outcome(service, edit, known)
         body = Change(
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/partition_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/partition_home.py
@@ -103,6 +103,8 @@
         key = key_of(message.service, message.key)
         active = self.active.get(key)
         if active is not None and active.claim_id == message.claim_id:
+            if message.cancel:
+                await self._cancel(active)
             return await active.progress.wait(
                 message.have, message.wait_s, message.linger_s
             )
@@ -185,6 +187,7 @@
             claim_id=claim_id,
             have=len(request.progress.tokens),
             wait_s=HOLDER_WAIT_S,
+            cancel=request.cancelled,
         )
         state = await self.node.work.fetch(holder, message)
         if state is None:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/log_client.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/log_client.py
@@ -146,8 +146,13 @@
             if kind is RecordKind.CLAIMS
             else Outcomes(entries=batch.entries)
         )
-        record = new_record(kind, body)
-        batch.done.set_result(await self.append(stream, record))
+        done: Result[Offset, PlatformFailure] = Err(PlatformFailure.LOST)
+        try:
+            done = await self.append(stream, new_record(kind, body))
+        finally:
+            # Also after a fault: the requests of the batch must not wait for ever.
+            if not batch.done.done():
+                batch.done.set_result(done)
 
     async def _pace(self) -> None:
         await self._wait_for_budget()
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/connection.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/connection.py
@@ -26,8 +26,9 @@
 class Connection:
     """Own the connections to one upstream."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, keep_alive: bool = True) -> None:
         self.address = address
+        self.keep_alive = keep_alive
         self._session: aiohttp.ClientSession | None = None
 
     @asynccontextmanager
@@ -87,7 +88,7 @@
     def session(self) -> aiohttp.ClientSession:
         """Return the session, opened at the first call."""
         if self._session is None:
-            connector = aiohttp.TCPConnector(limit=0)
+            connector = aiohttp.TCPConnector(limit=0, force_close=not self.keep_alive)
             self._session = aiohttp.ClientSession(connector=connector)
         return self._session
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/plain.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/plain.py
@@ -29,7 +29,9 @@
     """Own the connections to one plain service."""
 
     def __init__(self, entry: UpstreamEntry) -> None:
-        self.connection = Connection(entry.address)
+        # An idle connection that the service closes just as a call is written leaves
+        # a call that may have run; many of these calls must not be repeated.
+        self.connection = Connection(entry.address, keep_alive=False)
 
     async def run(self, attempt: Attempt, sink: TokenSink) -> Result[None, AttemptEnd]:
         """Make one call and pass its result to the sink as one token."""
