--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
@@ -27,6 +27,8 @@
         self.document = document
         self.now = 0.0
         self.can_dispatch = False
+        self.epoch = 0
+        self.gained: set[Upstream] = set()
         self.timers = Timers()
         self.jitter = Jitter(seed)
         self.ledger = Ledger(document, self._released)
@@ -37,12 +39,17 @@
         self.retries = Retries(
             document, self.timers, self.ledger, self.jitter, self.enqueue
         )
-        self.health = Health(self.ledger, self.timers, self.jitter, self.wake)
+        self.health = Health(self.ledger, self.timers, self.jitter, self.reconsider)
         self.hedges = Hedges(
             document, self.ledger, self.queue, self.lengths, self.timers
         )
         self.weights = Weights(
-            document, self.ledger, self.freshness, self.timers, self.jitter, self.wake
+            document,
+            self.ledger,
+            self.freshness,
+            self.timers,
+            self.jitter,
+            self.reconsider,
         )
         self.routing = ROUTING.get(settings.routing)()
         self.ledger.list_upstreams(document)
@@ -59,8 +66,9 @@
         self.weights.document = document
         return self.ledger.list_upstreams(document)
 
-    def wake(self) -> None:
-        """Note that queued work may be able to start."""
+    def reconsider(self) -> None:
+        """Note that any queued item may be able to start, also blocked ones."""
+        self.epoch += 1
         self.can_dispatch = True
 
     def charge(self, item: Item) -> int:
@@ -68,10 +76,8 @@
         return item.work.prompt_tokens + self.lengths.predict(item) - item.received
 
     def enqueue(self, item: Item) -> None:
-        """Queue an item; tokens that are too old by now are given up."""
-        if self.freshness.has_expired(item):
-            item.received = 0
-            item.oldest = None
+        """Queue an item."""
+        self._drop_expired_tokens(item)
         self.queue.push(item, self.charge(item))
         self.can_dispatch = True
 
@@ -82,6 +88,14 @@
                 self.ledger.cancel(attempt)
             self.enqueue(item)
 
+    def move(self, attempt: Attempt) -> None:
+        """Cancel an attempt and resume its item at another upstream."""
+        item = attempt.item
+        self.ledger.cancel(attempt)
+        item.avoid = attempt.upstream.upstream_id
+        if not item.attempts:
+            self.enqueue(item)
+
     def refuse(self, item: Item, code: str, retry_after: float | None = None) -> None:
         """End an item without an answer."""
         self.queue.remove(item)
@@ -89,14 +103,22 @@
 
     def start(self, item: Item, upstream: Upstream, hedge: bool = False) -> Attempt:
         """Start an attempt."""
+        if not hedge:
+            self._drop_expired_tokens(item)
         attempt = self.ledger.start(item, upstream, self.now, hedge)
         self.routing.started(item, upstream)
         note_attempts(upstream, self.now)
         self.hedges.arm(self.now)
         return attempt
 
+    def _drop_expired_tokens(self, item: Item) -> None:
+        if self.freshness.has_expired(item):
+            item.received = 0
+            item.oldest = None
+
     def _released(self, attempt: Attempt) -> None:
         self.can_dispatch = True
+        self.gained.add(attempt.upstream)
         note_attempts(attempt.upstream, self.now)
         item = attempt.item
         if not item.attempts:
