--- a/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/plain.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/upstreams/plain.py
@@ -7,6 +7,7 @@
 from fulmarpulley_schema.codec import from_json
 from fulmarpulley_schema.generated.document import UpstreamEntry
 from fulmarpulley_schema.generated.upstream import (
+    CacheEvents,
     LoadBody,
     OrderRequest,
     PlainCall,
@@ -28,7 +29,9 @@
     """Own the connections to one plain service."""
 
     def __init__(self, entry: UpstreamEntry) -> None:
-        self.connection = Connection(entry.address)
+        # An idle connection that the service closes just as a call is written leaves
+        # a call that may have run; many of these calls must not be repeated.
+        self.connection = Connection(entry.address, keep_alive=False)
 
     async def run(self, attempt: Attempt, sink: TokenSink) -> Result[None, AttemptEnd]:
         """Make one call and pass its result to the sink as one token."""
@@ -52,6 +55,10 @@
         """Return None; a plain service reports no load."""
         return Ok(None)
 
+    async def cache_events(self, start: int) -> Result[CacheEvents | None, str]:
+        """Return None; a plain service has no cache of prefixes."""
+        return Ok(None)
+
     async def order(self, order: OrderRequest) -> Result[None, OrderRefused]:
         """Refuse; a plain service takes no orders."""
         return Err(OrderRefused("a plain service takes no orders"))
