Reserve an upstream for an item that small ones keep out

With the token limit nearly reached, each token that was freed went to the next small item, and an item larger than that room never started. After five seconds without a fit, one upstream takes no other item until the large one starts.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
@@ -1,6 +1,7 @@
 """Dispatch the work of one pool shard to its upstreams."""
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 from fulmarpulley_schema.generated.document import ServiceDocument
 from fulmarpulley_schema.generated.http import Ran
@@ -29,6 +30,17 @@
 from .reports import Reports
 from .state import HealthState, Item, Upstream
 
+# An item that is too large for the room that smaller ones leave at each upstream
+# gets one upstream to itself after this time.
+RESERVE_AFTER_S = 5.0
+
+
+class Reservation(NamedTuple):
+    """Keep other items off an upstream until a large one fits."""
+
+    item: Item
+    upstream: Upstream
+
 
 class Pool:
     """Decide where and when the work of a pool shard runs."""
@@ -37,6 +49,7 @@
         self, document: ServiceDocument, settings: PoolSettings, seed: int
     ) -> None:
         self.settings = settings
+        self.reservation: Reservation | None = None
         self.parts = Parts(document, settings, seed)
         self.outcomes = Outcomes(self.parts)
         self.parts.hedges.start_hedge = self._start_hedge
@@ -130,20 +143,46 @@
         free = [u for u in parts.ledger.upstreams.values() if u.is_free()]
         if not free:
             return False
+        reservation = self._current_reservation()
         gained = [u for u in free if u in parts.gained]
         # A lane that no upstream could take is blocked until an upstream gains
         # room or the epoch, in which versions, health and steps stand, is over.
         epoch = parts.epoch + parts.ledger.steps_ended
         for lane in parts.queue.lanes():
+            item = lane.head()
             candidates = gained if lane.is_blocked(epoch) else free
-            upstream = self._choose(lane.head(), candidates) if candidates else None
+            if reservation is not None and item is not reservation.item:
+                candidates = [u for u in candidates if u is not reservation.upstream]
+            upstream = self._choose(item, candidates) if candidates else None
             if upstream is not None:
-                item = parts.queue.take(lane)
-                self.outcomes.started(parts.start(item, upstream))
+                self.outcomes.started(parts.start(parts.queue.take(lane), upstream))
                 return True
             lane.block(epoch)
+            reservation = reservation or self._reserve(item)
         return False
 
+    def _current_reservation(self) -> Reservation | None:
+        held = self.reservation
+        if held is not None and held.item.queued and held.upstream.slots:
+            return held
+        if held is not None:
+            # Other work may use the upstream again.
+            self.reservation = None
+            self.parts.reconsider()
+        return None
+
+    def _reserve(self, item: Item) -> Reservation | None:
+        parts = self.parts
+        if parts.now - item.submitted < RESERVE_AFTER_S:
+            return None
+        oldest = parts.freshness.oldest_allowed(item, parts.now)
+        able = [u for u in self.usable() if parts.freshness.may_run(item, u, oldest)]
+        if not able:
+            return None
+        upstream = min(able, key=lambda u: u.tokens_in_flight)
+        self.reservation = Reservation(item, upstream)
+        return self.reservation
+
     def _start_hedge(self, item: Item, excluded: set[Upstream]) -> bool:
         upstreams = self.parts.ledger.upstreams.values()
         free = [u for u in upstreams if u.is_free() and u not in excluded]
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
@@ -99,6 +99,7 @@
     def refuse(self, item: Item, code: str, retry_after: float | None = None) -> None:
         """End an item without an answer."""
         self.queue.remove(item)
+        self.can_dispatch = True
         self.ledger.refuse(item, code, retry_after)
 
     def start(self, item: Item, upstream: Upstream, hedge: bool = False) -> Attempt:
--- a/packages/fulmarpulley-core/tests/pool/test_limits.py
+++ b/packages/fulmarpulley-core/tests/pool/test_limits.py
@@ -5,7 +5,7 @@
 from fulmarpulley_schema.generated.document import Limits
 from fulmarpulley_schema.generated.http import Ran
 
-from .pool_fixtures import Driver, document, refusals, sample, upstream, work
+from .pool_fixtures import Driver, document, refusals, sample, starts, upstream, work
 
 ONE = [upstream("u1", capacity=1)]
 
@@ -59,6 +59,20 @@
         started = driver.submit(*[work(f"w{i}") for i in range(5)])
         self.assertEqual(len(started), 2)
 
+    def test_large_item_is_not_kept_out_by_small_ones(self) -> None:
+        limits = Limits(tokens_in_flight=30)
+        driver = Driver(document(["u1"], capacity=9, limits=limits, stall_s=99.0))
+        running = driver.submit(*[work(f"w{i}") for i in range(5)])
+        driver.submit(work("large", max_tokens=25, tenant="other"))
+        for number in range(30):
+            driver.now += 0.5
+            begun = driver.submit(work(f"n{number}"))
+            begun += starts(driver.finish(running.pop(0).attempt_id))
+            running += begun
+            if running[-1].work_id == "large":
+                return
+        self.fail("the large item never started")
+
     def test_idle_upstream_takes_work_above_the_limit(self) -> None:
         driver = Driver(document(["u1"], limits=Limits(tokens_in_flight=30)))
         self.assertEqual(len(driver.submit(work("a", max_tokens=99), work("b"))), 1)
