Let the node give attempt and order ids a prefix of their home

Two homes of one pool, or a pool built anew, gave different attempts of a work item the same id, so that one home cancelled the attempt of the other.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/ledger.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/ledger.py
@@ -12,6 +12,7 @@
     Availability,
     CancelAttempt,
     Finish,
+    PoolSettings,
     PoolView,
     Refuse,
     StartAttempt,
@@ -33,9 +34,13 @@
     """Hold what a pool has accepted and started; every end happens here once."""
 
     def __init__(
-        self, document: ServiceDocument, on_release: Callable[[Attempt], None]
+        self,
+        document: ServiceDocument,
+        settings: PoolSettings,
+        on_release: Callable[[Attempt], None],
     ) -> None:
         self.document = document
+        self.settings = settings
         self.on_release = on_release
         self.items: dict[WorkId, Item] = {}
         self.attempts: dict[AttemptId, Attempt] = {}
@@ -116,7 +121,9 @@
         """Start an attempt, resuming after the tokens received."""
         self.sequence += 1
         attempt = Attempt(
-            attempt_id=AttemptId(f"{item.work.work_id}#{self.sequence}"),
+            attempt_id=AttemptId(
+                f"{item.work.work_id}#{self.settings.id_prefix}{self.sequence}"
+            ),
             item=item,
             upstream=upstream,
             started=now,
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
@@ -232,10 +232,15 @@
 
 
 class PoolSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """Name the policies of a pool and the region of its weight store."""
+    """Name the policies of a pool, the region of its weight store and its ids.
+
+    `id_prefix` must differ between homes of the same upstreams, and between lives
+    of a home, so that none cancels an attempt of another.
+    """
 
     routing: str = "least_tokens"
     store_region: Region = Region("")
+    id_prefix: str = ""
 
 
 class UpstreamView(msgspec.Struct, frozen=True):
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
@@ -31,7 +31,7 @@
         self.gained: set[Upstream] = set()
         self.timers = Timers()
         self.jitter = Jitter(seed)
-        self.ledger = Ledger(document, self._released)
+        self.ledger = Ledger(document, settings, self._released)
         self.queue = FairQueue(document)
         self.lengths = Lengths()
         self.freshness = Freshness(document, self.ledger, self.lengths)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/weights.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/weights.py
@@ -173,7 +173,8 @@
         if source is None and self._is_crossing(region, model):
             return False
         self._sequence += 1
-        order_id = OrderId(f"{self.document.name}/{self._sequence}")
+        prefix = self._ledger.settings.id_prefix
+        order_id = OrderId(f"{self.document.name}#{prefix}{self._sequence}")
         order = Order(order_id, upstream.upstream_id, model, version, source)
         load = Load(order, region)
         self._loads[order_id] = load
--- a/packages/fulmarpulley-core/tests/pool/test_dispatcher.py
+++ b/packages/fulmarpulley-core/tests/pool/test_dispatcher.py
@@ -42,6 +42,11 @@
         self.assertEqual(driver.finish(attempt), [])
         self.assertEqual(driver.fail(attempt, m.Failure.BROKEN), [])
 
+    def test_homes_with_own_prefixes_share_no_attempt_ids(self) -> None:
+        homes = [Driver(document(), id_prefix=prefix) for prefix in ("n1-", "n2-")]
+        ids = {home.submit(work("a"))[0].attempt_id for home in homes}
+        self.assertEqual(len(ids), 2)
+
     def test_withdraw_cancels_and_says_that_the_work_may_have_run(self) -> None:
         driver = Driver(document())
         attempt = driver.submit(work("a"))[0].attempt_id
