--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
@@ -168,7 +168,7 @@
         if held is not None:
             # Other work may use the upstream again.
             self.reservation = None
-            self.parts.reconsider()
+            self.parts.wake()
         return None
 
     def _reserve(self, item: Item) -> Reservation | None:
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
@@ -39,7 +39,7 @@
         self.retries = Retries(
             document, self.timers, self.ledger, self.jitter, self.enqueue
         )
-        self.health = Health(self.ledger, self.timers, self.jitter, self.reconsider)
+        self.health = Health(self.ledger, self.timers, self.jitter, self.wake)
         self.hedges = Hedges(
             document, self.ledger, self.queue, self.lengths, self.timers
         )
@@ -49,7 +49,7 @@
             self.freshness,
             self.timers,
             self.jitter,
-            self.reconsider,
+            self.wake,
         )
         self.routing = ROUTING.get(settings.routing)()
         self.ledger.list_upstreams(document)
@@ -66,7 +66,7 @@
         self.weights.document = document
         return self.ledger.list_upstreams(document)
 
-    def reconsider(self) -> None:
+    def wake(self) -> None:
         """Note that any queued item may be able to start, also blocked ones."""
         self.epoch += 1
         self.can_dispatch = True
