--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
@@ -31,7 +31,7 @@
         self.gained: set[Upstream] = set()
         self.timers = Timers()
         self.jitter = Jitter(seed)
-        self.ledger = Ledger(document, self._released)
+        self.ledger = Ledger(document, settings, self._released)
         self.queue = FairQueue(document)
         self.lengths = Lengths()
         self.freshness = Freshness(document, self.ledger, self.lengths)
@@ -39,7 +39,7 @@
         self.retries = Retries(
             document, self.timers, self.ledger, self.jitter, self.enqueue
         )
-        self.health = Health(self.ledger, self.timers, self.jitter, self.reconsider)
+        self.health = Health(self.ledger, self.timers, self.jitter, self.wake)
         self.hedges = Hedges(
             document, self.ledger, self.queue, self.lengths, self.timers
         )
@@ -49,7 +49,7 @@
             self.freshness,
             self.timers,
             self.jitter,
-            self.reconsider,
+            self.wake,
         )
         self.routing = ROUTING.get(settings.routing)()
         self.ledger.list_upstreams(document)
@@ -66,7 +66,7 @@
         self.weights.document = document
         return self.ledger.list_upstreams(document)
 
-    def reconsider(self) -> None:
+    def wake(self) -> None:
         """Note that any queued item may be able to start, also blocked ones."""
         self.epoch += 1
         self.can_dispatch = True
@@ -99,6 +99,7 @@
     def refuse(self, item: Item, code: str, retry_after: float | None = None) -> None:
         """End an item without an answer."""
         self.queue.remove(item)
+        self.can_dispatch = True
         self.ledger.refuse(item, code, retry_after)
 
     def start(self, item: Item, upstream: Upstream, hedge: bool = False) -> Attempt:
