Let a draining engine accept work, so that nodes must hold it back

The stand-in refused all work while it reported that it was draining, so the test of leaving upstreams could not see a node that went on sending.

--- a/testing/src/fulmarpulley_testing/engine.py
+++ b/testing/src/fulmarpulley_testing/engine.py
@@ -59,8 +59,9 @@
     async def generate(self, request: web.Request) -> web.StreamResponse:
         """Run a request and stream its tokens; 503 means that it did not run."""
         message = await body_of(request, GenerateRequest)
-        if self.faults.draining or self.faults.refusals > 0:
-            self.faults.refusals = max(0, self.faults.refusals - 1)
+        # A draining engine only says so: what nodes send it must show in its history.
+        if self.faults.refusals > 0:
+            self.faults.refusals -= 1
             return web.Response(status=503)
         run = self.batch.submit(message)
         response = web.StreamResponse()
