--- a/packages/fulmarpulley-core/tests/pool/test_weights.py
+++ b/packages/fulmarpulley-core/tests/pool/test_weights.py
@@ -1,15 +1,13 @@
 from unittest import TestCase
 
-from fulmarpulley_core.ids import Version
-from fulmarpulley_core.pool.messages import (
-    Action,
-    Order,
-    OrderFinished,
-    Tick,
-    VersionAnnounced,
-    Withdraw,
+from fulmarpulley_core.ids import ModelName, Version
+from fulmarpulley_core.pool import messages as m
+from fulmarpulley_schema.generated.document import (
+    ServiceKind,
+    TrainerEntry,
+    UpstreamEntry,
+    Weights,
 )
-from fulmarpulley_schema.generated.document import ServiceKind, UpstreamEntry, Weights
 from fulmarpulley_schema.generated.http import Ran
 
 from .pool_fixtures import (
@@ -36,17 +34,17 @@
     return driver
 
 
-def announce(driver: Driver, version: int) -> dict[str, Order]:
-    return orders(driver.send(VersionAnnounced(MODEL, Version(version))))
+def announce(driver: Driver, version: int) -> dict[str, m.Order]:
+    return orders(driver.send(m.VersionAnnounced(MODEL, Version(version))))
 
 
-def orders(actions: list[Action]) -> dict[str, Order]:
-    return {a.upstream: a for a in actions if isinstance(a, Order)}
+def orders(actions: list[m.Action]) -> dict[str, m.Order]:
+    return {a.upstream: a for a in actions if isinstance(a, m.Order)}
 
 
-def load(driver: Driver, order: Order) -> dict[str, Order]:
+def load(driver: Driver, order: m.Order) -> dict[str, m.Order]:
     """Finishes an order and reports the version; returns the orders that follow."""
-    given = orders(driver.send(OrderFinished(order.order_id, True)))
+    given = orders(driver.send(m.OrderFinished(order.order_id, True)))
     before = len(driver.log)
     driver.report_versions(order.version, order.upstream)
     return given | orders(driver.log[before:])
@@ -73,6 +71,14 @@
         self.assertEqual(set(first), {"u3"})
         self.assertEqual(len(load(driver, first["u3"])), 1)
 
+    def test_second_model_loads_while_the_first_crosses_the_link(self) -> None:
+        trainers = [TrainerEntry(id="a"), TrainerEntry(id="b", model="n")]
+        driver = Driver(document(kind=ServiceKind.TRAINING, trainers=trainers))
+        given = announce(driver, 2)
+        given |= orders(driver.send(m.VersionAnnounced(ModelName("n"), Version(2))))
+        models = {u: order.model for u, order in given.items()}
+        self.assertEqual(models, {"u1": "m", "u2": "n"})
+
     def test_version_that_is_superseded_is_skipped(self) -> None:
         driver = driver_at(1, ["u1", "u2"], swaps_at_once=1)
         first = announce(driver, 2)["u1"]
@@ -82,9 +88,9 @@
     def test_failed_order_is_retried_after_a_back_off(self) -> None:
         driver = driver_at(1, ["u1"])
         order = announce(driver, 2)["u1"]
-        self.assertEqual(driver.send(OrderFinished(order.order_id, False)), [])
+        self.assertEqual(driver.send(m.OrderFinished(order.order_id, False)), [])
         driver.now += 0.3
-        self.assertEqual(orders(driver.send(Tick())), {})
+        self.assertEqual(orders(driver.send(m.Tick())), {})
         run(driver, 0.5)
         self.assertEqual(orders(driver.log)["u1"].version, 2)
         self.assertNotEqual(orders(driver.log)["u1"], order)
@@ -92,7 +98,7 @@
     def test_failed_source_is_not_named_again(self) -> None:
         driver = driver_at(1, ["u1", "u2"])
         second = load(driver, announce(driver, 2)["u1"])["u2"]
-        driver.send(OrderFinished(second.order_id, False))
+        driver.send(m.OrderFinished(second.order_id, False))
         run(driver, 1.0)
         self.assertIsNone(orders(driver.log)["u2"].source)
 
@@ -101,7 +107,7 @@
             driver = driver_at(1, ["u1"])
             order = announce(driver, 2)["u1"]
             if ok:
-                driver.send(OrderFinished(order.order_id, ok))
+                driver.send(m.OrderFinished(order.order_id, ok))
             run(driver, 120.0)
             self.assertNotEqual(orders(driver.log)["u1"], order)
 
@@ -178,6 +184,16 @@
         again = driver.log[-1]
         self.assertEqual((again.work_id, again.resume_from), ("a", 0))  # type: ignore[union-attr]
 
+    def test_queued_sample_whose_tokens_become_too_old_starts_over(self) -> None:
+        driver = driver_at(0, ["u1"])
+        old = {"staleness_bound": 0, "resume_tokens": 5, "oldest_version": 1}
+        announce(driver, 1)
+        driver.submit(sample("a", **old))
+        announce(driver, 2)
+        driver.log.clear()
+        driver.report_versions(2, "u1")
+        self.assertEqual([s.resume_from for s in starts(driver.log)], [0])
+
     def test_running_sample_that_must_not_repeat_is_left_alone(self) -> None:
         driver = driver_at(1, ["u1"])
         each = sample("a", staleness_bound=0, repeatable=False)
@@ -185,14 +201,14 @@
         driver.log.clear()
         announce(driver, 2)
         driver.report_versions(2, "u1")
-        self.assertEqual([a for a in driver.log if not isinstance(a, Order)], [])
+        self.assertEqual([a for a in driver.log if not isinstance(a, m.Order)], [])
 
     def test_sample_that_was_cut_is_not_reported_as_not_run(self) -> None:
         driver = driver_at(1, ["u1"])
         started = driver.submit(sample("a", staleness_bound=0))[0]
         driver.progress(started.attempt_id, 5, version=1)
         announce(driver, 2)
-        ended = refusals(driver.send(Withdraw(started.work_id)))
+        ended = refusals(driver.send(m.Withdraw(started.work_id)))
         self.assertEqual(ended[0].ran, Ran.MAY_HAVE_RUN)
 
     def test_sample_that_cannot_finish_within_its_bound_waits(self) -> None:
