--- a/packages/fulmarpulley-node/src/fulmarpulley_node/app.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/app.py
@@ -56,6 +56,7 @@
             self.peers, self.members, self.configuration, self.locator
         )
         self.pools = Pools(
+            settings,
             self.log,
             self.peers,
             self.members,
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
@@ -52,6 +52,7 @@
     """Define what a pool home asks of its node."""
 
     metrics: Metrics
+    settings: PoolSettings
 
     def upstream_leaving(self, upstream: str) -> bool:
         """Tell whether the instance list says that an upstream leaves."""
@@ -70,7 +71,7 @@
         self.service = document.name
         self.shard = shard
         self.document = shard_document(document, shard)
-        self.pool = Pool(self.document, PoolSettings(), seed)
+        self.pool = Pool(self.document, node.settings, seed)
         self.works = WorkTable()
         self.inbox: asyncio.Queue[Event | Leave] = asyncio.Queue()
         # Upstreams must not take a request or order of this home for one that an
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pools.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pools.py
@@ -5,6 +5,7 @@
 
 from aiomisc import Service
 
+from fulmarpulley_core.pool.messages import PoolSettings
 from fulmarpulley_schema.generated.document import ServiceDocument
 from fulmarpulley_schema.generated.peer import (
     MessageKind,
@@ -15,6 +16,7 @@
     WorkWithdraw,
 )
 from fulmarpulley_schema.generated.records import PoolEpoch, RecordKind
+from fulmarpulley_schema.generated.settings import NodeSettings
 
 from ..configuration import Configuration
 from ..errors import ErrorCode, refusal
@@ -40,6 +42,7 @@
 
     def __init__(
         self,
+        settings: NodeSettings,
         log: LogClient,
         peers: PeerLinks,
         members: Members,
@@ -50,6 +53,7 @@
         new_seed: Callable[[], int],
     ) -> None:
         super().__init__()
+        self.settings = PoolSettings(routing=settings.routing)
         self.log = log
         self.members = members
         self.configuration = configuration
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/main.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/main.py
@@ -10,6 +10,7 @@
 import uvloop
 from result import Err, Ok, Result
 
+from fulmarpulley_core.pool.routing import ROUTING
 from fulmarpulley_schema import jsonc
 from fulmarpulley_schema.generated.http import Finding
 from fulmarpulley_schema.generated.settings import NodeSettings
@@ -66,11 +67,11 @@
     done = jsonc.load(path, NodeSettings)
     if isinstance(done, Err):
         return done
-    findings = list(_unknown_dialects(done.ok_value))
+    findings = list(_unknown_names(done.ok_value))
     return Err(findings) if findings else done
 
 
-def _unknown_dialects(settings: NodeSettings) -> Iterator[Finding]:
+def _unknown_names(settings: NodeSettings) -> Iterator[Finding]:
     services = {
         "log": (settings.log, list(log_dialects)),
         "instance_list": (settings.instance_list, list(instance_list_dialects)),
@@ -81,6 +82,10 @@
             known = ", ".join(dialects)
             message = f"unknown dialect {service.dialect!r}; use one of: {known}"
             yield Finding(path=f"$.{name}.dialect", message=message)
+    if settings.routing not in ROUTING:
+        known = ", ".join(ROUTING)
+        message = f"unknown routing policy {settings.routing!r}; use one of: {known}"
+        yield Finding(path="$.routing", message=message)
 
 
 def _settings_or_exit(path: Path) -> NodeSettings:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/peer_link.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/peer_link.py
@@ -6,6 +6,7 @@
 import zmq.asyncio
 
 from fulmarpulley_schema.generated.peer import MessageKind
+from fulmarpulley_schema.generated.settings import PeerKeys
 
 # A link with outstanding calls is pinged after the first and replaced after the
 # second time without a message.
@@ -27,9 +28,18 @@
         self.replied = replied
 
 
-def new_socket(context: zmq.asyncio.Context, kind: int) -> zmq.asyncio.Socket:
-    """Open a socket with the limits that all sockets between nodes share."""
+def new_socket(
+    context: zmq.asyncio.Context, kind: int, keys: PeerKeys | None = None
+) -> zmq.asyncio.Socket:
+    """Open a socket with the limits and keys that all sockets between nodes share."""
     socket = context.socket(kind)
+    if keys is not None:
+        socket.setsockopt(zmq.CURVE_PUBLICKEY, keys.public.encode())
+        socket.setsockopt(zmq.CURVE_SECRETKEY, keys.secret.encode())
+        if kind == zmq.ROUTER:
+            socket.setsockopt(zmq.CURVE_SERVER, 1)
+        else:
+            socket.setsockopt(zmq.CURVE_SERVERKEY, keys.public.encode())
     socket.setsockopt(zmq.LINGER, 0)
     socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
     # A message for a peer that is not connected waits here, not in a queue that
@@ -43,8 +53,11 @@
 class PeerLink:
     """Own the DEALER socket to one address and its outstanding calls."""
 
-    def __init__(self, context: zmq.asyncio.Context, address: str) -> None:
+    def __init__(
+        self, context: zmq.asyncio.Context, address: str, keys: PeerKeys | None = None
+    ) -> None:
         self.context = context
+        self.keys = keys
         self.address = address
         self.loop = asyncio.get_running_loop()
         self.calls: dict[bytes, asyncio.Future[bytes]] = {}
@@ -106,7 +119,7 @@
         self._shut()
 
     def _open(self) -> None:
-        self.socket = new_socket(self.context, zmq.DEALER)
+        self.socket = new_socket(self.context, zmq.DEALER, self.keys)
         self.socket.connect(f"tcp://{self.address}")
         self.heard = self.loop.time()
         self.reader = self.loop.create_task(self._read(self.socket))
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/peers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/peers.py
@@ -64,7 +64,7 @@
         """Bind the socket for other nodes."""
         listen = self.settings.peer
         self.zmq_context = zmq.asyncio.Context()
-        self.router = new_socket(self.zmq_context, zmq.ROUTER)
+        self.router = new_socket(self.zmq_context, zmq.ROUTER, self.settings.peer_keys)
         self.router.bind(f"tcp://{listen.host}:{listen.port}")
         self._spawn(self._serve(self.router))
         self._spawn(self._check_links())
@@ -148,7 +148,9 @@
         if link is None:
             if self.zmq_context is None:
                 raise RuntimeError("peer links are not started")
-            link = self.links[address] = PeerLink(self.zmq_context, address)
+            keys = self.settings.peer_keys
+            link = PeerLink(self.zmq_context, address, keys)
+            self.links[address] = link
         return link
 
     async def _check_links(self) -> None:
--- a/packages/fulmarpulley-node/tests/test_peers.py
+++ b/packages/fulmarpulley-node/tests/test_peers.py
@@ -15,6 +15,7 @@
 from fulmarpulley_schema.generated.settings import (
     Listen,
     NodeSettings,
+    PeerKeys,
     PlatformService,
 )
 from fulmarpulley_testing.processes import free_ports
@@ -105,6 +106,31 @@
         other.handle(MessageKind.KEYS, KeysIssue, issue)
         self.assertEqual(await self.call(60.0), Ok(KeysIssued(keys=["late"])))
 
+    async def test_call_with_keys_is_answered_and_without_keys_is_not_sent(
+        self,
+    ) -> None:
+        # Fails when a node with keys takes messages from anybody.
+        public, secret = (key.decode() for key in zmq.curve_keypair())
+        keyed = settings("b", self.ports[1])
+        keyed.peer_keys = PeerKeys(public=public, secret=secret)
+        other = PeerLinks(keyed, Metrics())
+        await other.start()
+        self.addAsyncCleanup(other.stop)
+
+        async def issue(message: KeysIssue) -> KeysIssued:
+            return KeysIssued(keys=[message.service])
+
+        other.handle(MessageKind.KEYS, KeysIssue, issue)
+        self.assertEqual(await self.call(0.5), Err(PeerError.NOT_SENT))
+        port = free_ports(1)[0]
+        caller = PeerLinks(settings("c", port), Metrics())
+        caller.settings.peer_keys = keyed.peer_keys
+        await caller.start()
+        self.addAsyncCleanup(caller.stop)
+        caller.address_of = self.caller.address_of
+        done = await caller.call(OTHER, MessageKind.KEYS, ASK, KeysIssued, 30.0)
+        self.assertEqual(done, Ok(KeysIssued(keys=["s"])))
+
     async def test_malformed_message_gets_no_reply_and_stops_nothing(self) -> None:
         other = await self.links("b", self.ports[1])
 
