--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/attempts.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/attempts.py
@@ -73,7 +73,11 @@
             stall_s=stall_s,
             resume=list(buffer.tokens),
         )
-        done = await dialect.run(attempt, lambda t, v: self._token(buffer, t, v))
+        try:
+            done = await dialect.run(attempt, lambda t, v: self._token(buffer, t, v))
+        except Exception as fault:
+            # Without an end the attempt would hold its place at the upstream for ever.
+            done = Err(AttemptEnd(Failure.BROKEN, repr(fault)))
         self._finish(buffer, self._checked(buffer, done))
 
     def _token(self, buffer: AttemptBuffer, token: str, version: int | None) -> None:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/partition_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/partition_home.py
@@ -21,6 +21,7 @@
 )
 
 from ..errors import ErrorCode, refusal
+from ..observe.events import log_event
 from ..peers import PeerLinks
 from ..progress import wait_event
 from ..work_client import WorkClient
@@ -130,6 +131,10 @@
                 if isinstance(decision, WaitForOutcome):
                     request.decided.set()
                 await self._step(request, decision)
+        except Exception as fault:
+            log_event("keyed_request_failed", key=request.key.key, error=repr(fault))
+            text = "the node failed to handle the request"
+            request.progress.refuse(refusal(ErrorCode.UPSTREAM_BROKEN, text))
         finally:
             request.decided.set()
             if self.active.get(request.key) is request:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
@@ -32,7 +32,7 @@
 from fulmarpulley_schema.generated.peer import WorkPoll, WorkState, WorkSubmit
 
 from ..errors import ErrorCode, refusal
-from ..locate import shard_upstreams
+from ..locate import shard_document
 from ..observe.events import log_event
 from ..observe.metrics import Metrics
 from ..tasks import TaskGroup
@@ -162,10 +162,17 @@
     async def _run(self) -> None:
         while True:
             event = await self._next_event()
-            if isinstance(event, Leave):
-                self._give_back()
-            else:
-                self._handle(event)
+            try:
+                self._take(event)
+            except Exception as fault:
+                # One faulty event must not end the work of the whole pool.
+                log_event("pool_event_failed", service=self.service, error=repr(fault))
+
+    def _take(self, event: Event | Leave) -> None:
+        if isinstance(event, Leave):
+            self._give_back()
+        else:
+            self._handle(event)
 
     def _handle(self, event: Event) -> None:
         now = asyncio.get_running_loop().time()
@@ -286,10 +293,5 @@
             await self.watches.close_unused()
 
 
-def shard_document(document: ServiceDocument, shard: int) -> ServiceDocument:
-    """Return the document with the upstreams of one shard only."""
-    return msgspec.structs.replace(document, upstreams=shard_upstreams(document, shard))
-
-
 def _held(message: WorkSubmit) -> int:
     return 0 if message.resume is None else len(message.resume.tokens)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/step_home.py
@@ -129,7 +129,7 @@
     def _act(self, actions: list[StepAction]) -> None:
         for action in actions:
             if isinstance(action, GenerateSample):
-                task = self.tasks.spawn(self._deliver(action))
+                task = self.tasks.spawn(self._try_to_deliver(action))
                 self.deliveries[action.work_id] = task
             elif isinstance(action, WithdrawSample):
                 delivery = self.deliveries.pop(action.work_id, None)
@@ -139,10 +139,19 @@
                 self.ready.set()
                 self.ready = asyncio.Event()
 
+    async def _try_to_deliver(self, action: GenerateSample) -> None:
+        try:
+            await self._deliver(action)
+        except Exception as fault:
+            # Without an end the slot would stay in work until the step is closed.
+            log_event("sample_failed", work=action.work_id, error=repr(fault))
+            self._failed(action, None)
+
     async def _deliver(self, action: GenerateSample) -> None:
         document = self.node.document(self.service)
         step = self.book.steps.get(action.step)
         if document is None or step is None:
+            self._failed(action, None)
             return
         progress = Progress()
         submit = self._submission(document, action)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/locate.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/locate.py
@@ -2,9 +2,11 @@
 
 from collections import Counter
 
+from msgspec.structs import replace
+
 from fulmarpulley_core.ids import NodeId, Region
 from fulmarpulley_core.placement import home_of, rank_nodes, shard_count, shard_of
-from fulmarpulley_schema.generated.document import ServiceDocument, UpstreamEntry
+from fulmarpulley_schema.generated.document import ServiceDocument
 
 from .members import Members
 
@@ -59,6 +61,7 @@
     return shard_of(prefix, shards_of(document))
 
 
-def shard_upstreams(document: ServiceDocument, shard: int) -> list[UpstreamEntry]:
-    """Return the upstreams of one shard."""
-    return document.upstreams[shard :: shards_of(document)]
+def shard_document(document: ServiceDocument, shard: int) -> ServiceDocument:
+    """Return the document with the upstreams of one shard only."""
+    upstreams = document.upstreams[shard :: shards_of(document)]
+    return replace(document, upstreams=upstreams)
