--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,6 @@
 
 bench: $(STAMP)
 	$(BIN)/python -m fulmarpulley_bench.policy
+
+soak: $(STAMP)
+	$(BIN)/python -m fulmarpulley_testing.soak --seed 1 --seconds 600
--- a/testing/src/fulmarpulley_testing/demo.py
+++ b/testing/src/fulmarpulley_testing/demo.py
@@ -15,7 +15,7 @@
 from .findings import Report
 from .history import AttemptAnswered, BatchTaken, VersionPublished
 from .layout import ClusterSettings, drain
-from .processes import Processes
+from .processes import Processes, exit_on_sigterm
 
 DEMO_SEED = 7
 
@@ -72,6 +72,7 @@
 
     :param keep: Folder for logs and histories; a temporary one when empty.
     """
+    exit_on_sigterm()
     with ExitStack() as stack:
         folder = keep or stack.enter_context(tempfile.TemporaryDirectory())
         Path(folder).mkdir(exist_ok=True)
--- a/testing/src/fulmarpulley_testing/processes.py
+++ b/testing/src/fulmarpulley_testing/processes.py
@@ -14,7 +14,15 @@
 
 from .ports import free_ports
 
-__all__ = ["Process", "Processes", "call", "free_ports", "set_faults", "wait_for"]
+__all__ = [
+    "Process",
+    "Processes",
+    "call",
+    "exit_on_sigterm",
+    "free_ports",
+    "set_faults",
+    "wait_for",
+]
 
 START_TIMEOUT_S = 30.0
 POLL_S = 0.02
@@ -58,6 +66,11 @@
     call(f"http://127.0.0.1:{port}/control/faults", "POST", faults)
 
 
+def exit_on_sigterm() -> None:
+    """Turn SIGTERM into SystemExit, so that contexts end their processes."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(128 + signal.SIGTERM))
+
+
 class Process:
     """Hold one process that this program started."""
 
--- a/testing/src/fulmarpulley_testing/soak.py
+++ b/testing/src/fulmarpulley_testing/soak.py
@@ -16,7 +16,7 @@
 from .faults import Injection, Targets, faults
 from .findings import Report
 from .layout import ENGINE_DESK, ClusterSettings
-from .processes import NotReadyError, Processes
+from .processes import NotReadyError, Processes, exit_on_sigterm
 
 FAULTS_AT_ONCE = 2
 FAULTS_PER_ROUND = 4
@@ -89,6 +89,7 @@
 
     :param keep: Folder for logs and histories; a temporary one when empty.
     """
+    exit_on_sigterm()
     with ExitStack() as stack:
         folder = keep or stack.enter_context(tempfile.TemporaryDirectory())
         Path(folder).mkdir(exist_ok=True)
