Name the error code of a false not_run in the checker's finding

RetentionByCountTest failed once in a full run with false_not_run of request 24/107; the finding did not tell which refusal it was.

--- a/testing/src/fulmarpulley_testing/check_answers.py
+++ b/testing/src/fulmarpulley_testing/check_answers.py
@@ -30,6 +30,7 @@
 class Verdict(msgspec.Struct):
     """Hold the time of a `not_run` and that of the next attempt."""
 
+    code: str
     at: float
     next_start: float
     earlier_unknown: bool
@@ -58,7 +59,7 @@
             if not isinstance(event, AttemptFailed):
                 continue
             if event.ran == Ran.NOT_RUN:
-                yield Verdict(event.at, self._next_start(place), unknown)
+                yield Verdict(event.code, event.at, self._next_start(place), unknown)
             else:
                 unknown = True
 
@@ -158,9 +159,8 @@
         yield Finding(Fault.REPEATED_RUN, invoked.invocation, detail)
     for verdict in course.verdicts():
         if _is_false(verdict, runs, invoked.repeatable):
-            yield Finding(
-                Fault.FALSE_NOT_RUN, invoked.invocation, "told not_run, but it ran"
-            )
+            detail = f"told {verdict.code}, not_run, but it ran"
+            yield Finding(Fault.FALSE_NOT_RUN, invoked.invocation, detail)
 
 
 def _is_false(verdict: Verdict, runs: list[float], repeatable: bool) -> bool:
