--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
@@ -31,7 +31,7 @@
         self.gained: set[Upstream] = set()
         self.timers = Timers()
         self.jitter = Jitter(seed)
-        self.ledger = Ledger(document, self._released)
+        self.ledger = Ledger(document, settings, self._released)
         self.queue = FairQueue(document)
         self.lengths = Lengths()
         self.freshness = Freshness(document, self.ledger, self.lengths)
@@ -99,6 +99,7 @@
     def refuse(self, item: Item, code: str, retry_after: float | None = None) -> None:
         """End an item without an answer."""
         self.queue.remove(item)
+        self.can_dispatch = True
         self.ledger.refuse(item, code, retry_after)
 
     def start(self, item: Item, upstream: Upstream, hedge: bool = False) -> Attempt:
