Say may_have_run when a leaving node refuses a fetch

Keys are asked for again for 5 s, because a partition home that has just started has not read its stream yet; a test met this once on a busy machine.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/edge_callers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/edge_callers.py
@@ -79,7 +79,7 @@
 
     async def fetch(self, request: web.Request) -> web.Response:
         """Answer with the answer to an earlier request, waiting for it."""
-        document = self.gate.document(request.match_info["service"])
+        document = self._document_of_request(request)
         key = request.match_info["key"]
         wait_s = query_number(request, "wait_s", 0.0, MAX_WAIT_S)
         progress = Progress()
@@ -88,7 +88,7 @@
 
     async def cancel(self, request: web.Request) -> web.Response:
         """Cancel a request; answer with its answer if it had already ended."""
-        document = self.gate.document(request.match_info["service"])
+        document = self._document_of_request(request)
         key = request.match_info["key"]
         state = await self.keyed.cancel(document.name, key)
         progress = Progress()
@@ -96,6 +96,9 @@
             progress.take_state(state)
         return _whole(progress, key)
 
+    def _document_of_request(self, request: web.Request) -> ServiceDocument:
+        return self.gate.document_of_request(request.match_info["service"])
+
     async def request(self, request: web.Request) -> web.StreamResponse:
         """Run one request."""
         document = self.gate.document(request.match_info["service"])
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/gate.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/gate.py
@@ -1,9 +1,12 @@
 """Decide whether the node takes a request."""
 
+from msgspec.structs import replace
+
 from fulmarpulley_schema.generated.document import ServiceDocument
+from fulmarpulley_schema.generated.http import Ran
 
 from .configuration import Configuration
-from .errors import ErrorCode, error
+from .errors import STATUS, ErrorCode, RequestError, error
 from .members import Members
 
 
@@ -30,6 +33,19 @@
             message = "the node does not know all documents yet; use another node"
             raise error(ErrorCode.NOT_READY, message)
 
+    def document_of_request(self, service: str) -> ServiceDocument:
+        """Return the document for a call about an earlier request.
+
+        A node that takes no calls cannot say that the earlier request was not run.
+        """
+        try:
+            return self.document(service)
+        except RequestError as refused:
+            if refused.status == STATUS[ErrorCode.NOT_READY]:
+                ran = Ran.MAY_HAVE_RUN.value
+                refused.refusal = replace(refused.refusal, ran=ran)
+            raise
+
     def document(self, service: str) -> ServiceDocument:
         """Return the document of a service, or raise RequestError."""
         self.check()
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/keyed_client.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/keyed_client.py
@@ -28,6 +28,8 @@
 CALL_DEADLINE_S = 2.5
 RETRY_PAUSE_S = 0.1
 DEADLINE_GRACE_S = 2.0
+# Partition homes that start need this long at most to read their first page.
+ISSUE_S = 5.0
 _TRY_ANOTHER_HOME = frozenset({"shutting_down", "not_ready"})
 
 
@@ -50,18 +52,29 @@
 
     async def issue(self, service: str, count: int) -> list[str]:
         """Return new keys, or raise RequestError."""
-        partition = self.random.randrange(self.settings.partitions)
-        home = self.locator.partition_home(partition)
-        if home is not None:
-            message = KeysIssue(service=service, partition=partition, count=count)
-            done = await self.peers.call(
-                home, MessageKind.KEYS, message, KeysIssued, CALL_DEADLINE_S
-            )
-            if not isinstance(done, Err) and done.ok_value.keys:
-                return done.ok_value.keys
+        loop = asyncio.get_running_loop()
+        until = loop.time() + ISSUE_S
+        while True:
+            keys = await self._issue_once(service, count)
+            if keys:
+                return keys
+            if loop.time() >= until:
+                break
+            await asyncio.sleep(RETRY_PAUSE_S)
         message_text = "no keys can be issued before the log was read; try again"
         raise error(ErrorCode.LOG_UNAVAILABLE, message_text)
 
+    async def _issue_once(self, service: str, count: int) -> list[str]:
+        partition = self.random.randrange(self.settings.partitions)
+        home = self.locator.partition_home(partition)
+        if home is None:
+            return []
+        message = KeysIssue(service=service, partition=partition, count=count)
+        done = await self.peers.call(
+            home, MessageKind.KEYS, message, KeysIssued, CALL_DEADLINE_S
+        )
+        return [] if isinstance(done, Err) else done.ok_value.keys
+
     async def run(self, submit: KeyedSubmit, progress: Progress) -> None:
         """Submit a request and follow it to its end.
 
