Move waiting work and steps to a node that joins

A pool home that moved kept its queue until it was empty, and a step home kept generating a step that the trainer had opened elsewhere. Now a home that sees its keys placed on another node for 2 s gives waiting work back to its owners and hands steps over. A new pool home waits for the first reports of its upstreams before it takes announcements: it had ordered engines to load versions that they already served.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/app.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/app.py
@@ -71,6 +71,7 @@
             self.members,
             self.configuration,
             self.versions,
+            self.locator,
             self.work,
             self.metrics,
             uuid.uuid4().hex[:8],
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
@@ -36,6 +36,7 @@
 from ..observe.events import log_event
 from ..observe.metrics import Metrics
 from ..tasks import TaskGroup
+from .announcements import Announcements
 from .attempts import AttemptRunner
 from .pool_work import AttemptBuffer, PoolWork, WorkTable, to_work
 from .watches import Watches
@@ -88,12 +89,14 @@
         self.tasks = TaskGroup()
         self.leaving = False
         self.fence_above = 0
+        self.announcements = Announcements(self.watches, self.inbox.put_nowait)
 
     def start(self) -> None:
         """Start to dispatch."""
         self.watches.update(self.document)
         self.tasks.spawn(self._run())
         self.tasks.spawn(self._close_unused())
+        self.tasks.spawn(self.announcements.release())
 
     async def stop(self) -> None:
         """Cut all attempts and close all connections."""
@@ -144,7 +147,7 @@
 
     def announce(self, model: str, version: int) -> None:
         """Take a version that a trainer published."""
-        self.inbox.put_nowait(VersionAnnounced(ModelName(model), Version(version)))
+        self.announcements.add(VersionAnnounced(ModelName(model), Version(version)))
 
     def list_changed(self) -> None:
         """Take a change of the instance list at once."""
@@ -163,17 +166,14 @@
         while True:
             event = await self._next_event()
             try:
-                self._take(event)
+                if isinstance(event, Leave):
+                    self._give_back()
+                else:
+                    self._handle(event)
             except Exception as fault:
                 # One faulty event must not end the work of the whole pool.
                 log_event("pool_event_failed", service=self.service, error=repr(fault))
 
-    def _take(self, event: Event | Leave) -> None:
-        if isinstance(event, Leave):
-            self._give_back()
-        else:
-            self._handle(event)
-
     def _handle(self, event: Event) -> None:
         now = asyncio.get_running_loop().time()
         if isinstance(event, AttemptProgress):
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pools.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pools.py
@@ -32,6 +32,9 @@
 
 EPOCH_STREAM = "pool-epochs"
 RECONCILE_S = 1.0
+# Work that waits at a pool that moved away goes to the next home after this time, in
+# which the views of the members agree.
+GIVE_BACK_S = 2.0
 # A pool that moved away and has no work is kept this long for late polls.
 KEEP_IDLE_S = 30.0
 PoolKey = tuple[str, int]
@@ -63,6 +66,7 @@
         self.new_seed = new_seed
         self.homes: dict[PoolKey, PoolHome] = {}
         self.fences: dict[PoolKey, int] = {}
+        self.fence_lock = asyncio.Lock()
         self.moved: dict[PoolKey, float] = {}
         self.leaving = False
         self.tasks = TaskGroup()
@@ -100,7 +104,12 @@
 
     async def fence(self, service: str, shard: int, above: int) -> int | None:
         """Return the fencing number of a pool, or None without the log."""
-        key = (service, shard)
+        # One at a time, so that orders given together carry the same number.
+        async with self.fence_lock:
+            return await self._fence((service, shard), above)
+
+    async def _fence(self, key: PoolKey, above: int) -> int | None:
+        service, shard = key
         known = self.fences.get(key)
         if known is not None and known >= above:
             return known
@@ -184,10 +193,17 @@
         for key, document in own.items():
             self._home(document, key[1])
         for key, home in self.homes.items():
-            if key in own or not home.idle:
+            if key in own:
                 self.moved.pop(key, None)
-            else:
-                self.moved.setdefault(key, now)
+                home.leaving = self.leaving
+            elif now - self.moved.setdefault(key, now) >= GIVE_BACK_S:
+                self._give_back(key, home)
+
+    def _give_back(self, key: PoolKey, home: PoolHome) -> None:
+        # Two homes of a pool would each fill its upstreams until one queue is empty.
+        if not home.leaving:
+            log_event("pool_home_moved", service=key[0], shard=key[1])
+            home.leave()
 
     def _own_pools(self) -> dict[PoolKey, ServiceDocument]:
         own: dict[PoolKey, ServiceDocument] = {}
@@ -201,7 +217,7 @@
     async def _close_moved(self) -> None:
         now = asyncio.get_running_loop().time()
         for key, since in list(self.moved.items()):
-            if now - since > KEEP_IDLE_S:
+            if now - since > KEEP_IDLE_S and self.homes[key].idle:
                 del self.moved[key]
                 self.fences.pop(key, None)
                 await self.homes.pop(key).stop()
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/steps.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/steps.py
@@ -1,5 +1,7 @@
 """Hold the step homes of this node and serve their peer messages."""
 
+import asyncio
+
 import msgspec
 from aiomisc import Service
 
@@ -19,7 +21,7 @@
 
 from ..configuration import Configuration
 from ..errors import ErrorCode, refusal
-from ..locate import pool_region, work_shard
+from ..locate import Locator, pool_region, work_shard
 from ..members import Members
 from ..observe.events import log_event
 from ..observe.metrics import Metrics
@@ -33,6 +35,8 @@
 # A take is answered within this time, so that a link with calls is never silent.
 TAKE_WAIT_S = 1.0
 HANDOVER_DEADLINE_S = 5.0
+# A step is handed over when two checks in a row find it elsewhere.
+MOVE_CHECK_S = 1.0
 TrainerKey = tuple[str, str]
 
 
@@ -45,6 +49,7 @@
         members: Members,
         configuration: Configuration,
         versions: Versions,
+        locator: Locator,
         work: WorkClient,
         metrics: Metrics,
         run_id: str,
@@ -54,6 +59,7 @@
         self.members = members
         self.configuration = configuration
         self.versions = versions
+        self.locator = locator
         self.work = work
         self.metrics = metrics
         self.scorer = Scorer()
@@ -68,7 +74,8 @@
         peers.handle(MessageKind.HANDOVER, Handover, self._handed)
 
     async def start(self) -> None:
-        """Wait for trainers."""
+        """Start to look for steps whose home is another node by now."""
+        self.tasks.spawn(self._reconcile())
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop all step homes."""
@@ -80,16 +87,35 @@
     async def hand_over(self) -> None:
         """Pass open steps and finished samples to their next homes."""
         self.leaving = True
-        books = [home.book for home in self.homes.values()]
-        for book in books:
-            document = self.document(book.service)
-            region = None if document is None else pool_region(document)
-            me = self.members.node_id
-            for parcel in plan_handover(me, self.members.homes(), [book], region):
-                await self._send_parcel(parcel)
-        for home in self.homes.values():
-            await home.stop()
-        self.homes.clear()
+        for key in list(self.homes):
+            await self._hand_over(key)
+
+    async def _hand_over(self, key: TrainerKey) -> None:
+        home = self.homes.pop(key)
+        document = self.document(home.service)
+        region = None if document is None else pool_region(document)
+        me = self.members.node_id
+        alive = self.members.homes()
+        for parcel in plan_handover(me, alive, [home.book], region):
+            await self._send_parcel(parcel)
+        await home.stop()
+
+    async def _reconcile(self) -> None:
+        moved: set[TrainerKey] = set()
+        while True:
+            await asyncio.sleep(MOVE_CHECK_S)
+            seen = {key for key in self.homes if self._is_elsewhere(key)}
+            for key in seen & moved:
+                if key in self.homes:
+                    await self._hand_over(key)
+            moved = seen
+
+    def _is_elsewhere(self, key: TrainerKey) -> bool:
+        document = self.document(key[0])
+        if document is None or not self.members.list_read:
+            return False
+        home = self.locator.step_home(document, key[1])
+        return home is not None and home != self.members.node_id
 
     async def _send_parcel(self, parcel: Parcel) -> None:
         # A lost parcel costs its samples: the trainer opens the step again.
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/upstream_watch.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/upstream_watch.py
@@ -54,6 +54,7 @@
         self.dialect = upstream_dialects.get(entry.dialect)(entry)
         self.versions: dict[str, int] = {}
         self.draining = False
+        self.polled = asyncio.Event()
         self.availability: Availability | None = None
 
     async def poll(self) -> None:
@@ -63,6 +64,7 @@
             if isinstance(done, Ok) and done.ok_value is not None:
                 self._take_load(done.ok_value)
             self.report_availability()
+            self.polled.set()
             await asyncio.sleep(LOAD_PERIOD_S)
 
     async def poll_cache(self) -> None:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/watches.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/watches.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 
 from fulmarpulley_core.ids import UpstreamId
 from fulmarpulley_core.pool.messages import Event, Order
@@ -62,6 +63,13 @@
         for watch in self.watches.values():
             watch.report_availability()
 
+    async def first_reports(self, seconds: float) -> None:
+        """Wait until each upstream was asked once, or the time is over."""
+        polled = [watch.polled.wait() for watch in self.watches.values()]
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await asyncio.gather(*polled)
+
     async def order(self, order: Order, fence: int | None) -> int | None:
         """Give an order; return the newest fencing number when it was refused."""
         watch = self.watches.get(order.upstream)
--- a/testing/tests/test_loss_path.py
+++ b/testing/tests/test_loss_path.py
@@ -32,7 +32,7 @@
 
 def bitmap(held: set[int]) -> str:
     bits = sum(1 << slot for slot in held)
-    return base64.b64encode(bits.to_bytes(8, "little")).decode()
+    return base64.b64encode(bits.to_bytes(64, "little")).decode()
 
 
 class LossTest(unittest.TestCase):
@@ -140,6 +140,47 @@
         wait_for(lambda: bool(found), "end of the stream")
         self.check_whole(found[0], text)
 
+    def test_work_moves_to_node_that_joins(self) -> None:
+        # Fails when the old home keeps a long queue, or generates a step twice.
+        number = 3
+        while self.home_with(f"node-{number}", f"{TRAINING}/pool-0") or (
+            self.home_with(f"node-{number}", f"{TRAINING}/t")
+        ):
+            number += 1
+        joiner = f"node-{number}"
+        path = f"/v1/services/{TRAINING}/trainers/t/steps/2"
+        url = self.system.url(self.nodes[0]) + path
+        groups = [{"prompt": f"q{group}"} for group in range(30)]
+        opened = {"groups": groups, "samples_per_group": 8, "version": 1}
+        self.assertEqual(http(url, "PUT", opened | {"max_tokens": 100}).status, 200)
+        wait_for(lambda: self.in_flight(TRAINING) > 0, "start of the step")
+        self.system.start_node(joiner)
+        self.system.wait_ready(joiner)
+
+        held: set[int] = set()
+        for _ in range(200):
+            take = {"version": 1, "held": bitmap(held), "wait_s": 2}
+            reply = http(f"{url}/take", "POST", take)
+            if reply.status == 404:
+                again = opened | {"max_tokens": 100, "held": bitmap(held)}
+                http(url, "PUT", again)
+                continue
+            slots = {sample["slot"] for sample in reply.body.get("samples", [])}
+            self.assertFalse(slots & held)
+            held |= slots
+            if len(held) == 240:
+                break
+        self.assertEqual(held, set(range(240)))
+        logs = [p.read_text() for p in self.folder.glob("node-*.log")]
+        self.assertTrue(any("event=step_handed_over" in log for log in logs))
+        joined = (self.folder / f"{joiner}.log").read_text()
+        self.assertIn("event=work_finished", joined)
+
+    def home_with(self, joiner: str, key: str) -> bool:
+        """Tell whether a key stays where it is when a node joins."""
+        places = [Place(NodeId(name), REGION) for name in [*self.nodes, joiner]]
+        return home_of(key, places, REGION) != joiner
+
     def test_step_completes_when_its_home_dies(self) -> None:
         # Fails when slots are lost or handed over twice after the step home is gone.
         home = self.home(f"{TRAINING}/t")
