Pass the whole folded state to a node that adopts it

A node that was complete answered a pull at its own offset with no documents and complete=True; a reader that was not complete adopted that as a system without services. Documents that are no object were left out in the same way. A pull now always lists every folded document, compares known offsets, so that an adopted state is not pulled twice a second, and a partition home judges holders only after the instance list was read. Homes give their own prefix to request ids, so that two homes of a pool cannot cancel each other's requests.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/configuration.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/configuration.py
@@ -173,7 +173,7 @@
 
     def _pull_from(self) -> NodeId | None:
         core = self.members.core
-        behind = core.furthest_offset > self.fold.offset
+        behind = core.furthest_offset > self.fold.known_offset
         if behind and core.furthest is not None:
             return core.furthest
         if self.complete:
@@ -185,7 +185,7 @@
         return others[turn % len(others)].node_id
 
     async def _pull_once(self, node: NodeId) -> None:
-        request = ConfigPull(offset=self.fold.offset)
+        request = ConfigPull(offset=self.fold.known_offset)
         done = await self.peers.call(
             node, MessageKind.CONFIG_PULL, request, ConfigPush, PULL_DEADLINE_S
         )
@@ -193,7 +193,7 @@
             return
         push = done.ok_value
         documents = [_accepted(item) for item in push.documents]
-        newer = push.offset > self.fold.offset or not self.complete
+        newer = push.offset > self.fold.known_offset or not self.complete
         if push.complete and newer:
             self._take_events(self.fold.adopt(documents, Offset(push.offset)))
             self.caught_up = True
@@ -204,24 +204,29 @@
         self._advanced()
 
     async def _serve_pull(self, request: ConfigPull) -> ConfigPush:
-        known = (self.fold.accepted(name) for name in self.fold.services())
-        documents = [
-            PeerDocument(
-                service=item.service,
-                revision=item.revision,
-                author=item.author,
-                record_id=item.record_id,
-                document=item.document,
-            )
-            for item in known
-            if item is not None and isinstance(item.document, dict)
-        ]
-        if self.complete and request.offset >= self.fold.offset > 0:
-            documents = []
+        # A peer that adopts a complete state drops what the list does not name,
+        # so a complete answer always lists every folded document.
+        accepted = self.fold.documents() if self.complete else self._known()
         return ConfigPush(
-            offset=self.fold.offset, complete=self.complete, documents=documents
+            offset=self.fold.offset,
+            complete=self.complete,
+            documents=[_peer_document(item) for item in accepted],
         )
 
+    def _known(self) -> list[Accepted]:
+        known = (self.fold.accepted(name) for name in self.fold.services())
+        return [item for item in known if item is not None]
+
+
+def _peer_document(item: Accepted) -> PeerDocument:
+    return PeerDocument(
+        service=item.service,
+        revision=item.revision,
+        author=item.author,
+        record_id=item.record_id,
+        document=item.document,
+    )
+
 
 def _accepted(item: PeerDocument) -> Accepted:
     return Accepted(
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/partitions.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/partitions.py
@@ -138,7 +138,9 @@
                 self.log, partition, NodeId(self.settings.node_id), self.start_id
             )
             home = self.homes[partition] = PartitionHome(stream, self)
-            stream.members_changed(self._present())
+            # Before the list is read every other holder would count as gone for good.
+            if self.members.list_read:
+                stream.members_changed(self._present())
             stream.start()
         return home
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
@@ -72,7 +72,7 @@
         self.service = document.name
         self.shard = shard
         self.document = shard_document(document, shard)
-        self.pool = Pool(self.document, node.settings, seed)
+        self.pool = Pool(self.document, own_settings(node.settings), seed)
         self.works = WorkTable()
         self.inbox: asyncio.Queue[Event | Leave] = asyncio.Queue()
         # Upstreams must not take a request or order of this home for one that an
@@ -295,3 +295,10 @@
 
 def _held(message: WorkSubmit) -> int:
     return 0 if message.resume is None else len(message.resume.tokens)
+
+
+def own_settings(settings: PoolSettings) -> PoolSettings:
+    """Return settings under which no other home makes the same request ids."""
+    # Two homes of one pool can run at a time. An upstream that knows both by the
+    # same request id would cancel the request of the other.
+    return msgspec.structs.replace(settings, id_prefix=f"{uuid.uuid4().hex[:8]}-")
