Report a stalled step after a pool home restarts at once

The polls that the killed process took are outstanding for POLL_WAIT_S = 30 s; the new process answers pings, so the link is not silent and is not replaced. A peer that sees a new start id in a ping or reply should fail the calls that the earlier process took.

--- a/testing/tests/test_node_failures.py
+++ b/testing/tests/test_node_failures.py
@@ -38,6 +38,22 @@
         self.assertEqual(report.answers + report.unresolved + report.refused, 160)
 
 
+class NodeRestartedAtOnceTest(ClusterCase):
+    settings = ClusterSettings(seed=15)
+
+    def test_step_goes_on_although_no_peer_noticed_the_restart(self) -> None:
+        # The patience is far above the 2 s after which a silent link is replaced,
+        # and below the deadline of the calls that the killed process never answers.
+        trainer = self.train(steps=4, groups=8, patience_s=15.0)
+        for number, node in enumerate(self.cluster.layout.nodes):
+            self.wait_samples(1 + 32 * number)
+            self.cluster.process(node).kill()
+            self.cluster.start_node(node)
+            self.cluster.wait_ready()
+        self.assertEqual(trainer.wait(120.0), 0)
+        self.assertEqual(self.finish().samples, 4 * 32)
+
+
 class NodeFrozenTest(ClusterCase):
     settings = ClusterSettings(seed=12, plain_delay_s=0.3)
 
