Fail calls that a restarted peer does not know

A node that was killed and started again at once answered the pings of its peers, so that a poll which the earlier process had taken waited out its 30 s deadline and a step stalled. A ping now names the calls that wait and the peer answers which of them it does not work on; those fail at once as sent. A start id in the ping was ruled out: a peer that never pinged the earlier process has nothing to compare it with, and it says nothing of lost replies.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/peer_link.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/peer_link.py
@@ -1,15 +1,17 @@
 """Keep one connection to another node and notice when it goes silent."""
 
 import asyncio
+from collections.abc import Iterable
 
+import msgspec
 import zmq
 import zmq.asyncio
 
 from fulmarpulley_schema.generated.peer import MessageKind
 from fulmarpulley_schema.generated.settings import PeerKeys
 
-# A link with outstanding calls is pinged after the first and replaced after the
-# second time without a message.
+# A call that waits longer than the first time makes the link ask whether the peer
+# still works on it; a link without any message for the second time is replaced.
 PING_AFTER_S = 1.0
 SILENCE_S = 2.0
 UNUSED_S = 60.0
@@ -28,6 +30,13 @@
         self.replied = replied
 
 
+class OutstandingCall(msgspec.Struct):
+    """Hold a call without a reply and when it was sent, in loop time."""
+
+    answer: asyncio.Future[bytes]
+    sent_at: float
+
+
 def new_socket(
     context: zmq.asyncio.Context, kind: int, keys: PeerKeys | None = None
 ) -> zmq.asyncio.Socket:
@@ -60,7 +69,7 @@
         self.keys = keys
         self.address = address
         self.loop = asyncio.get_running_loop()
-        self.calls: dict[bytes, asyncio.Future[bytes]] = {}
+        self.calls: dict[bytes, OutstandingCall] = {}
         self.last_used = self.loop.time()
         self.heard = self.last_used
         self._open()
@@ -87,7 +96,7 @@
         if not self.calls:
             self.heard = self.loop.time()
         answer: asyncio.Future[bytes] = self.loop.create_future()
-        self.calls[call_id] = answer
+        self.calls[call_id] = OutstandingCall(answer, self.loop.time())
         try:
             async with asyncio.timeout_at(started + deadline_s):
                 return await answer
@@ -96,10 +105,16 @@
         finally:
             self.calls.pop(call_id, None)
 
-    async def ping_if_quiet(self) -> None:
-        """Ask for a sign of life when calls are outstanding on a quiet link."""
-        if self.calls and self.loop.time() - self.heard >= PING_AFTER_S:
-            frames = [MessageKind.PING.value.encode(), PING_ID, b""]
+    async def ping_for_waiting_calls(self) -> None:
+        """Ask the peer which of the calls that wait it does not work on."""
+        now = self.loop.time()
+        waiting = [
+            call_id
+            for call_id, call in self.calls.items()
+            if now - call.sent_at >= PING_AFTER_S
+        ]
+        if waiting:
+            frames = [MessageKind.PING.value.encode(), PING_ID, b" ".join(waiting)]
             await self.send(frames, SILENCE_S - PING_AFTER_S)
 
     def replace_if_silent(self) -> bool:
@@ -127,19 +142,26 @@
     def _shut(self) -> None:
         self.reader.cancel()
         self.socket.close(linger=0)
-        failed, self.calls = self.calls, {}
-        for answer in failed.values():
-            if not answer.done():
-                answer.set_exception(CallFailure(sent=True))
+        self._fail(list(self.calls))
+
+    def _fail(self, call_ids: Iterable[bytes]) -> None:
+        for call_id in call_ids:
+            call = self.calls.pop(call_id, None)
+            if call is not None and not call.answer.done():
+                call.answer.set_exception(CallFailure(sent=True))
 
     async def _read(self, socket: zmq.asyncio.Socket) -> None:
         while True:
             kind, call_id, payload = await socket.recv_multipart()
             self.heard = self.loop.time()
-            answer = self.calls.get(call_id)
-            if answer is None or answer.done():
+            if call_id == PING_ID:
+                # The peer restarted since, or its reply was lost.
+                self._fail(payload.split())
+                continue
+            call = self.calls.get(call_id)
+            if call is None or call.answer.done():
                 continue
             if kind == MessageKind.REPLY.value.encode():
-                answer.set_result(payload)
+                call.answer.set_result(payload)
             else:
-                answer.set_exception(CallFailure(sent=True, replied=True))
+                call.answer.set_exception(CallFailure(sent=True, replied=True))
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/peers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/peers.py
@@ -58,6 +58,7 @@
         self.call_ids = itertools.count(1)
         self.zmq_context: zmq.asyncio.Context | None = None
         self.router: zmq.asyncio.Socket | None = None
+        self.in_progress: set[tuple[bytes, bytes]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -160,7 +161,7 @@
                 if link.replace_if_silent():
                     log_event("peer_link_replaced", address=link.address)
                 else:
-                    self._spawn(link.ping_if_quiet())
+                    self._spawn(link.ping_for_waiting_calls())
                 if link.unused():
                     self.links.pop(link.address).close()
 
@@ -169,13 +170,31 @@
             frames = await router.recv_multipart()
             if len(frames) != 4:
                 continue
-            if frames[1] == PING:
-                await router.send_multipart([frames[0], REPLY, frames[2], b""])
+            identity, kind, call_id, payload = frames
+            if kind == PING:
+                unknown = self._unknown(identity, payload.split())
+                await router.send_multipart([identity, REPLY, call_id, unknown])
             else:
+                self.in_progress.add((identity, call_id))
                 self._spawn(self._answer(router, frames))
 
+    def _unknown(self, identity: bytes, call_ids: list[bytes]) -> bytes:
+        # A reply precedes the answer to a later ping, so a call that is not in
+        # progress when the ping is read will never be answered.
+        unknown = [x for x in call_ids if (identity, x) not in self.in_progress]
+        return b" ".join(unknown)
+
     async def _answer(self, router: zmq.asyncio.Socket, frames: list[bytes]) -> None:
         identity, kind, call_id, payload = frames
+        try:
+            reply, body = await self._handle(kind, payload)
+            if call_id:
+                message = [identity, reply.value.encode(), call_id, body]
+                await router.send_multipart(message)
+        finally:
+            self.in_progress.discard((identity, call_id))
+
+    async def _handle(self, kind: bytes, payload: bytes) -> tuple[MessageKind, bytes]:
         try:
             handling = self.handlers[MessageKind(kind.decode())]
             result = await handling.handler(from_msgpack(payload, handling.payload))
@@ -183,12 +202,8 @@
             log_event(
                 "peer_message_failed", kind=kind.decode(errors="replace"), error=fault
             )
-            reply, body = MessageKind.FAILURE, b""
-        else:
-            reply = MessageKind.REPLY
-            body = to_msgpack(result) if result is not None else b""
-        if call_id:
-            await router.send_multipart([identity, reply.value.encode(), call_id, body])
+            return MessageKind.FAILURE, b""
+        return MessageKind.REPLY, to_msgpack(result) if result is not None else b""
 
     def _spawn(self, work: Any) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/packages/fulmarpulley-node/tests/test_peers.py
+++ b/packages/fulmarpulley-node/tests/test_peers.py
@@ -106,6 +106,24 @@
         other.handle(MessageKind.KEYS, KeysIssue, issue)
         self.assertEqual(await self.call(60.0), Ok(KeysIssued(keys=["late"])))
 
+    async def test_call_that_a_restarted_peer_does_not_know_fails(self) -> None:
+        # Fails when a call waits out its deadline because the new process of the
+        # peer answers pings.
+        other = await self.links("b", self.ports[1])
+        taken = asyncio.Event()
+
+        async def wait(_message: KeysIssue) -> KeysIssued:
+            taken.set()
+            await asyncio.Event().wait()
+            return KeysIssued()
+
+        other.handle(MessageKind.KEYS, KeysIssue, wait)
+        waiting = asyncio.create_task(self.call(600.0))
+        await taken.wait()
+        await other.stop()
+        await self.links("b", self.ports[1])
+        self.assertEqual(await waiting, Err(PeerError.NO_REPLY))
+
     async def test_call_with_keys_is_answered_and_without_keys_is_not_sent(
         self,
     ) -> None:
