Retry a refused connect as what it was, and end idle follow-ups of keys

The caller stand-in took a refused connect for a lost request and fetched; with one live node of three it then sent its request to dead nodes only, so that KillDuringOutageTest failed in 2 of 8 parallel runs (lost_answer, gave_up). A node follows a key that was only fetched for at most 30 s.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/keyed.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/keyed.py
@@ -49,8 +49,11 @@
         """Return the seconds left until the deadline."""
         if self.message is None:
             return 0.0
-        now = asyncio.get_running_loop().time()
-        return max(0.0, self.started + self.message.deadline_s - now)
+        return max(0.0, self.message.deadline_s - self.age_s())
+
+    def age_s(self) -> float:
+        """Return the seconds since the request arrived."""
+        return asyncio.get_running_loop().time() - self.started
 
     def stored(self) -> dict[str, Any]:
         """Return the answer as the log keeps it."""
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/partition_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/partition_home.py
@@ -31,6 +31,7 @@
 from .keyed import KeyedRequest, key_of
 
 HOLDER_WAIT_S = 1.0
+FETCH_FOLLOW_S = 30.0
 CALL_DEADLINE_S = 2.5
 RETRY_PAUSE_S = 0.1
 # Ended requests whose entry has not read the end; answers are kept by the table.
@@ -172,7 +173,7 @@
 
     async def _wait(self, request: KeyedRequest, decision: WaitForOutcome) -> None:
         changed = self.stream.changed(request.key)
-        if request.message is not None and request.remaining_s() <= 0:
+        if self._waited_enough(request):
             text = "the request is still in progress at the holder of its claim"
             refused = refusal(ErrorCode.DEADLINE_PASSED, text, Ran.MAY_HAVE_RUN)
             request.progress.refuse(refused)
@@ -183,6 +184,12 @@
             if not request.progress.done:
                 await wait_event(changed, RETRY_PAUSE_S)
 
+    def _waited_enough(self, request: KeyedRequest) -> bool:
+        if request.message is not None:
+            return request.remaining_s() <= 0
+        # Nobody may ask for the answer any more; the next fetch starts anew.
+        return request.age_s() >= FETCH_FOLLOW_S
+
     async def _ask_holder(
         self, request: KeyedRequest, holder: NodeId, claim_id: str
     ) -> None:
--- a/testing/src/fulmarpulley_testing/caller_client.py
+++ b/testing/src/fulmarpulley_testing/caller_client.py
@@ -32,6 +32,8 @@
 
 # Errors that no retry of the same request can mend.
 FINAL_CODES = {"bad_request", "too_large", "unknown_service", "key_reused"}
+# A refused connect sends nothing.
+REFUSED_CONNECT = "lost: ClientConnectorError"
 FETCH_WAIT_S = 1.0
 # Fetches of a request that may have run, before the caller settles for that.
 UNRESOLVED_FETCHES = 6
@@ -195,6 +197,11 @@
     async def after(self, error: CallError) -> Outcome | None:
         """Record an error and decide by its `ran` whether to go on."""
         self.record_failure(error)
+        if error.code == REFUSED_CONNECT:
+            # Nothing was sent, so what is known of the request stands. Fetching here
+            # would never send it: the only live node is the one that is avoided next.
+            await self.change_node(error)
+            return None
         self.last_ran = error.ran
         if error.code in FINAL_CODES:
             return "not_run"
@@ -206,9 +213,13 @@
                 return "unresolved"
         # Only a fetch can find out what became of a request that may have run.
         self.fetch = not self.request.repeatable and error.ran != Ran.NOT_RUN
+        await self.change_node(error)
+        return None
+
+    async def change_node(self, error: CallError) -> None:
+        """Wait as long as the error says and choose another node."""
         self.node = self.client.choose(avoid=self.node)
         await asyncio.sleep(min(error.retry_after_s, 1.0))
-        return None
 
     def record_failure(self, error: CallError) -> None:
         """Record the error of an attempt."""
