--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/reports.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/reports.py
@@ -54,9 +54,7 @@
         if not parts.freshness.announce(event.model, event.version, now):
             return
         parts.weights.replan()
-        parts.timers.at(
-            parts.freshness.settled_at(event.model), lambda _: parts.reconsider()
-        )
+        parts.timers.at(parts.freshness.settled_at(event.model), lambda _: parts.wake())
         running = {attempt.item for attempt in parts.ledger.attempts.values()}
         for item in sorted(running, key=lambda item: item.sequence):
             if item.work.model == event.model and item.work.repeatable:
