End the probation of a failed upstream on the first tokens of its probes

The restarted engine was back to full slots 13 to 19 s after its restart, since two probes ran one after the other to their last token and the ramp followed. Change: the first token of a probe that started after the ejection counts as passed, and the second probe starts beside the first. An upstream that was ejected as slow still has to finish its probes.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/health.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/health.py
@@ -67,6 +67,7 @@
         record.state = HealthState.RAMPING
         record.ramp_step = 0
         record.failures = record.strikes = 0
+        record.slow = False
         record.pace_s = None
         record.epoch += 1
         self._ramp(upstream, record.epoch, now)
@@ -79,13 +80,24 @@
         if now - record.ejected_at > FORGIVE_S:
             record.ejections = 0
         if record.state is HealthState.PROBING:
-            record.probes += 1
-            if record.probes >= PROBES:
-                self.joined(upstream, now)
+            self._pass_probe(attempt, now)
         elif attempt.started > upstream.swap_until:
             # A swap pauses the streams and says nothing about the upstream.
             self._note_pace(attempt, now)
 
+    def streamed(self, attempt: Attempt, now: float) -> None:
+        """Learn from new tokens of an attempt."""
+        record = attempt.upstream.health
+        # The first token of a probe shows that a failed upstream is back; two whole
+        # answers were found to take 15 s. A slow one has to finish its probes.
+        if record.state is not HealthState.PROBING or record.slow:
+            return
+        if attempt.started >= record.probing_since and not attempt.probed:
+            # The next probe starts beside this one.
+            record.probe_slots = PROBES
+            self.refresh(attempt.upstream)
+            self._pass_probe(attempt, now)
+
     def failed(self, upstream: Upstream, now: float) -> None:
         """Learn from an attempt that broke, erred, stalled or was not sent."""
         record = upstream.health
@@ -102,6 +114,15 @@
         pause = REFUSAL_PAUSE_S if retry_after is None else retry_after
         self._pause(upstream, min(pause, MAX_REFUSAL_PAUSE_S), now)
 
+    def _pass_probe(self, attempt: Attempt, now: float) -> None:
+        record = attempt.upstream.health
+        if attempt.probed:
+            return
+        attempt.probed = True
+        record.probes += 1
+        if record.probes >= PROBES:
+            self.joined(attempt.upstream, now)
+
     def _note_pace(self, attempt: Attempt, now: float) -> None:
         record = attempt.upstream.health
         tokens = max(1, attempt.tokens - attempt.resume_from)
@@ -112,7 +133,7 @@
         slow = usual is not None and record.pace_s > SLOW_RATIO * usual
         record.strikes = record.strikes + 1 if slow else 0
         if record.strikes >= SLOW_STRIKES:
-            self._eject(attempt.upstream, now)
+            self._eject(attempt.upstream, now, slow=True)
 
     def usual_pace(self) -> float | None:
         """Return the median time per token in seconds, if enough is known."""
@@ -120,7 +141,7 @@
         paces = [u.health.pace_s for u in upstreams if u.health.pace_s is not None]
         return statistics.median(paces) if len(paces) >= MIN_PACES else None
 
-    def _eject(self, upstream: Upstream, now: float) -> None:
+    def _eject(self, upstream: Upstream, now: float, slow: bool = False) -> None:
         record = upstream.health
         if record.state is not HealthState.PROBING and not self._may_eject():
             self._pause(upstream, FAILURE_PAUSE_S, now)
@@ -128,6 +149,7 @@
         record.state = HealthState.EJECTED
         record.epoch += 1
         record.ejected_at = now
+        record.slow = record.slow or slow
         record.strikes = 0
         record.pace_s = None
         time = min(EJECT_MAX_S, EJECT_BASE_S * 2.0 ** min(record.ejections, 8))
@@ -151,6 +173,8 @@
         if record.epoch == epoch:
             record.state = HealthState.PROBING
             record.probes = 0
+            record.probing_since = now
+            record.probe_slots = 1
             record.failures = 0
             due = now + UNPROBED_S
             self._timers.at(
@@ -199,7 +223,7 @@
         case HealthState.EJECTED:
             return 0
         case HealthState.PROBING:
-            return 1
+            return min(record.probe_slots, capacity)
         case HealthState.RAMPING:
             return math.ceil(capacity * record.ramp_step / RAMP_STEPS)
         case HealthState.HEALTHY:
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/outcomes.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/outcomes.py
@@ -24,7 +24,10 @@
         """Record the tokens received so far."""
         attempt = self._parts.ledger.attempts.get(event.attempt_id)
         if attempt is not None:
+            received = attempt.tokens
             self._receive(attempt, event.tokens)
+            if attempt.tokens > received:
+                self._parts.health.streamed(attempt, now)
             self._note_version(attempt, event.version)
 
     def finished(self, event: AttemptFinished, now: float) -> None:
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
@@ -73,6 +73,7 @@
     tokens: int = 0
     last_token: float = -math.inf
     hedge: bool = False
+    probed: bool = False
 
     def silent_since(self, now: float) -> float:
         """Return since when the attempt has sent no token, swaps left out."""
@@ -100,7 +101,10 @@
     paused: bool = False
     paused_until: float = -math.inf
     ramp_step: int = 0
+    slow: bool = False
     probes: int = 0
+    probing_since: float = -math.inf
+    probe_slots: int = 1
     pace_s: float | None = None
     strikes: int = 0
 
--- a/packages/fulmarpulley-core/tests/pool/test_health.py
+++ b/packages/fulmarpulley-core/tests/pool/test_health.py
@@ -69,6 +69,51 @@
         run(driver, 6.0)
         self.assertEqual(in_flight(driver, "u1"), 8)
 
+    def test_tokens_of_probes_end_the_probation_before_their_answers(self) -> None:
+        """Guards against a restarted upstream that waits for two answers."""
+        driver = no_retries()
+        crash(driver, "u1")
+        run(driver, 3.0)
+        started = driver.submit(*[work(f"w{i}") for i in range(60)])
+        first = next(s.attempt_id for s in started if s.upstream == "u1")
+        second = starts(driver.progress(first, 1))
+        self.assertEqual([s.upstream for s in second], ["u1"])
+        driver.progress(first, 2)
+        self.assertEqual(in_flight(driver, "u1"), 2)
+        driver.progress(second[0].attempt_id, 1)
+        run(driver, 6.0)
+        self.assertEqual(in_flight(driver, "u1"), 8)
+
+    def test_tokens_of_an_older_attempt_are_no_probe(self) -> None:
+        """Guards against trust in a failed upstream because of an old connection."""
+        driver = no_retries()
+        started = driver.submit(*[work(f"w{i}") for i in range(60)])
+        old = [s.attempt_id for s in started if s.upstream == "u1"]
+        for _ in range(3):
+            driver.fail(old.pop(), m.Failure.ERRORED)
+        run(driver, 3.0)
+        self.assertEqual(ejected(driver), set())
+        for attempt in old:
+            driver.progress(attempt, 1)
+        run(driver, 6.0)
+        # Two of the failed attempts were replaced before the ejection, and a place
+        # stays empty during the probation.
+        self.assertEqual(in_flight(driver, "u1"), 7)
+
+    def test_tokens_of_a_slow_upstream_are_no_passed_probe(self) -> None:
+        """Guards against an upstream that starts answers soon and ends them late."""
+        driver = no_retries()
+        for number in range(60):
+            for start in driver.submit(work(f"w{number}")):
+                driver.now += 9.0 if start.upstream == "u1" else 0.5
+                driver.finish(start.attempt_id)
+            if ejected(driver):
+                break
+        run(driver, 3.0)
+        started = driver.submit(*[work(f"x{i}") for i in range(60)])
+        probe = next(s.attempt_id for s in started if s.upstream == "u1")
+        self.assertEqual(driver.progress(probe, 1), [])
+
     def test_failed_probe_ejects_for_longer(self) -> None:
         driver = no_retries()
         crash(driver, "u1")
