Count a passed subtest neither as passed nor as failed

The plugin took every outcome that is not passed or skipped as a failure, and nose2 reports each passed subtest with an outcome of its own.

--- a/testing/src/fulmarpulley_testing/runner_plugin.py
+++ b/testing/src/fulmarpulley_testing/runner_plugin.py
@@ -18,6 +18,8 @@
         """Sort a test by its outcome."""
         test = event.test
         name = f"{self.prefix}/{test.id()}"
+        if event.outcome == "subtest" and event.exc_info is None:
+            return  # The test itself reports its success.
         if event.outcome == "passed":
             self.suite.passed.append(name)
         elif event.outcome == "skipped":
