Give an upstream that two services name one holder

Two teams that split could both list an upstream, and the pools of both sent work to it at the same time, each counting only its own.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/config_events.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/config_events.py
@@ -16,6 +16,8 @@
     author: str
     document: Any
     record_id: RecordId = RecordId("")
+    # Address of an upstream to the accepted change that named it first.
+    since: dict[str, Revision] = {}
 
 
 class DocumentAccepted(msgspec.Struct, frozen=True):
@@ -63,6 +65,7 @@
     document: Any = None
     change_id: RecordId = RecordId("")
     services: list[str] = []
+    since: dict[str, Revision] = {}
 
     def accepted(self) -> Accepted:
         """Return the document that the snapshot states."""
@@ -72,6 +75,7 @@
             author=self.author,
             document=self.document,
             record_id=self.change_id,
+            since=self.since,
         )
 
 
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/configuration.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/configuration.py
@@ -30,6 +30,7 @@
     SnapshotBody,
 )
 from .edits import EditHistory, EditResult
+from .holders import named_since
 from .ids import Offset, RecordId, Revision, ServiceName
 
 __all__ = [
@@ -162,6 +163,7 @@
                 as_of=self.offset,
                 change_id=item.record_id,
                 services=services,
+                since=dict(item.since),
             )
             for item in self.documents()
         ]
@@ -208,6 +210,7 @@
             author=change.author,
             document=change.document,
             record_id=pending.record_id,
+            since=named_since(current, change.document, Revision(pending.offset)),
         )
         self._folded[service] = new
         return self._record(pending, new, True) + self._raised(service, before)
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/holders.py
@@ -0,0 +1,40 @@
+"""Decide which service holds an upstream that several documents name.
+
+The holder is the service that has named the address without a break since the lowest
+accepted offset. The fold carries that offset for each address, so that all readers
+agree, and nobody has to ask the other team.
+"""
+
+from collections.abc import Iterable
+from typing import Any
+
+from .config_events import Accepted
+from .ids import Revision, ServiceName
+
+
+def named_since(
+    before: Accepted | None, document: Any, revision: Revision
+) -> dict[str, Revision]:
+    """Return since which accepted change each address is named without a break."""
+    known = before.since if before is not None else {}
+    return {address: known.get(address, revision) for address in _addresses(document)}
+
+
+def holders(accepted: Iterable[Accepted]) -> dict[str, ServiceName]:
+    """Return the service that holds each named address."""
+    first: dict[str, tuple[Revision, ServiceName]] = {}
+    for item in accepted:
+        for address in _addresses(item.document):
+            claim = (item.since.get(address, item.revision), item.service)
+            first[address] = min(claim, first.get(address, claim))
+    return {address: service for address, (_, service) in first.items()}
+
+
+def _addresses(document: Any) -> list[str]:
+    # A document that this program cannot read may still name upstreams.
+    upstreams = document.get("upstreams") if isinstance(document, dict) else None
+    if not isinstance(upstreams, list):
+        return []
+    entries = (entry for entry in upstreams if isinstance(entry, dict))
+    addresses = (entry.get("address") for entry in entries)
+    return [address for address in addresses if isinstance(address, str)]
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/configuration.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/configuration.py
@@ -16,6 +16,7 @@
     RecordIgnored,
 )
 from fulmarpulley_core.edits import EditResult
+from fulmarpulley_core.holders import holders
 from fulmarpulley_core.ids import NodeId, Offset, RecordId, Revision, ServiceName
 from fulmarpulley_schema.generated.document import ServiceDocument
 from fulmarpulley_schema.generated.peer import (
@@ -61,6 +62,7 @@
         self.fold = ConfigFold()
         self.in_force: dict[ServiceName, InForce] = {}
         self.problems: dict[ServiceName, str] = {}
+        self.holders: dict[str, ServiceName] = {}
         self.listeners: list[Callable[[ServiceName], None]] = []
         self.caught_up = False
         self.snapshot_read = 0.0
@@ -87,6 +89,15 @@
         state = self.in_force.get(ServiceName(service))
         return state.document if state is not None else None
 
+    def held(self, document: ServiceDocument) -> ServiceDocument:
+        """Return the document with the upstreams that its service holds."""
+        mine = [
+            entry
+            for entry in document.upstreams
+            if self.holders.get(entry.address, document.name) == document.name
+        ]
+        return msgspec.structs.replace(document, upstreams=mine)
+
     def documents(self) -> list[ServiceDocument]:
         """List the documents in force on this node."""
         return [state.document for state in self.in_force.values()]
@@ -131,7 +142,10 @@
     def _take_events(self, events: list[ConfigEvent]) -> None:
         for event in events:
             if isinstance(event, DocumentAccepted):
+                self.holders = holders(self._known())
                 self._put_in_force(event.accepted)
+                for listener in self.listeners:
+                    listener(event.accepted.service)
             elif isinstance(event, EditDecided):
                 log_event(
                     "edit_decided",
@@ -161,8 +175,6 @@
         self.problems.pop(service, None)
         self.in_force[service] = InForce(accepted.revision, read.ok_value)
         log_event("document_in_force", service=service, revision=accepted.revision)
-        for listener in self.listeners:
-            listener(service)
 
     async def _pull(self) -> None:
         while True:
@@ -225,6 +237,7 @@
         author=item.author,
         record_id=item.record_id,
         document=item.document,
+        since=dict(item.since),
     )
 
 
@@ -235,4 +248,5 @@
         author=item.author,
         document=item.document,
         record_id=RecordId(item.record_id),
+        since={key: Revision(value) for key, value in item.since.items()},
     )
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
@@ -55,6 +55,9 @@
     metrics: Metrics
     settings: PoolSettings
 
+    def held(self, document: ServiceDocument) -> ServiceDocument:
+        """Return the document with the upstreams that its service holds."""
+
     def upstream_leaving(self, upstream: str) -> bool:
         """Tell whether the instance list says that an upstream leaves."""
 
@@ -71,7 +74,7 @@
         self.node = node
         self.service = document.name
         self.shard = shard
-        self.document = shard_document(document, shard)
+        self.document = node.held(shard_document(document, shard))
         self.pool = Pool(self.document, own_settings(node.settings), seed)
         self.works = WorkTable()
         self.inbox: asyncio.Queue[Event | Leave] = asyncio.Queue()
@@ -141,7 +144,7 @@
 
     def change_document(self, document: ServiceDocument) -> None:
         """Put a new document in force."""
-        self.document = shard_document(document, self.shard)
+        self.document = self.node.held(shard_document(document, self.shard))
         self.watches.update(self.document)
         self.inbox.put_nowait(DocumentChanged(self.document))
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pools.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pools.py
@@ -98,6 +98,10 @@
         """Tell whether no work is in progress."""
         return all(home.idle for home in self.homes.values())
 
+    def held(self, document: ServiceDocument) -> ServiceDocument:
+        """Return the document with the upstreams that its service holds."""
+        return self.configuration.held(document)
+
     def upstream_leaving(self, upstream: str) -> bool:
         """Tell whether the instance list says that an upstream leaves."""
         return upstream in self.members.leaving_upstreams
@@ -156,11 +160,10 @@
         return home
 
     def _document_changed(self, service: str) -> None:
-        document = self.configuration.document(service)
-        if document is None:
-            return
+        # An edit of one service can move an upstream to or from any other.
         for (name, _shard), home in self.homes.items():
-            if name == service:
+            document = self.configuration.document(name)
+            if document is not None:
                 home.change_document(document)
         self._reconcile()
 
--- /dev/null
+++ b/testing/tests/test_shared_upstreams.py
@@ -0,0 +1,57 @@
+"""Guard against an upstream that two services use at the same time."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+from cluster_case import ClusterCase
+from msgspec.structs import replace
+
+from fulmarpulley_schema import codec
+from fulmarpulley_schema.generated.document import ServiceDocument
+from fulmarpulley_schema.generated.http import DocumentEdit
+from fulmarpulley_testing.layout import ClusterSettings, Member
+from fulmarpulley_testing.node_system import Reply, http
+
+TEAMS = ("north-desk", "south-desk")
+
+
+class SharedUpstreamTest(ClusterCase):
+    settings = ClusterSettings(seed=41)
+
+    def document(self, name: str) -> ServiceDocument:
+        desk = self.cluster.layout.desk_document()
+        return replace(desk, name=name, upstreams=desk.upstreams[1:])
+
+    def publish(self, name: str) -> int:
+        edit = DocumentEdit(
+            record_id=f"first-{name}",
+            base_revision=0,
+            author=name,
+            document=codec.to_builtins(self.document(name)),
+        )
+        return self.cluster.send_edit(edit, name)
+
+    def request(self, node: Member, service: str) -> Reply:
+        url = f"{node.address()}/v1/services/{service}/requests"
+        return http(url, "POST", {"input": service, "repeatable": False})
+
+    def served_by(self, service: str) -> bool:
+        nodes = self.cluster.layout.nodes
+        return all(self.request(node, service).status == 200 for node in nodes)
+
+    def test_upstream_that_two_teams_claim_serves_the_first_until_dropped(self) -> None:
+        desk = self.cluster.layout.desk_document()
+        self.cluster.apply(replace(desk, upstreams=desk.upstreams[:1]))
+        with ThreadPoolExecutor(2) as pool:
+            revisions = dict(zip(TEAMS, pool.map(self.publish, TEAMS), strict=True))
+        for name, revision in revisions.items():
+            self.cluster.wait_in_force(name, revision)
+        first, second = sorted(TEAMS, key=lambda name: revisions[name])
+        for node in self.cluster.layout.nodes:
+            self.assertEqual(self.request(node, first).status, 200)
+            refused = self.request(node, second)
+            self.assertEqual(refused.body["code"], "no_upstream")
+            self.assertEqual(refused.body["ran"], "not_run")
+        self.cluster.apply(replace(self.document(first), upstreams=[]))
+        self.cluster.wait_until(lambda: self.served_by(second), f"answers of {second}")
+        refused = self.request(self.cluster.layout.nodes[0], first)
+        self.assertEqual(refused.body["code"], "no_upstream")
