Say may_have_run for a key whose claims were never read

During a log outage a new partition home refused a repeated key as not_run although the home before it may have run the request: it had not read a single claim. Such a refusal now says may_have_run until the stream was read once. Measured: the second test of test_claim_runner fails without the change; both pass with it, and the six tests of test_log_failures pass.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/claim_runner.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/claim_runner.py
@@ -60,7 +60,8 @@
         if isinstance(done, Err) and done.err_value in _NOT_APPENDED:
             self.table.cancel_append(entry.claim_id)
             text = f"the log takes no claims ({done.err_value.value})"
-            request.progress.refuse(refusal(ErrorCode.LOG_UNAVAILABLE, text))
+            code, ran = ErrorCode.LOG_UNAVAILABLE, self._ran_without_claim()
+            request.progress.refuse(refusal(code, text, ran))
             return
         await self._await_claim(request)
 
@@ -104,7 +105,16 @@
         elif request.remaining_s() <= 0:
             code = ErrorCode.DEADLINE_PASSED
         text = "the claim was not read back from the log in time"
-        request.progress.refuse(refusal(code, text, ended.ran))
+        ran = ended.ran
+        if ran is Ran.NOT_RUN:
+            ran = self._ran_without_claim()
+        request.progress.refuse(refusal(code, text, ran))
+
+    def _ran_without_claim(self) -> Ran:
+        # Until the stream was read to its end, a claim of an earlier home for the
+        # same key may stand there, under which the request ran.
+        read = self.stream.caught_up.is_set()
+        return Ran.NOT_RUN if read else Ran.MAY_HAVE_RUN
 
     async def _deliver(self, request: KeyedRequest) -> None:
         message = request.message
