Serve desk classes of one priority in order of arrival within a burst

Change: classes of one priority go in order of arrival until one leads another by more than 8,192 tokens per share in a busy period; beyond that the shares decide as before. Bands of samples are unchanged.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/fair_queue.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/fair_queue.py
@@ -20,6 +20,10 @@
 # A tenant that could not be served catches up by at most this many tokens, so
 # that its return does not shut out the others.
 MAX_CATCH_UP_TOKENS = 65536
+# Desk classes of one priority are served in order of arrival as long as none leads
+# another by more than this many tokens per share in a busy period. Without it, the
+# class that sends more by chance waited four times as long while an engine was down.
+DESK_BURST_TOKENS = 8192
 
 Order = tuple[int, int, int]
 
@@ -84,8 +88,13 @@
         self.band = band
         self.share = share
         self.tag = 0.0
+        self.busy_period = 0
         self.lanes: dict[LaneKey, Lane] = {}
 
+    def head_order(self) -> Order:
+        """Return the order of the first item of all lanes."""
+        return min(lane.head_order() for lane in self.lanes.values())
+
     def ordered_lanes(self) -> list[Lane]:
         """Return the lanes by their first items."""
         if len(self.lanes) == 1:
@@ -100,9 +109,35 @@
         self.rank = rank
         self.credit = 0.0
         self.virtual_time = 0.0
+        self.burst = DESK_BURST_TOKENS if rank >= DESK_BAND else 0
+        self.busy_period = 0
         self.flows: dict[TenantId, Flow] = {}
         self.active: dict[TenantId, Flow] = {}
 
+    def activate(self, tenant: TenantId, flow: Flow) -> None:
+        """Let a tenant that has work again take part."""
+        tag = self.virtual_time
+        if self.burst and flow.busy_period == self.busy_period:
+            tag -= self.burst / flow.share
+        flow.tag = max(flow.tag, tag)
+        flow.busy_period = self.busy_period
+        self.active[tenant] = flow
+
+    def end_busy_period(self) -> None:
+        """Forget leads and credit, since no work of the band waits."""
+        self.credit = 0.0
+        self.busy_period += 1
+
+    def ordered_flows(self) -> list[Flow]:
+        """Return the tenants with work in the order in which they are served."""
+        flows = sorted(self.active.values(), key=lambda flow: flow.tag)
+        if not self.burst or len(flows) < 2:
+            return flows
+        least = flows[0].tag
+        near = [f for f in flows if (f.tag - least) * f.share <= self.burst]
+        near.sort(key=Flow.head_order)
+        return near + flows[len(near) :]
+
 
 class FairQueue:
     """Serve bands by rank, tenants by tokens per share, and items by step."""
@@ -148,7 +183,7 @@
         """Yield the lanes in the order in which their first items are due."""
         for band in self._due_bands():
             oldest = band.virtual_time
-            for flow in sorted(band.active.values(), key=lambda flow: flow.tag):
+            for flow in band.ordered_flows():
                 flow.tag = max(flow.tag, oldest - MAX_CATCH_UP_TOKENS / flow.share)
                 yield from flow.ordered_lanes()
 
@@ -203,8 +238,7 @@
             flow = Flow(band, self._shares.get(work.tenant, 1.0))
             band.flows[work.tenant] = flow
         if work.tenant not in band.active:
-            flow.tag = max(flow.tag, band.virtual_time)
-            band.active[work.tenant] = flow
+            band.activate(work.tenant, flow)
         return flow
 
     def _drop(self, item: Item, lane: Lane) -> None:
@@ -219,7 +253,7 @@
         if not flow.lanes:
             del flow.band.active[item.work.tenant]
             if not flow.band.active:
-                flow.band.credit = 0.0
+                flow.band.end_busy_period()
 
     def _count(self, item: Item, sign: int) -> None:
         self.waiting += sign
--- a/packages/fulmarpulley-core/tests/pool/test_fair_queue.py
+++ b/packages/fulmarpulley-core/tests/pool/test_fair_queue.py
@@ -71,6 +71,43 @@
         queue = filled(works, classes=classes)
         self.assertEqual([w.work_id for w in served(queue, 2)], ["h", "l"])
 
+    def test_classes_go_in_order_of_arrival_within_the_burst(self) -> None:
+        """Guards against a class that waits longer because it sent more by chance."""
+        tenants = "aab" * 10
+        works = [work(f"{n}", tenant=t, max_tokens=99) for n, t in enumerate(tenants)]
+        turns = [each.work_id for each in served(filled(works), 30)]
+        self.assertEqual(turns, [str(number) for number in range(30)])
+
+    def test_class_beyond_the_burst_waits_for_the_others(self) -> None:
+        """Guards against a class that fills the queue and shuts out another."""
+        works = [work(f"a{i}", tenant="a", max_tokens=999) for i in range(40)]
+        works += [work(f"b{i}", tenant="b", max_tokens=999) for i in range(40)]
+        turns = [each.tenant for each in served(filled(works), 40)]
+        # 8,192 tokens and the item that exceeds them precede.
+        self.assertEqual(turns.index("b"), 9)
+        self.assertAlmostEqual(turns[9:].count("a"), 15, delta=1)
+
+    def test_class_that_returns_to_a_full_queue_goes_first(self) -> None:
+        """Guards against a small class that waits for each item behind a large one."""
+        works = [work(f"a{i}", tenant="a", max_tokens=999) for i in range(60)]
+        queue = filled([work("b", tenant="b"), *works])
+        served(queue, 20)
+        for number in range(100, 103):
+            each = work(f"b{number}", tenant="b")
+            queue.push(Item(work=each, sequence=number, submitted=0.0), 10)
+            self.assertEqual(served(queue, 1)[0].tenant, "b")
+            served(queue, 1)
+
+    def test_class_keeps_no_lead_after_the_queue_was_empty(self) -> None:
+        """Guards against a class that pays for what it used on an idle pool."""
+        queue = filled([work(f"a{i}", tenant="a", max_tokens=999) for i in range(20)])
+        served(queue, 20)
+        for number, tenant in enumerate("abab", start=100):
+            each = work(f"{tenant}{number}", tenant=tenant)
+            queue.push(Item(work=each, sequence=number, submitted=0.0), 10)
+        turns = [each.tenant for each in served(queue, 4)]
+        self.assertEqual(turns, ["a", "b", "a", "b"])
+
     def test_last_groups_of_a_step_precede_the_next_step(self) -> None:
         works = [sample("n", step=2, group=0), sample("l", step=1, group=9)]
         works += [sample("r", step=1, group=3)]
