--- a/packages/fulmarpulley-cli/src/fulmarpulley_cli/edits.py
+++ b/packages/fulmarpulley-cli/src/fulmarpulley_cli/edits.py
@@ -18,7 +18,7 @@
     SystemStatus,
 )
 
-from .client import Client, NodeError, settings_from
+from .client import Client, ClientSettings, NodeError, settings_from
 from .documents import current_state, read_or_fail
 from .exits import CommandError, ExitCode
 from .output import print_json, print_line
@@ -37,6 +37,15 @@
     lagging: list[str]
 
 
+class StateChange(msgspec.Struct, frozen=True):
+    """Name the new state of one upstream and who asks for it."""
+
+    service: str
+    upstream: str
+    state: AttachState
+    author: str
+
+
 @command
 async def apply(
     path: Path,
@@ -90,10 +99,8 @@
     :param timeout_s: seconds to try to publish
     :param json: print JSON
     """
-    async with Client(settings_from(nodes, timeout_s)) as client:
-        edit = await _state_edit(client, service, upstream, AttachState.DRAINING)
-        edit.author = author or edit.author
-        report = await _publish(client, service, edit, wait_s)
+    change = StateChange(service, upstream, AttachState.DRAINING, author)
+    report = await _set_state(change, settings_from(nodes, timeout_s), wait_s)
     return _finish(report, json)
 
 
@@ -118,10 +125,8 @@
     :param timeout_s: seconds to try to publish
     :param json: print JSON
     """
-    async with Client(settings_from(nodes, timeout_s)) as client:
-        edit = await _state_edit(client, service, upstream, AttachState.ATTACHED)
-        edit.author = author or edit.author
-        report = await _publish(client, service, edit, wait_s)
+    change = StateChange(service, upstream, AttachState.ATTACHED, author)
+    report = await _set_state(change, settings_from(nodes, timeout_s), wait_s)
     return _finish(report, json)
 
 
@@ -139,16 +144,22 @@
     return 0 if state is None else state.revision
 
 
-async def _state_edit(
-    client: Client, service: str, upstream: str, state: AttachState
-) -> DocumentEdit:
-    current = await client.get(f"/v1/documents/{service}", DocumentState)
+async def _set_state(
+    change: StateChange, settings: ClientSettings, wait_s: float
+) -> EditReport:
+    async with Client(settings) as client:
+        edit = await _state_edit(client, change)
+        return await _publish(client, change.service, edit, wait_s)
+
+
+async def _state_edit(client: Client, change: StateChange) -> DocumentEdit:
+    current = await client.get(f"/v1/documents/{change.service}", DocumentState)
     for entry in current.document["upstreams"]:
-        if entry["id"] == upstream:
-            entry["state"] = state.value
-            return _edit(current.revision, "", current.document)
+        if entry["id"] == change.upstream:
+            entry["state"] = change.state.value
+            return _edit(current.revision, change.author, current.document)
     known = ", ".join(entry["id"] for entry in current.document["upstreams"])
-    message = f"{service} has no upstream {upstream!r}; it has: {known}"
+    message = f"{change.service} has no upstream {change.upstream!r}; it has: {known}"
     raise CommandError(ExitCode.USAGE, message)
 
 
