--- a/packages/fulmarpulley-core/src/fulmarpulley_core/choices.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/choices.py
@@ -5,6 +5,7 @@
 import xxhash
 
 T = TypeVar("T")
+_RANGE = 1 << 64
 
 
 class Choices:
@@ -16,9 +17,11 @@
 
     def below(self, bound: int) -> int:
         """Return a number from 0 to bound - 1."""
-        self._count += 1
-        data = self._count.to_bytes(8, "little")
-        return xxhash.xxh64_intdigest(data, self.seed & (1 << 64) - 1) % bound
+        return self._next() % bound
+
+    def between(self, low: float, high: float) -> float:
+        """Return a number from low to high."""
+        return low + (high - low) * self._next() / _RANGE
 
     def shuffle(self, items: list[T]) -> None:
         """Shuffle a list in place."""
@@ -35,3 +38,8 @@
             pool[place], pool[-1] = pool[-1], pool[place]
             chosen.append(pool.pop())
         return chosen
+
+    def _next(self) -> int:
+        self._count += 1
+        data = self._count.to_bytes(8, "little")
+        return xxhash.xxh64_intdigest(data, self.seed % _RANGE)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/health.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/health.py
@@ -4,7 +4,7 @@
 import statistics
 from collections.abc import Callable
 
-from .jitter import Jitter
+from ..choices import Choices
 from .ledger import Ledger
 from .messages import Availability
 from .state import Attempt, HealthState, Upstream
@@ -44,7 +44,7 @@
     """Decide how many attempts each upstream may run."""
 
     def __init__(
-        self, ledger: Ledger, timers: Timers, jitter: Jitter, wake: Callable[[], None]
+        self, ledger: Ledger, timers: Timers, jitter: Choices, wake: Callable[[], None]
     ) -> None:
         self._ledger = ledger
         self._timers = timers
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
@@ -2,10 +2,10 @@
 
 from fulmarpulley_schema.generated.document import ServiceDocument
 
+from ..choices import Choices
 from .fair_queue import FairQueue
 from .freshness import Freshness
 from .health import Health
-from .jitter import Jitter
 from .ledger import Ledger
 from .limits import Admission
 from .load import note_attempts
@@ -30,7 +30,7 @@
         self.epoch = 0
         self.gained: set[Upstream] = set()
         self.timers = Timers()
-        self.jitter = Jitter(seed)
+        self.jitter = Choices(seed)
         self.ledger = Ledger(document, settings, self._released)
         self.queue = FairQueue(document)
         self.lengths = Lengths()
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/weights.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/weights.py
@@ -6,9 +6,9 @@
 
 from fulmarpulley_schema.generated.document import ServiceDocument
 
+from ..choices import Choices
 from ..ids import ModelName, OrderId, Region, UpstreamId, Version
 from .freshness import Freshness
-from .jitter import Jitter
 from .ledger import Ledger
 from .messages import Availability, Order, OrderFinished
 from .state import HealthState, Upstream
@@ -53,7 +53,7 @@
         ledger: Ledger,
         freshness: Freshness,
         timers: Timers,
-        jitter: Jitter,
+        jitter: Choices,
         wake: Callable[[], None],
     ) -> None:
         self.document = document
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/attempts.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/attempts.py
@@ -25,11 +25,8 @@
 class AttemptRunner:
     """Own the attempts in flight."""
 
-    def __init__(
-        self, post: Callable[[Event], None], metrics: Metrics, run_id: str
-    ) -> None:
+    def __init__(self, post: Callable[[Event], None], metrics: Metrics) -> None:
         self.post = post
-        self.run_id = run_id
         self.metrics = metrics
         self.buffers: dict[AttemptId, AttemptBuffer] = {}
         self.tasks = TaskGroup()
@@ -52,17 +49,14 @@
         buffer.task.cancel()
         self._count(buffer, "cancelled")
         if dialect is not None:
-            self.tasks.spawn(dialect.cancel(self._request_id(attempt_id)))
-
-    def _request_id(self, attempt_id: AttemptId) -> str:
-        return f"{attempt_id}@{self.run_id}"
+            self.tasks.spawn(dialect.cancel(attempt_id))
 
     async def _run(
         self, buffer: AttemptBuffer, dialect: UpstreamDialect, stall_s: float
     ) -> None:
         submit = buffer.work.submit
         attempt = Attempt(
-            request_id=self._request_id(buffer.attempt_id),
+            request_id=buffer.attempt_id,
             key=submit.work_id,
             model=submit.model,
             prompt=submit.prompt,
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
@@ -78,16 +78,12 @@
         self.pool = Pool(self.document, own_settings(node.settings), seed)
         self.works = WorkTable()
         self.inbox: asyncio.Queue[Event | Leave] = asyncio.Queue()
-        # Upstreams must not take a request or order of this home for one that an
-        # earlier home gave under the same number.
-        self.run_id = uuid.uuid4().hex[:8]
-        self.attempts = AttemptRunner(self.inbox.put_nowait, node.metrics, self.run_id)
+        self.attempts = AttemptRunner(self.inbox.put_nowait, node.metrics)
         self.watches = Watches(
             self.inbox.put_nowait,
             node.upstream_leaving,
             self._in_use,
             node.metrics,
-            self.run_id,
         )
         self.tasks = TaskGroup()
         self.leaving = False
@@ -301,7 +297,7 @@
 
 
 def own_settings(settings: PoolSettings) -> PoolSettings:
-    """Return settings under which no other home makes the same request ids."""
-    # Two homes of one pool can run at a time. An upstream that knows both by the
-    # same request id would cancel the request of the other.
+    """Return settings under which no other home makes the same ids."""
+    # Two homes of one pool can run at a time, and one follows another. An upstream
+    # must not take a request, cancellation or order of one for that of the other.
     return msgspec.structs.replace(settings, id_prefix=f"{uuid.uuid4().hex[:8]}-")
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/upstream_watch.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/upstream_watch.py
@@ -43,14 +43,12 @@
         post: Callable[[Event], None],
         is_leaving: Callable[[str], bool],
         metrics: Metrics,
-        run_id: str,
     ) -> None:
         self.entry = entry
         self.upstream = UpstreamId(entry.id)
         self.post = post
         self.is_leaving = is_leaving
         self.metrics = metrics
-        self.run_id = run_id
         self.dialect = upstream_dialects.get(entry.dialect)(entry)
         self.versions: dict[str, int] = {}
         self.draining = False
@@ -98,7 +96,7 @@
             self._order_ended(order, False, "no fencing number without the log")
             return None
         request = OrderRequest(
-            order_id=f"{order.order_id}@{self.run_id}",
+            order_id=order.order_id,
             action=OrderAction.LOAD,
             model=order.model,
             version=order.version,
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/watches.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/watches.py
@@ -23,13 +23,11 @@
         is_leaving: Callable[[str], bool],
         in_use: Callable[[UpstreamId], bool],
         metrics: Metrics,
-        run_id: str,
     ) -> None:
         self.post = post
         self.is_leaving = is_leaving
         self.in_use = in_use
         self.metrics = metrics
-        self.run_id = run_id
         self.watches: dict[UpstreamId, UpstreamWatch] = {}
         self.polls: dict[UpstreamId, list[asyncio.Task[None]]] = {}
         # Watches without a poll, kept while attempts use their connections.
@@ -94,9 +92,7 @@
             await watch.close()
 
     def _watch(self, upstream: UpstreamId, entry: UpstreamEntry) -> None:
-        watch = UpstreamWatch(
-            entry, self.post, self.is_leaving, self.metrics, self.run_id
-        )
+        watch = UpstreamWatch(entry, self.post, self.is_leaving, self.metrics)
         self.watches[upstream] = watch
         self.polls[upstream] = [
             self.tasks.spawn(watch.poll()),
