Queue the work of a probe that was not sent again without a back-off

Cause: the oldest work in the queue probes an ejected upstream. When the probe was not sent, that work waited for a back-off and the retry budget, although the upstream is ejected again and the others are healthy. Change: such work is queued again at once, in its old place. The changed use of the jitter moves the times of all later probes.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/outcomes.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/outcomes.py
@@ -6,7 +6,7 @@
 from .load import note_tokens
 from .messages import AttemptFailed, AttemptFinished, AttemptProgress, Failure
 from .parts import Parts
-from .state import Attempt
+from .state import Attempt, HealthState
 
 
 class Outcomes:
@@ -81,6 +81,12 @@
             item.note_run(Ran.RAN if errored else Ran.MAY_HAVE_RUN)
         if item.attempts:
             return
+        probing = attempt.upstream.health.state is HealthState.PROBING
+        if failure is Failure.NOT_SENT and probing:
+            # The upstream is ejected again, so that a back-off would only delay the
+            # item, which is among those that have waited longest.
+            self._parts.enqueue(item)
+            return
         spent = item.failures >= self._parts.document.retries.attempts
         if ran and (spent or not item.work.repeatable):
             broken = failure is Failure.BROKEN
--- a/packages/fulmarpulley-core/tests/pool/test_health.py
+++ b/packages/fulmarpulley-core/tests/pool/test_health.py
@@ -125,6 +125,19 @@
         run(driver, 3.0)
         self.assertEqual(ejected(driver), set())
 
+    def test_work_of_a_probe_that_was_not_sent_is_next_without_a_back_off(self) -> None:
+        """Guards against the oldest work losing its turn to each failed probe."""
+        driver = no_retries()
+        crash(driver, "u1")
+        run(driver, 3.0)
+        started = driver.submit(*[work(f"w{i}") for i in range(60)])
+        probe = next(s for s in started if s.upstream == "u1")
+        self.assertEqual(driver.fail(probe.attempt_id, m.Failure.NOT_SENT), [])
+        self.assertEqual(ejected(driver), {"u1"})
+        other = next(s for s in started if s.upstream == "u2")
+        following = starts(driver.finish(other.attempt_id))
+        self.assertEqual([s.work_id for s in following], [probe.work_id])
+
     def test_slow_upstream_is_ejected_after_repeated_slow_answers(self) -> None:
         driver = no_retries()
         for number in range(60):
