Give each service of the tests upstreams of its own, and report foreign ones

test_loss_path and test_shutdown_path let a desk and a training service name the same engines. Since one service holds an upstream, the second one had none and its steps waited for ever; the tests assumed what the design rules out. They now run one or two engines for each service, with the same assertions. status names the holder of an upstream that a document names in vain, so that an operator sees why a service has no upstream.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/configuration.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/configuration.py
@@ -89,6 +89,19 @@
         state = self.in_force.get(ServiceName(service))
         return state.document if state is not None else None
 
+    def problem(self, service: ServiceName) -> str:
+        """Tell what keeps the accepted document from being in force as a whole."""
+        unreadable = self.problems.get(service, "")
+        state = self.in_force.get(service)
+        if unreadable or state is None:
+            return unreadable
+        foreign = [
+            f"upstream {entry.id} is held by {self.holders[entry.address]}"
+            for entry in state.document.upstreams
+            if self.holders.get(entry.address, service) != service
+        ]
+        return "; ".join(foreign)
+
     def held(self, document: ServiceDocument) -> ServiceDocument:
         """Return the document with the upstreams that its service holds."""
         mine = [
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/status.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/status.py
@@ -76,7 +76,7 @@
             service=service,
             accepted=accepted.revision if accepted else 0,
             in_force=in_force.revision if in_force else 0,
-            problem=self.configuration.problems.get(service, ""),
+            problem=self.configuration.problem(service),
         )
 
     def _pool(self, service: str, shard: int, view: PoolView) -> PoolStatus:
--- a/testing/tests/test_loss_path.py
+++ b/testing/tests/test_loss_path.py
@@ -43,15 +43,17 @@
             NodeSystem(self.folder, membership=membership, partitions=2)
         )
         self.system.platform()
-        for name in ("engine-0", "engine-1"):
+        names = [f"engine-{number}" for number in range(4)]
+        for name in names:
             self.system.engine(name, "--tokens-per-s", "40", "--version", "1")
         self.nodes = self.system.nodes(3)
-        upstreams = [self.system.upstream(n) for n in ("engine-0", "engine-1")]
-        common = {"model": "model", "upstreams": upstreams, "stall_s": 2.0}
-        self.publish({"name": DESK, "kind": "desk"} | common)
-        trainers = [{"id": "t"}]
-        training = {"name": TRAINING, "kind": "training", "trainers": trainers}
-        self.publish(training | common)
+        # Each service has engines of its own, since one service holds an upstream.
+        upstreams = [self.system.upstream(name) for name in names]
+        common = {"model": "model", "stall_s": 2.0}
+        desk = {"name": DESK, "kind": "desk", "upstreams": upstreams[:2]}
+        self.publish(desk | common)
+        training = {"name": TRAINING, "kind": "training", "upstreams": upstreams[2:]}
+        self.publish(training | common | {"trainers": [{"id": "t"}]})
 
     def publish(self, document: dict[str, Any]) -> None:
         reply = self.system.publish(self.nodes[0], document)
--- a/testing/tests/test_shared_upstreams.py
+++ b/testing/tests/test_shared_upstreams.py
@@ -34,6 +34,11 @@
         url = f"{node.address()}/v1/services/{service}/requests"
         return http(url, "POST", {"input": service, "repeatable": False})
 
+    def problem(self, service: str) -> str:
+        status = http(f"{self.cluster.layout.nodes[0].address()}/v1/status").body
+        revisions = status["nodes"][0]["revisions"]
+        return next(one["problem"] for one in revisions if one["service"] == service)
+
     def served_by(self, service: str) -> bool:
         nodes = self.cluster.layout.nodes
         return all(self.request(node, service).status == 200 for node in nodes)
@@ -51,6 +56,7 @@
             refused = self.request(node, second)
             self.assertEqual(refused.body["code"], "no_upstream")
             self.assertEqual(refused.body["ran"], "not_run")
+        self.assertIn(f"is held by {first}", self.problem(second))
         self.cluster.apply(replace(self.document(first), upstreams=[]))
         self.cluster.wait_until(lambda: self.served_by(second), f"answers of {second}")
         refused = self.request(self.cluster.layout.nodes[0], first)
--- a/testing/tests/test_shutdown_path.py
+++ b/testing/tests/test_shutdown_path.py
@@ -28,14 +28,16 @@
             NodeSystem(folder, membership=membership, partitions=2)
         )
         self.system.platform()
-        self.system.engine("engine-0", "--tokens-per-s", "40", "--version", "1")
+        names = ["engine-0", "engine-1"]
+        for name in names:
+            self.system.engine(name, "--tokens-per-s", "40", "--version", "1")
         self.nodes = self.system.nodes(2)
-        upstreams = [self.system.upstream("engine-0", capacity=4)]
-        common = {"model": "model", "upstreams": upstreams}
-        self.publish({"name": DESK, "kind": "desk"} | common)
-        trainers = [{"id": "t"}]
-        training = {"name": TRAINING, "kind": "training", "trainers": trainers}
-        self.publish(training | common)
+        # Each service has an engine of its own, since one service holds an upstream.
+        upstreams = [self.system.upstream(name, capacity=4) for name in names]
+        desk = {"name": DESK, "kind": "desk", "upstreams": upstreams[:1]}
+        self.publish(desk | {"model": "model"})
+        training = {"name": TRAINING, "kind": "training", "upstreams": upstreams[1:]}
+        self.publish(training | {"model": "model", "trainers": [{"id": "t"}]})
 
     def publish(self, document: dict[str, Any]) -> None:
         reply = self.system.publish(self.nodes[0], document)
