--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/pool_driver.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/pool_driver.py
@@ -25,7 +25,7 @@
         document: ServiceDocument,
         settings: PoolSettings,
         seed: int,
-        handlers: dict[type, Callable[[Any], None]],
+        handlers: dict[type, Callable[[Any], object]],
     ) -> None:
         self.pool = Pool(document, settings, seed)
         self.handlers = handlers
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
@@ -208,7 +208,7 @@
         if document is None:
             return None
         settings = PoolSettings(id_prefix=f"{self.settings.node_id}.")
-        handlers: dict[type, Callable[[Any], None]] = {
+        handlers: dict[type, Callable[[Any], object]] = {
             StartAttempt: self._start_attempt,
             CancelAttempt: self._cancel_attempt,
             Order: lambda action: self.tasks.spawn(self._order(name, action)),
