Permit orders by intents on the log instead of a pause after each takeover

Ruled out: a shorter pause (a paused owner could still order within the lease). Change: an owner announces each order on the log and reads the log back before it gives it; a new owner waits only as long as the last announced order demands.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_fold.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_fold.py
@@ -14,12 +14,14 @@
     ItemResult,
     ItemResults,
     ItemSpec,
+    OrderIntent,
     OwnerFence,
     StepAccepted,
     StepEnded,
 )
 
 from ..ids import ItemId, StepId
+from .order_history import OrderHistory
 from .step_records import StepRecord
 
 
@@ -64,19 +66,18 @@
 
     def __init__(self) -> None:
         self.steps: dict[StepId, Step] = {}
-        self.fence_offset: int | None = None
+        self.orders = OrderHistory()
         self._handlers: dict[type, Callable[..., None]] = {
+            OwnerFence: self.orders.take_over,
+            OrderIntent: self.orders.intend,
             StepAccepted: self._accept,
             ItemResults: self._list,
             ItemProgress: self._save,
             StepEnded: self._end,
         }
 
-    def apply(self, record: StepRecord, offset: int) -> None:
+    def apply(self, record: StepRecord) -> None:
         """Apply the next record."""
-        if isinstance(record, OwnerFence):
-            self.fence_offset = offset
-            return
         self._handlers[type(record)](record)
 
     def expire(self, now_ms: int, retention_s: float) -> None:
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_records.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_records.py
@@ -12,12 +12,15 @@
 from fulmarpulley_schema.generated.steps import (
     ItemProgress,
     ItemResults,
+    OrderIntent,
     OwnerFence,
     StepAccepted,
     StepEnded,
 )
 
-StepRecord = StepAccepted | ItemResults | ItemProgress | StepEnded | OwnerFence
+StepRecord = (
+    StepAccepted | ItemResults | ItemProgress | StepEnded | OwnerFence | OrderIntent
+)
 
 
 class RecordKind(IntEnum):
@@ -28,6 +31,7 @@
     ITEM_PROGRESS = 3
     STEP_ENDED = 4
     OWNER_FENCE = 5
+    ORDER_INTENT = 6
     PART = 16
     LAST_PART = 17
 
@@ -38,6 +42,7 @@
     RecordKind.ITEM_PROGRESS: ItemProgress,
     RecordKind.STEP_ENDED: StepEnded,
     RecordKind.OWNER_FENCE: OwnerFence,
+    RecordKind.ORDER_INTENT: OrderIntent,
 }
 _KIND_OF = {kind: number for number, kind in KINDS.items()}
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
@@ -1,7 +1,6 @@
 """Serve the platform's callers, trainers and balancer."""
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -17,6 +16,7 @@
 from fulmarpulley_schema.generated.steps import ItemResult, ItemSpec, StepAccepted
 
 from ..observe.events import log_event
+from ..rollout.clock import unix_ms
 from ..rollout.directory import Directory
 from ..rollout.forwarder import Forwarder, Refusal
 from ..rollout.interfaces import CallerRequest
@@ -241,7 +241,7 @@
         step_id=step_id,
         host=host.partition(":")[0],
         path=path,
-        submitted_ms=int(time.time() * 1000),
+        submitted_ms=unix_ms(),
         number=submission.number,
         model=submission.model or _model(submission),
         min_version=submission.min_version,
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
@@ -14,7 +14,13 @@
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 from fulmarpulley_schema.generated.steps import ItemSpec
 
-from ..rollout.interfaces import CallEnd, CallerRequest, EventSink, UpstreamAnswer
+from ..rollout.interfaces import (
+    CallEnd,
+    CallerRequest,
+    EventSink,
+    LoadOrder,
+    UpstreamAnswer,
+)
 from .connections import new_session
 from .events import EventParser
 from .headers import forwarded
@@ -105,35 +111,34 @@
             return Err(_call_end(fault))
 
     async def load_version(
-        self, upstream: ListedUpstream, model: str, version: int, fence: int
+        self, upstream: ListedUpstream, order: LoadOrder
     ) -> Result[None, str]:
         """Order an engine to load a version and wait until it serves it."""
-        deadline = time.monotonic() + LOAD_TIMEOUT_S
         try:
             before = await self._report(upstream)
-            if _serves(before, model, version):
+            if _serves(before, order):
                 return Ok(None)
-            order = VersionOrder(
-                model=model,
-                version=version,
-                switch_mode=RUNS_GO_ON,
-                holder=self.node_id,
-                fence=fence,
-                expected_orders=before.orders,
-            )
-            status = await self._order(upstream, order)
+            if not await order.permit():
+                return Err("the order is not permitted")
+            status = await self._order(upstream, order, before.orders)
             if status not in (200, 202):
                 return Err(f"the engine answered {status}")
-            await asyncio.sleep(LOAD_S if status == 202 else 0)
-            while time.monotonic() < deadline:
-                report = await self._report(upstream)
-                if _serves(report, model, version):
-                    return Ok(None)
-                if not report.busy:
-                    return Err("the engine ended the order without the version")
-                await asyncio.sleep(POLL_S)
+            return await self._await_load(upstream, order)
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as fault:
             return Err(repr(fault))
+
+    async def _await_load(
+        self, upstream: ListedUpstream, order: LoadOrder
+    ) -> Result[None, str]:
+        deadline = time.monotonic() + LOAD_TIMEOUT_S
+        await asyncio.sleep(LOAD_S)
+        while time.monotonic() < deadline:
+            report = await self._report(upstream)
+            if _serves(report, order):
+                return Ok(None)
+            if not report.busy:
+                return Err("the engine ended the order without the version")
+            await asyncio.sleep(POLL_S)
         return Err("the engine did not finish in time")
 
     async def close(self) -> None:
@@ -158,13 +163,23 @@
                 raise ValueError(f"the report has status {response.status}")
             return msgspec.json.decode(await response.read(), type=ReportReply)
 
-    async def _order(self, upstream: ListedUpstream, order: VersionOrder) -> int:
+    async def _order(
+        self, upstream: ListedUpstream, order: LoadOrder, orders_before: int
+    ) -> int:
         url = f"http://{upstream.address}/-/order"
         headers = {
             "Expected-Instance": upstream.upstream_id,
             "Content-Type": "application/json",
         }
-        body = msgspec.json.encode(order)
+        message = VersionOrder(
+            model=order.model,
+            version=order.version,
+            switch_mode=RUNS_GO_ON,
+            holder=self.node_id,
+            fence=order.fence,
+            expected_orders=orders_before,
+        )
+        body = msgspec.json.encode(message)
         async with (
             asyncio.timeout(ORDER_TIMEOUT_S),
             self._session.post(url, headers=headers, data=body) as response,
@@ -229,5 +244,8 @@
     return CallEnd(failure, repr(fault)[:200])
 
 
-def _serves(report: ReportReply, model: str, version: int) -> bool:
-    return any(m.name == model and m.version >= version for m in report.models)
+def _serves(report: ReportReply, order: LoadOrder) -> bool:
+    return any(
+        entry.name == order.model and entry.version >= order.version
+        for entry in report.models
+    )
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/follower.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/follower.py
@@ -12,6 +12,7 @@
 
 from ..observe.events import log_event
 from ..tasks import TaskGroup
+from .clock import unix_ms
 from .interfaces import DurableLog, LogPage, StoreFailure
 
 STEPS_TOPIC = "steps"
@@ -140,7 +141,7 @@
             log_event("record_unreadable", partition=self.partition, offset=offset)
         if record is None:
             return False
-        self.fold.apply(record, offset)
+        self.fold.apply(record)
         return True
 
     def notify(self) -> None:
@@ -154,4 +155,4 @@
             return
         self._expired_at = now
         retention_s = self.settings.bounds.status_retention_s
-        self.fold.expire(int(time.time() * 1000), retention_s)
+        self.fold.expire(unix_ms(), retention_s)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
@@ -1,6 +1,6 @@
 """Define what a node needs from the platform it runs on."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from enum import StrEnum
 from typing import Protocol
 
@@ -8,7 +8,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from result import Result
 
-from fulmarpulley_core.ids import ModelName, UpstreamId, Version
+from fulmarpulley_core.ids import FenceNumber, ModelName, UpstreamId, Version
 from fulmarpulley_core.pool.messages import Failure
 from fulmarpulley_core.rollout.topology import Topology
 from fulmarpulley_core.rollout.upstreams import ListedUpstream
@@ -120,6 +120,15 @@
     version: int | None = None
 
 
+class LoadOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe an order; the permit is asked for right before it is sent."""
+
+    model: ModelName
+    version: Version
+    fence: FenceNumber
+    permit: Callable[[], Awaitable[bool]]
+
+
 EventSink = Callable[[bytes, int], None]
 
 
@@ -143,7 +152,7 @@
         """Run an item from an event on and pass each event with its version."""
 
     async def load_version(
-        self, upstream: ListedUpstream, model: str, version: int, fence: int
+        self, upstream: ListedUpstream, order: LoadOrder
     ) -> Result[None, str]:
         """Order an engine to load a version and wait until it serves it."""
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/ownership.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/ownership.py
@@ -9,12 +9,14 @@
 from aiomisc import Service
 from result import Err, Ok
 
-from fulmarpulley_core.ids import FenceNumber, Partition
+from fulmarpulley_core.ids import FenceNumber, Partition, UpstreamId
+from fulmarpulley_core.rollout.order_history import PERMIT_S
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
-from fulmarpulley_schema.generated.steps import OwnerFence
+from fulmarpulley_schema.generated.steps import OrderIntent, OwnerFence
 
 from ..observe.events import log_event
 from ..tasks import TaskGroup
+from .clock import elapsed_s, unix_ms
 from .follower import STEPS_TOPIC
 from .interfaces import DurableLog, Membership
 from .partitions import Partitions
@@ -24,16 +26,18 @@
 HEARTBEATS_PER_TTL = 4
 # A lifetime of a few hundred ms would move partitions at every pause of a process.
 TTL_FACTOR = 1.5
+SYNC_TIMEOUT_S = 0.4
+RETRY_S = 0.1
 # Without contact to the store an owner still runs items for this time, since another
 # owner could not list their results either while the store is down for all.
 RUN_WITHOUT_CONTACT_S = 15.0
 
 
 class Tenure(msgspec.Struct, eq=False):
-    """Hold one ownership of a partition; orders need its fence and a pause."""
+    """Hold one ownership of a partition; orders need its fence and a permit."""
 
     partition: Partition
-    since: float
+    name: str
     fence: FenceNumber | None = None
     ended: bool = False
 
@@ -72,16 +76,42 @@
         self._update(frozenset())
         await self.log.leave(GROUP, self.member)
 
-    def may_order(self, tenure: Tenure) -> bool:
-        """Tell whether no other node can order the engines of this tenure.
-
-        The former owner may have ordered until its own lifetime ran out.
-        """
-        now = time.monotonic()
-        pause = self.settings.bounds.lease_ms / 1000 + self.ttl_s
-        in_contact = now < self.contact + self.ttl_s
-        settled = now >= tenure.since + pause
-        return in_contact and settled and tenure.fence is not None and not tenure.ended
+    async def fence(self, tenure: Tenure) -> FenceNumber | None:
+        """Return the fencing number of a tenure once it has one."""
+        while not tenure.ended:
+            if tenure.fence is not None:
+                return tenure.fence
+            await asyncio.sleep(RETRY_S)
+        return None
+
+    async def permit_order(self, tenure: Tenure, upstream: UpstreamId) -> bool:
+        """Announce an order and wait until it may be given; False if never."""
+        follower = self.partitions.followers[tenure.partition]
+        lease_s = self.settings.bounds.lease_ms / 1000
+        while not tenure.ended:
+            if not await follower.sync(SYNC_TIMEOUT_S):
+                await asyncio.sleep(RETRY_S)
+                continue
+            allowed_ms = follower.fold.orders.allowed_from_ms(tenure.name, lease_s)
+            if allowed_ms is None:
+                log_event("order_void", partition=tenure.partition, fence=tenure.fence)
+                return False
+            wait_s = (allowed_ms - unix_ms()) / 1000
+            if wait_s > 0:
+                await asyncio.sleep(min(wait_s, RETRY_S))
+            elif await self._announce(tenure, upstream):
+                return True
+        return False
+
+    async def _announce(self, tenure: Tenure, upstream: UpstreamId) -> bool:
+        began = elapsed_s()
+        record = OrderIntent(tenure=tenure.name, at_ms=unix_ms(), upstream=upstream)
+        done = await self.partitions.append(tenure.partition, [record])
+        follower = self.partitions.followers[tenure.partition]
+        if isinstance(done, Err) or not await follower.sync(SYNC_TIMEOUT_S):
+            return False
+        newest = follower.fold.orders.tenure == tenure.name
+        return newest and elapsed_s() < began + PERMIT_S
 
     async def _heartbeat(self) -> None:
         while not self.leaving:
@@ -113,7 +143,7 @@
         for number in sorted(owned):
             partition = Partition(number)
             if partition not in self.tenures:
-                tenure = Tenure(partition, time.monotonic())
+                tenure = Tenure(partition, uuid.uuid4().hex[:12])
                 self.tenures[partition] = tenure
                 log_event(
                     "partition_owned", partition=number, generation=self.generation
@@ -122,7 +152,7 @@
                 self.tasks.spawn(self._number(tenure))
 
     async def _number(self, tenure: Tenure) -> None:
-        record = OwnerFence(node_id=self.settings.node_id, nonce=self.member)
+        record = OwnerFence(node_id=self.settings.node_id, tenure=tenure.name)
         while not tenure.ended:
             done = await self.partitions.append(tenure.partition, [record])
             if isinstance(done, Err):
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
@@ -54,8 +54,9 @@
 
 from ..observe.events import log_event
 from ..tasks import TaskGroup
+from .clock import unix_ms
 from .directory import Directory
-from .interfaces import CallEnd, UpstreamCalls
+from .interfaces import CallEnd, LoadOrder, UpstreamCalls
 from .item_runs import AttemptRun, ItemRun, work_id_of
 from .metrics import RolloutMetrics
 from .outbox import Outbox
@@ -64,7 +65,6 @@
 from .pool_driver import PoolDriver
 
 RECONCILE_S = 0.5
-ORDER_WAIT_S = 0.1
 SYNC_TIMEOUT_S = 2.0
 SERVER_ERROR = 500
 UNPROCESSABLE = 422
@@ -142,7 +142,7 @@
             await self.follower.changed(RECONCILE_S)
 
     def _reconcile(self) -> None:
-        now_ms = int(time.time() * 1000)
+        now_ms = unix_ms()
         for run in list(self.runs.values()):
             if run.step.ended or ItemId(run.item.item_id) not in run.step.open_items:
                 self._forget(run)
@@ -207,7 +207,11 @@
         document = self._document(name)
         if document is None:
             return None
-        settings = PoolSettings(id_prefix=f"{self.settings.node_id}.")
+        settings = PoolSettings(
+            id_prefix=f"{self.settings.node_id}.",
+            refuse_while_loading=True,
+            split_models=True,
+        )
         handlers: dict[type, Callable[[Any], object]] = {
             StartAttempt: self._start_attempt,
             CancelAttempt: self._cancel_attempt,
@@ -393,7 +397,7 @@
     def _end(self, run: ItemRun, result: ItemResult, upstream: str = "") -> None:
         run.ended = True
         self.outbox.put(run.step_id, result)
-        age_s = time.time() - run.step.accepted.submitted_ms / 1000
+        age_s = (unix_ms() - run.step.accepted.submitted_ms) / 1000
         labels = {"model": run.step.accepted.model, "state": result.state.value}
         self.metrics.items.observe(labels, max(0.0, age_s))
         log_event(
@@ -443,13 +447,18 @@
     async def _give_order(self, name: ServiceName, order: Order) -> bool:
         if partition_of(name, self.settings.log.partitions) != self.tenure.partition:
             return False
-        await self._may_order()
+        fence = await self.ownership.fence(self.tenure)
         entry = self.directory.upstream(order.upstream)
-        fence = self.tenure.fence
         if entry is None or fence is None:
             return False
         began = time.monotonic()
-        done = await self.calls.load_version(entry, order.model, order.version, fence)
+        load = LoadOrder(
+            model=order.model,
+            version=order.version,
+            fence=fence,
+            permit=lambda: self.ownership.permit_order(self.tenure, order.upstream),
+        )
+        done = await self.calls.load_version(entry, load)
         log_event(
             "order_finished",
             upstream=order.upstream,
@@ -461,13 +470,6 @@
         )
         return isinstance(done, Ok)
 
-    async def _may_order(self) -> None:
-        # Ends by cancellation when the tenure ends.
-        while True:
-            if self.ownership.may_order(self.tenure):
-                return
-            await asyncio.sleep(ORDER_WAIT_S)
-
 
 class StepHomes:
     """Hold a home for each partition that this node owns."""
