Send no work to engines that load its model, and split models between engines

Cause: engines refuse work of a model while they load a version of it. With two trainers each engine loaded each version of both models. Ruled out: lease pauses (no order waited in that time), dead engines. Change: an engine with an order in progress gets no work of that model; refused items queue again at once while the engine rests; models are split between engines by demand, at least two engines each where there are enough.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
@@ -118,6 +118,7 @@
         if refusal is not None:
             ledger.refuse(item, refusal.code, refusal.retry_after)
             return
+        parts.weights.placement.note_demand(work.model, charge, now)
         if item.deadline is not None:
             parts.timers.at(item.deadline, lambda _: self._pass_deadline(item))
         parts.enqueue(item)
@@ -199,6 +200,8 @@
         oldest = parts.freshness.oldest_allowed(item, parts.now)
         may_run = parts.freshness.may_run
         fit = [u for u in free if u.has_room(cost, limit) and may_run(item, u, oldest)]
+        if self.settings.refuse_while_loading:
+            fit = [u for u in fit if not u.is_loading(item.work.model)]
         if not item.work.repeatable and fit:
             # A probe is likely to fail, which ends work that must not repeat.
             able = [u for u in self.usable() if may_run(item, u, oldest)]
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
@@ -235,10 +235,14 @@
     """Name the policies of a pool, the region of its weight store and its ids.
 
     `id_prefix` must differ between homes of the same upstreams, and between lives
-    of a home, so that none cancels an attempt of another.
+    of a home, so that none cancels an attempt of another. Engines that refuse work of a
+    model while they load it are named by `refuse_while_loading`. With `split_models`
+    each engine serves few of the models.
     """
 
     routing: str = "least_tokens"
+    refuse_while_loading: bool = False
+    split_models: bool = False
     store_region: Region = Region("")
     id_prefix: str = ""
 
--- /dev/null
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/model_placement.py
@@ -0,0 +1,92 @@
+"""Share out upstreams between models, so that each loads the versions of few.
+
+Answers the load of several trainers on the same engines: if every engine loads every
+version, it spends half of its time loading.
+"""
+
+import math
+from collections.abc import Mapping, Sequence
+
+import xxhash
+
+from ..ids import ModelName, UpstreamId, Version
+from .state import Upstream
+
+# Work of the last steps decides, not that of a trainer that has stopped.
+DEMAND_DECAY_S = 20.0
+# An upstream changes its model only if the ideal share is further off than this.
+SHARE_SLACK = 0.75
+
+
+class ModelPlacement:
+    """Hold the demand for each model and which upstreams serve it."""
+
+    def __init__(self) -> None:
+        self.quotas: dict[ModelName, int] = {}
+        self._demand: dict[ModelName, float] = {}
+        self._demand_at = 0.0
+
+    def note_demand(self, model: ModelName, tokens: int, now: float) -> None:
+        """Count the tokens that new work of a model is expected to take."""
+        fade = math.exp((self._demand_at - now) / DEMAND_DECAY_S)
+        self._demand = {name: value * fade for name, value in self._demand.items()}
+        self._demand_at = now
+        self._demand[model] = self._demand.get(model, 0.0) + tokens
+
+    def place(
+        self, models: Sequence[ModelName], upstreams: Sequence[Upstream]
+    ) -> dict[ModelName, set[UpstreamId]]:
+        """Return the upstreams that are to serve each model."""
+        if len(models) < 2 or len(upstreams) < len(models):
+            everywhere = {u.upstream_id for u in upstreams}
+            return dict.fromkeys(models, everywhere)
+        self._update_quotas(models, len(upstreams))
+        placed: dict[ModelName, set[UpstreamId]] = {model: set() for model in models}
+        taken: set[UpstreamId] = set()
+        pairs = [(model, u) for model in models for u in upstreams]
+        for model, upstream in sorted(pairs, key=_preference):
+            name = upstream.upstream_id
+            if name not in taken and len(placed[model]) < self.quotas[model]:
+                placed[model].add(name)
+                taken.add(name)
+        return placed
+
+    def _update_quotas(self, models: Sequence[ModelName], count: int) -> None:
+        ideal = _ideal(models, self._demand, count)
+        same = set(self.quotas) == set(models) and sum(self.quotas.values()) == count
+        if same and all(
+            abs(ideal[model] - self.quotas[model]) <= SHARE_SLACK for model in models
+        ):
+            return
+        self.quotas = _round(ideal, count)
+
+
+def _ideal(
+    models: Sequence[ModelName], demand: Mapping[ModelName, float], count: int
+) -> dict[ModelName, float]:
+    total = sum(demand.get(model, 0.0) for model in models)
+    if total <= 0:
+        return {model: count / len(models) for model in models}
+    return {model: count * demand.get(model, 0.0) / total for model in models}
+
+
+def _round(ideal: Mapping[ModelName, float], count: int) -> dict[ModelName, int]:
+    """Round to whole upstreams, two for each model where there are enough."""
+    least = 2 if count >= 2 * len(ideal) else 1
+    quotas = {model: max(least, math.floor(share)) for model, share in ideal.items()}
+    while sum(quotas.values()) < count:
+        model = max(ideal, key=lambda m: (ideal[m] - quotas[m], m))
+        quotas[model] += 1
+    while sum(quotas.values()) > count:
+        able = [model for model in ideal if quotas[model] > least]
+        model = min(able, key=lambda m: (ideal[m] - quotas[m], m))
+        quotas[model] -= 1
+    return quotas
+
+
+def _preference(pair: tuple[ModelName, Upstream]) -> tuple[int, int]:
+    # An upstream that serves a newer version of a model keeps it.
+    model, upstream = pair
+    served = upstream.versions.get(model, Version(0))
+    name = f"{model}@{upstream.upstream_id}".encode()
+    return (-served, xxhash.xxh64_intdigest(name))
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/outcomes.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/outcomes.py
@@ -81,6 +81,11 @@
             item.note_run(Ran.RAN if errored else Ran.MAY_HAVE_RUN)
         if item.attempts:
             return
+        if failure is Failure.REFUSED and self._parts.settings.refuse_while_loading:
+            # The upstream rests for a while; a back-off of the item and the budget
+            # for retries held up steps by 8 s after a round of loads.
+            self._parts.enqueue(item)
+            return
         probing = attempt.upstream.health.state is HealthState.PROBING
         if failure is Failure.NOT_SENT and probing:
             # The upstream is ejected again, so that a back-off would only delay the
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
@@ -25,6 +25,7 @@
         self, document: ServiceDocument, settings: PoolSettings, seed: int
     ) -> None:
         self.document = document
+        self.settings = settings
         self.now = 0.0
         self.can_dispatch = False
         self.epoch = 0
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
@@ -132,6 +132,7 @@
     starts: int = 0
     swap_until: float = -math.inf
     closed_at: float | None = None
+    loading: set[ModelName] = set()
     history: deque[tuple[float, int]] = msgspec.field(default_factory=deque)
     attempts: dict[AttemptId, Attempt] = {}
     versions: dict[ModelName, Version] = {}
@@ -152,6 +153,10 @@
         """Tell whether one more attempt may start."""
         return len(self.attempts) < self.slots
 
+    def is_loading(self, model: ModelName) -> bool:
+        """Tell whether an order to load a version of the model is in progress."""
+        return model in self.loading
+
     def has_room(self, cost: int, token_limit: int) -> bool:
         """Tell whether the tokens of an attempt fit; an idle upstream takes any."""
         return not self.attempts or self.tokens_in_flight + cost <= token_limit
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/weights.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/weights.py
@@ -11,6 +11,7 @@
 from .freshness import Freshness
 from .ledger import Ledger
 from .messages import Availability, Order, OrderFinished
+from .model_placement import ModelPlacement
 from .state import HealthState, Upstream
 from .timers import Timers
 
@@ -66,6 +67,9 @@
         self._changed = False
         self._loads: dict[OrderId, Load] = {}
         self._targets: dict[tuple[UpstreamId, ModelName], Target] = {}
+        self.placement = ModelPlacement()
+        self._placed: dict[ModelName, set[UpstreamId]] = {}
+        self._placed_on: list[UpstreamId] = []
 
     def report(
         self, upstream: Upstream, model: ModelName, version: Version, now: float
@@ -84,6 +88,7 @@
         for load in self._loads_of(upstream):
             if load.order.model == model and version >= load.order.version:
                 del self._loads[load.order.order_id]
+                upstream.loading.discard(model)
                 self._targets.pop(key, None)
                 upstream.swap_until = min(upstream.swap_until, now)
 
@@ -95,6 +100,7 @@
         upstream = self._ledger.upstreams.get(load.order.upstream)
         if upstream is not None:
             upstream.swap_until = min(upstream.swap_until, now)
+            upstream.loading.discard(load.order.model)
         if not event.ok:
             self._fail(load, now)
             return
@@ -109,6 +115,8 @@
 
     def plan(self, now: float) -> None:
         """Give the orders that may be given now."""
+        if self._ledger.settings.split_models:
+            self._place()
         if not self._changed:
             return
         self._changed = False
@@ -125,6 +133,24 @@
                 if not room:
                     return
 
+    def _place(self) -> None:
+        able = self._able()
+        names = [u.upstream_id for u in able]
+        if names == self._placed_on and not self._changed:
+            return
+        self._placed_on = names
+        self._placed = self.placement.place(self._models(), able)
+        self._changed = True
+
+    def _able(self) -> list[Upstream]:
+        return [
+            u
+            for u in self._ledger.upstreams.values()
+            if u.availability() is Availability.AVAILABLE
+            and u.is_engine()
+            and u.health.state is not HealthState.EJECTED
+        ]
+
     def _models(self) -> list[ModelName]:
         served = {ModelName(self.document.model)}
         served |= {ModelName(t.model) for t in self.document.trainers if t.model}
@@ -151,6 +177,9 @@
         served = upstream.versions.get(model)
         if served is not None and served >= self._freshness.newest[model]:
             return False
+        placed = self._placed.get(model)
+        if placed is not None and upstream.upstream_id not in placed:
+            return False
         target = self._targets.get((upstream.upstream_id, model))
         return target is None or target.not_before <= now
 
@@ -180,6 +209,7 @@
         self._loads[order_id] = load
         self._ledger.actions.append(order)
         upstream.swap_until = now + 2 * self.document.weights.swap_s
+        upstream.loading.add(model)
         due = now + self._timeout()
         self._timers.at(due, lambda later: self._time_out(load, later))
         return True
@@ -226,6 +256,9 @@
         order = load.order
         if self._loads.pop(order.order_id, None) is None:
             return
+        upstream = self._ledger.upstreams.get(order.upstream)
+        if upstream is not None:
+            upstream.loading.discard(order.model)
         key = (order.upstream, order.model)
         target = self._targets.setdefault(key, Target())
         delay = min(RETRY_MAX_S, RETRY_BASE_S * 2.0 ** min(target.failures, 8))
