Order the items of a step by predicted length

Cause: the last long item decides a step; items started in the order of their groups, so long ones started late and groups that the trainer does without took slots first. Connections to workers were closed after 4 s of idleness, although workers keep them for 10 s, so each step opened new ones. Change: awaited groups first, longest items first; lengths predicted by the hint; idle connections are kept for 9 s.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/fair_queue.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/fair_queue.py
@@ -25,7 +25,7 @@
 # class that sends more by chance waited four times as long while an engine was down.
 DESK_BURST_TOKENS = 8192
 
-Order = tuple[int, int, int]
+Order = tuple[int, int, int, int]
 
 
 class LaneKey(NamedTuple):
@@ -270,5 +270,5 @@
 def _order(item: Item) -> Order:
     work = item.work
     if work.kind is WorkKind.SAMPLE:
-        return (work.step, work.group, item.sequence)
-    return (-work.priority, 0, item.sequence)
+        return (work.step, work.rank, work.group, item.sequence)
+    return (-work.priority, 0, 0, item.sequence)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
@@ -50,7 +50,9 @@
 class Work(msgspec.Struct, frozen=True, kw_only=True):
     """Describe one unit of work; times are monotonic seconds of the pool home.
 
-    `oldest_version` belongs to the `resume_tokens` that the owner already has.
+    `oldest_version` belongs to the `resume_tokens` that the owner already has. The
+    samples of a step start by `rank`, then by `group`. `length_hint` is an estimate of
+    the generated tokens, zero without one.
     """
 
     work_id: WorkId
@@ -68,6 +70,8 @@
     deadline: float | None = None
     step: StepNumber = StepNumber(0)
     group: int = 0
+    rank: int = 0
+    length_hint: int = 0
     resume_tokens: int = 0
     oldest_version: Version | None = None
 
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/stragglers.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/stragglers.py
@@ -74,6 +74,8 @@
         work = item.work
         known = self._prefixes.get(work.prefix) or self._tenants.get(work.tenant)
         length = known.value if known else work.max_tokens
+        if work.length_hint:
+            length = work.length_hint
         if length <= item.received:
             length = item.received * GROWTH
         return max(item.received + 1, min(work.max_tokens, round(length)))
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_fold.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_fold.py
@@ -33,13 +33,17 @@
 
 
 class Step(msgspec.Struct, eq=False, kw_only=True):
-    """Hold a step; `results` are in the order of their positions."""
+    """Hold a step; `results` are in the order of their positions.
+
+    `carried` are the groups of which an earlier step had items.
+    """
 
     accepted: StepAccepted
     open_items: dict[ItemId, ItemSpec]
     results: list[ItemResult] = []
     saved: dict[ItemId, Saved] = {}
     ended: bool = False
+    carried: frozenset[str] = frozenset()
 
     @property
     def step_id(self) -> StepId:
@@ -67,6 +71,8 @@
     def __init__(self) -> None:
         self.steps: dict[StepId, Step] = {}
         self.orders = OrderHistory()
+        # The newest step of each item, since items of an earlier step come again.
+        self._items: dict[ItemId, StepId] = {}
         self._handlers: dict[type, Callable[..., None]] = {
             OwnerFence: self.orders.take_over,
             OrderIntent: self.orders.intend,
@@ -88,7 +94,13 @@
         oldest = now_ms - retention_s * 1000
         for step in list(self.steps.values()):
             if step.accepted.submitted_ms < oldest and not step.is_open():
-                del self.steps[step.step_id]
+                self._forget(step)
+
+    def _forget(self, step: Step) -> None:
+        del self.steps[step.step_id]
+        for item in step.accepted.items:
+            if self._items.get(ItemId(item.item_id)) == step.step_id:
+                del self._items[ItemId(item.item_id)]
 
     def open_steps(self) -> Iterator[Step]:
         """Yield the steps that have items to run, oldest first."""
@@ -96,8 +108,14 @@
 
     def _accept(self, record: StepAccepted) -> None:
         items = {ItemId(item.item_id): item for item in record.items}
-        step = Step(accepted=record, open_items=items)
-        self.steps.setdefault(step.step_id, step)
+        if StepId(record.step_id) in self.steps:
+            return
+        earlier = self._items.keys()
+        carried = {i.group for name, i in items.items() if i.group and name in earlier}
+        step = Step(accepted=record, open_items=items, carried=frozenset(carried))
+        self.steps[step.step_id] = step
+        for name in items:
+            self._items[name] = step.step_id
 
     def _list(self, record: ItemResults) -> None:
         step = self.steps.get(StepId(record.step_id))
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/connections.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/connections.py
@@ -10,9 +10,9 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 CONNECT_TIMEOUT_S = 1.0
-# Workers close idle connections after some seconds and say so; a shorter time here
-# means that a request seldom meets a connection that is being closed.
-IDLE_TIMEOUT_S = 4.0
+# Workers close idle connections after ten seconds; a shorter time here means that a
+# request seldom meets a connection that is being closed.
+IDLE_TIMEOUT_S = 9.0
 
 
 def new_session(idle_timeout_s: float = IDLE_TIMEOUT_S) -> aiohttp.ClientSession:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
 import xxhash
@@ -16,6 +16,7 @@
     PrefixId,
     Region,
     ServiceName,
+    StepId,
     StepNumber,
     TenantId,
     UpstreamId,
@@ -46,6 +47,7 @@
 )
 from fulmarpulley_core.rollout.documents import pool_document
 from fulmarpulley_core.rollout.step_fold import Saved, Step
+from fulmarpulley_core.rollout.step_plan import rank_items
 from fulmarpulley_core.rollout.topology import Route, Service, choose_service
 from fulmarpulley_core.rollout.upstreams import ListedState
 from fulmarpulley_schema.generated.document import ServiceDocument
@@ -95,6 +97,7 @@
         self.pools: dict[ServiceName, PoolDriver] = {}
         self.documents: dict[ServiceName, ServiceDocument] = {}
         self.runs: dict[WorkId, ItemRun] = {}
+        self.ranks: dict[StepId, Mapping[ItemId, int]] = {}
         self.pool_of: dict[WorkId, ServiceName] = {}
         self.attempts: dict[AttemptId, AttemptRun] = {}
         self.attempt_tasks: dict[AttemptId, asyncio.Task[None]] = {}
@@ -143,6 +146,8 @@
 
     def _reconcile(self) -> None:
         now_ms = unix_ms()
+        steps = self.follower.fold.steps
+        self.ranks = {k: v for k, v in self.ranks.items() if k in steps}
         for run in list(self.runs.values()):
             if run.step.ended or ItemId(run.item.item_id) not in run.step.open_items:
                 self._forget(run)
@@ -196,10 +201,19 @@
             prefix=PrefixId(item.prefix),
             region=Region(""),
             step=StepNumber(accepted.number),
-            group=_group_place(run.step, item.group),
+            rank=self._ranks(run.step)[ItemId(item.item_id)],
+            length_hint=item.length_hint,
             resume_tokens=len(run.saved.events) * self._event_tokens(run),
         )
 
+    def _ranks(self, step: Step) -> Mapping[ItemId, int]:
+        known = self.ranks.get(step.step_id)
+        if known is None:
+            accepted = step.accepted
+            known = rank_items(accepted.items, accepted.target_groups, step.carried)
+            self.ranks[step.step_id] = known
+        return known
+
     def _pool(self, name: ServiceName) -> PoolDriver | None:
         known = self.pools.get(name)
         if known is not None:
@@ -525,10 +539,3 @@
 def hash_of(text: str) -> int:
     """Return a number that is the same on all nodes."""
     return xxhash.xxh64_intdigest(text.encode())
-
-
-def _group_place(step: Step, group: str) -> int:
-    places: dict[str, int] = {}
-    for item in step.accepted.items:
-        places.setdefault(item.group, len(places))
-    return places.get(group, 0)
