Save the progress of long items, and let a former owner write its results

A former owner dropped results that it could not write during an outage of the store. Ruled out: one saved text per item without its run (events of two runs would be joined, although the second was not asked to resume there). Change: events of items that run long are saved every 0.5 s with their run; the owner that loses a partition writes the results it has for up to 10 s.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_fold.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_fold.py
@@ -26,10 +26,14 @@
 
 
 class Saved(msgspec.Struct):
-    """Hold the events of an unfinished item and the version that made each."""
+    """Hold the events of an unfinished item and the version that made each.
+
+    All events are of one attempt, those included that it resumed after.
+    """
 
     events: list[bytes] = []
     versions: list[int] = []
+    run: str = ""
 
 
 class Step(msgspec.Struct, eq=False, kw_only=True):
@@ -131,10 +135,19 @@
         step = self.steps.get(StepId(record.step_id))
         if step is None or ItemId(record.item_id) not in step.open_items:
             return
-        known = step.saved.get(ItemId(record.item_id))
-        if known is None or len(record.events) > len(known.events):
-            saved = Saved(record.events, record.versions)
-            step.saved[ItemId(record.item_id)] = saved
+        item_id = ItemId(record.item_id)
+        known = step.saved.get(item_id)
+        if record.start == 0:
+            if known is None or len(record.events) > len(known.events):
+                saved = Saved(list(record.events), list(record.versions), record.run)
+                step.saved[item_id] = saved
+        elif (
+            known is not None
+            and known.run == record.run
+            and len(known.events) == record.start
+        ):
+            known.events.extend(record.events)
+            known.versions.extend(record.versions)
 
     def _end(self, record: StepEnded) -> None:
         step = self.steps.get(StepId(record.step_id))
--- /dev/null
+++ b/packages/fulmarpulley-core/tests/rollout/test_step_fold.py
@@ -0,0 +1,132 @@
+import unittest
+
+from fulmarpulley_core.ids import ItemId, StepId
+from fulmarpulley_core.rollout.step_fold import StepFold
+from fulmarpulley_schema.generated.steps import (
+    ItemProgress,
+    ItemResult,
+    ItemResults,
+    ItemSpec,
+    ItemState,
+    StepAccepted,
+    StepEnded,
+)
+
+
+def spec(name: str, group: str = "g") -> ItemSpec:
+    return ItemSpec(
+        item_id=name,
+        path="/p",
+        headers={},
+        body=name.encode(),
+        prompt_tokens=1,
+        max_tokens=1,
+        group=group,
+    )
+
+
+def accepted(step: str, *names: str, at_ms: int = 0, group: str = "g") -> StepAccepted:
+    return StepAccepted(
+        step_id=step,
+        host="h",
+        path="/p",
+        submitted_ms=at_ms,
+        items=[spec(name, group) for name in names],
+    )
+
+
+def results(step: str, **texts: str) -> ItemResults:
+    listed = [
+        ItemResult(item_id=name, state=ItemState.COMPLETED, text=text.encode())
+        for name, text in texts.items()
+    ]
+    return ItemResults(step_id=step, results=listed)
+
+
+def progress(run: str, start: int, *events: str) -> ItemProgress:
+    return ItemProgress(
+        step_id="s",
+        item_id="a",
+        run=run,
+        start=start,
+        events=[event.encode() for event in events],
+        versions=[1] * len(events),
+    )
+
+
+class StepFoldTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fold = StepFold()
+        self.fold.apply(accepted("s", "a", "b"))
+        self.step = self.fold.steps[StepId("s")]
+
+    def listed(self) -> list[tuple[str, bytes]]:
+        return [(result.item_id, result.text) for result in self.step.results]
+
+    def saved(self) -> list[bytes]:
+        return self.step.saved[ItemId("a")].events
+
+    def test_accept_again_keeps_the_first(self) -> None:
+        # An append without an answer is repeated, and may take effect twice.
+        self.fold.apply(results("s", a="x"))
+        self.fold.apply(accepted("s", "a", "b", "c"))
+        self.assertIs(self.fold.steps[StepId("s")], self.step)
+        self.assertEqual(self.step.total, 2)
+
+    def test_list_again_keeps_the_first_result_and_position(self) -> None:
+        # Two owners at once may list the same item.
+        self.fold.apply(results("s", b="one"))
+        self.fold.apply(results("s", b="two", a="x"))
+        self.assertEqual(self.listed(), [("b", b"one"), ("a", b"x")])
+
+    def test_list_after_the_end_has_no_effect(self) -> None:
+        self.fold.apply(StepEnded(step_id="s"))
+        self.fold.apply(results("s", a="x"))
+        self.assertEqual(self.listed(), [])
+
+    def test_list_of_an_unknown_step_or_item_has_no_effect(self) -> None:
+        self.fold.apply(results("other", a="x"))
+        self.fold.apply(results("s", z="x"))
+        self.assertEqual(self.listed(), [])
+
+    def test_body_is_there_until_the_item_is_listed(self) -> None:
+        self.assertEqual(self.step.body(ItemId("a")), b"a")
+        self.fold.apply(results("s", a="x"))
+        self.assertIsNone(self.step.body(ItemId("a")))
+        self.assertEqual(self.step.body(ItemId("b")), b"b")
+
+    def test_save_extends_the_same_run(self) -> None:
+        self.fold.apply(progress("r1", 0, "1", "2"))
+        self.fold.apply(progress("r1", 2, "3"))
+        self.assertEqual(self.saved(), [b"1", b"2", b"3"])
+
+    def test_save_never_joins_two_runs(self) -> None:
+        # The second run was not asked to resume after the first run's events.
+        self.fold.apply(progress("r1", 0, "1", "2"))
+        self.fold.apply(progress("r2", 2, "x"))
+        self.assertEqual(self.saved(), [b"1", b"2"])
+
+    def test_save_repeated_has_no_effect(self) -> None:
+        self.fold.apply(progress("r1", 0, "1", "2"))
+        self.fold.apply(progress("r1", 2, "3"))
+        self.fold.apply(progress("r1", 2, "3"))
+        self.fold.apply(progress("r1", 0, "1", "2"))
+        self.assertEqual(self.saved(), [b"1", b"2", b"3"])
+
+    def test_save_of_a_longer_run_replaces_the_shorter(self) -> None:
+        self.fold.apply(progress("r1", 0, "1"))
+        self.fold.apply(progress("r2", 0, "1", "2"))
+        self.assertEqual(self.saved(), [b"1", b"2"])
+
+    def test_accept_names_the_groups_that_come_again(self) -> None:
+        self.fold.apply(accepted("t", "b", "c", group="k"))
+        self.assertEqual(self.fold.steps[StepId("t")].carried, {"k"})
+
+    def test_expire_forgets_only_old_steps_that_are_done(self) -> None:
+        self.fold.expire(200_000, 120.0)
+        self.assertIn(StepId("s"), self.fold.steps)
+        self.fold.apply(StepEnded(step_id="s"))
+        self.fold.expire(100_000, 120.0)
+        self.assertIn(StepId("s"), self.fold.steps)
+        self.fold.expire(200_000, 120.0)
+        self.assertEqual(self.fold.steps, {})
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/item_runs.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/item_runs.py
@@ -4,7 +4,12 @@
 
 from fulmarpulley_core.ids import AttemptId, StepId, UpstreamId, WorkId
 from fulmarpulley_core.rollout.step_fold import Saved, Step
-from fulmarpulley_schema.generated.steps import ItemResult, ItemSpec, ItemState
+from fulmarpulley_schema.generated.steps import (
+    ItemProgress,
+    ItemResult,
+    ItemSpec,
+    ItemState,
+)
 
 
 class ItemRun(msgspec.Struct, eq=False, kw_only=True):
@@ -14,6 +19,8 @@
     step: Step
     item: ItemSpec
     saved: Saved
+    logged_run: str = ""
+    logged_events: int = 0
     errors: int = 0
     ended: bool = False
 
@@ -22,10 +29,25 @@
         """Return the step of the item."""
         return self.step.step_id
 
-    def keep(self, events: list[bytes], versions: list[int]) -> None:
-        """Keep the events of an attempt if they go further than those before."""
-        if len(events) > len(self.saved.events):
-            self.saved = Saved(list(events), list(versions))
+    def progress(self, least: int) -> ItemProgress | None:
+        """Return what the log does not hold yet, if it is at least some events."""
+        saved = self.saved
+        start = self.logged_events if saved.run == self.logged_run else 0
+        if self.ended or len(saved.events) - start < least:
+            return None
+        return ItemProgress(
+            step_id=self.step_id,
+            item_id=self.item.item_id,
+            run=saved.run,
+            start=start,
+            events=saved.events[start:],
+            versions=saved.versions[start:],
+        )
+
+    def note_logged(self, progress: ItemProgress) -> None:
+        """Note that the log holds these events."""
+        self.logged_run = progress.run
+        self.logged_events = progress.start + len(progress.events)
 
     def result(self, saved: Saved) -> ItemResult:
         """Return the result for the events of a whole run."""
@@ -52,7 +74,7 @@
 
     def saved(self) -> Saved:
         """Return the events and their versions."""
-        return Saved(self.events, self.versions)
+        return Saved(self.events, self.versions, self.attempt_id)
 
 
 def work_id_of(step_id: StepId, item_id: str) -> WorkId:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/outbox.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/outbox.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from result import Err
+from result import Err, Ok
 
 from fulmarpulley_core.ids import Partition, StepId
 from fulmarpulley_schema.generated.steps import (
@@ -34,12 +34,15 @@
         self.call_bytes = int(partitions.settings.log.call_bytes * BATCH_SHARE)
         self._waiting: list[tuple[StepId, ItemResult]] = []
         self._arrived = asyncio.Event()
+        self._written = asyncio.Event()
+        self._written.set()
         self._lost_at: float | None = None
 
     def put(self, step_id: StepId, result: ItemResult) -> None:
         """Queue a result."""
         self._waiting.append((step_id, result))
         self._arrived.set()
+        self._written.clear()
 
     async def run(self) -> None:
         """Write results until cancelled."""
@@ -50,16 +53,24 @@
             await self._write_until_done(batch)
             if not self._waiting:
                 self._arrived.clear()
+                self._written.set()
 
-    async def save(self, progress: list[ItemProgress]) -> None:
+    async def save(self, progress: list[ItemProgress]) -> bool:
         """Save unfinished items once, since the next owner can do without."""
         done = await self.partitions.append(self.partition, progress)
-        log_event(
-            "progress_saved",
-            partition=self.partition,
-            items=len(progress),
-            outcome="failed" if isinstance(done, Err) else "ok",
-        )
+        return isinstance(done, Ok)
+
+    async def flush(self, timeout_s: float) -> None:
+        """Write what is queued, also after another node took the partition over."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._written.wait()
+        except TimeoutError:
+            log_event(
+                "results_dropped",
+                partition=self.partition,
+                items=len(self._waiting),
+            )
 
     def _take_batch(self) -> list[ItemResults]:
         size = 0
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
@@ -52,7 +52,7 @@
 from fulmarpulley_core.rollout.upstreams import ListedState
 from fulmarpulley_schema.generated.document import ServiceDocument
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
-from fulmarpulley_schema.generated.steps import ItemProgress, ItemResult, ItemSpec
+from fulmarpulley_schema.generated.steps import ItemResult, ItemSpec
 
 from ..observe.events import log_event
 from ..tasks import TaskGroup
@@ -67,6 +67,13 @@
 from .pool_driver import PoolDriver
 
 RECONCILE_S = 0.5
+# Items that run for a second or longer are saved; most end before that, and to save
+# them would double the bytes on the log.
+SAVE_S = 0.5
+SAVE_EVENTS = 16
+# A former owner writes the results that it has for this time, longer than most
+# outages of the store.
+FLUSH_S = 10.0
 SYNC_TIMEOUT_S = 2.0
 SERVER_ERROR = 500
 UNPROCESSABLE = 422
@@ -108,6 +115,7 @@
         self.directory.listeners.append(self.directory_changed)
         self.tasks.spawn(self._run())
         self.tasks.spawn(self.outbox.run())
+        self.tasks.spawn(self._save_regularly())
 
     async def stop(self) -> None:
         """Cut all attempts; the next owner resumes what was saved."""
@@ -115,22 +123,25 @@
         self.follower.own(False)
         for pool in self.pools.values():
             pool.close()
+        for task in self.attempt_tasks.values():
+            task.cancel()
+        await self.save(1)
+        await self.outbox.flush(FLUSH_S)
         await self.tasks.stop()
 
-    async def save(self) -> None:
-        """Save the events of all unfinished items for the next owner."""
-        progress = [
-            ItemProgress(
-                step_id=run.step_id,
-                item_id=run.item.item_id,
-                events=run.saved.events,
-                versions=run.saved.versions,
-            )
-            for run in self.runs.values()
-            if run.saved.events and not run.ended
-        ]
-        if progress:
-            await self.outbox.save(progress)
+    async def save(self, least_events: int) -> None:
+        """Save the events of unfinished items for the next owner."""
+        runs = list(self.runs.values())
+        found = [(run, run.progress(least_events)) for run in runs]
+        unsaved = [(run, progress) for run, progress in found if progress is not None]
+        if unsaved and await self.outbox.save([progress for _, progress in unsaved]):
+            for run, progress in unsaved:
+                run.note_logged(progress)
+
+    async def _save_regularly(self) -> None:
+        while True:
+            await asyncio.sleep(SAVE_S)
+            await self.save(SAVE_EVENTS)
 
     def directory_changed(self) -> None:
         """Take a change of the configuration, the upstreams or the versions."""
@@ -530,7 +541,7 @@
 
     async def save(self) -> None:
         """Save the unfinished items of all partitions."""
-        await asyncio.gather(*(home.save() for home in self._open_homes()))
+        await asyncio.gather(*(home.save(1) for home in self._open_homes()))
 
     def _open_homes(self) -> Iterator[StepHome]:
         return iter(list(self.homes.values()))
