--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
@@ -7,9 +7,10 @@
 
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 
-from ..observe.events import EventFeed, log_event, start_logging
+from ..observe.events import log_event
 from ..rollout.directory import Directory
 from ..rollout.forwarder import Forwarder
+from ..rollout.log_lines import LogLines
 from ..rollout.metrics import RolloutMetrics
 from ..rollout.ownership import Ownership
 from ..rollout.partitions import Partitions
@@ -101,10 +102,12 @@
 
 async def serve(settings: RolloutSettings) -> None:
     """Run a node until it is told to stop."""
-    start_logging(settings.node_id, EventFeed())
     node = Node(settings)
+    lines = LogLines(settings.node_id, node.metrics.count_dropped_lines)
+    lines.start()
     async with aiomisc.entrypoint(*node.services(), log_config=False, catch_signals=()):
         log_event("node_started", callers=settings.callers)
         await node.run()
     await node.close()
     log_event("node_stopped")
+    lines.flush()
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
@@ -37,6 +37,10 @@
             registry=self.registry,
         )
 
+    def count_dropped_lines(self, event: str, count: int) -> None:
+        """Count log lines of an event that were not written."""
+        self.log_lines.add(labels(event=event), count)
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the metrics page and its headers."""
         return render(self.registry, ["text/plain"])
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
@@ -113,6 +113,7 @@
         """Start to run items."""
         self.follower.own(True)
         self.directory.listeners.append(self.directory_changed)
+        self._open_pools()
         self.tasks.spawn(self._run())
         self.tasks.spawn(self.outbox.run())
         self.tasks.spawn(self._save_regularly())
@@ -145,9 +146,21 @@
 
     def directory_changed(self) -> None:
         """Take a change of the configuration, the upstreams or the versions."""
+        self._open_pools()
         for name, pool in self.pools.items():
             self._update_pool(name, pool)
 
+    def _open_pools(self) -> None:
+        # Engines load named versions also while no step is open.
+        routes = self.directory.routes
+        for service in routes.topology.services.values() if routes else ():
+            if service.engine is not None and self._gives_orders(service.name):
+                self._pool(service.name)
+
+    def _gives_orders(self, name: ServiceName) -> bool:
+        home = partition_of(name, self.settings.log.partitions)
+        return home == self.tenure.partition
+
     async def _run(self) -> None:
         while not await self.follower.sync(SYNC_TIMEOUT_S):
             log_event("home_waits_for_log", partition=self.tenure.partition)
@@ -470,7 +483,7 @@
         pool.post(OrderFinished(order.order_id, ok))
 
     async def _give_order(self, name: ServiceName, order: Order) -> bool:
-        if partition_of(name, self.settings.log.partitions) != self.tenure.partition:
+        if not self._gives_orders(name):
             return False
         fence = await self.ownership.fence(self.tenure)
         entry = self.directory.upstream(order.upstream)
--- /dev/null
+++ b/testing/src/fulmarpulley_testing/platform_store.py
@@ -0,0 +1,193 @@
+"""Stand in for the platform's store, as far as its protocol page documents it."""
+
+import asyncio
+import time
+from base64 import b64encode
+from collections import defaultdict
+from enum import StrEnum
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from .serving import abort, reply
+
+LENGTH_BYTES = 4
+OPERATOR_TOPIC = "keyed.op"
+SERVER_TOPIC = "keyed.servers"
+
+
+class StoreMode(StrEnum):
+    """Name how the store treats calls."""
+
+    UP = "up"
+    BUSY = "busy"
+    RESET = "reset"
+    LOSE_ANSWERS = "lose_answers"
+
+
+class Group(msgspec.Struct):
+    """Hold the members of a group by the time of their expiry."""
+
+    generation: int = 0
+    members: dict[str, float] = {}
+    owners: dict[int, str] = {}
+
+
+class PlatformStore:
+    """Keep partitions of records and groups that share them out."""
+
+    def __init__(self, partitions: int) -> None:
+        self.count = partitions
+        self.mode = StoreMode.UP
+        self.cut_off: set[str] = set()
+        self.partitions: dict[tuple[str, int], list[bytes]] = defaultdict(list)
+        self.first: dict[tuple[str, int], int] = defaultdict(int)
+        self.groups: dict[str, Group] = defaultdict(Group)
+        self.changed = asyncio.Condition()
+
+    def app(self) -> web.Application:
+        """Return the application that serves the store."""
+        app = web.Application(
+            middlewares=[self._fail], client_max_size=64 * 1024 * 1024
+        )
+        app.router.add_post("/-/log-append", self.append)
+        app.router.add_get("/-/log-read", self.read)
+        app.router.add_get("/-/log-newest", self.newest)
+        app.router.add_post("/-/log-join", self.join)
+        app.router.add_post("/-/log-leave", self.leave)
+        return app
+
+    async def put(self, topic: str, key: str, value: Any) -> None:
+        """Write the newest value of a key; None drops it."""
+        data = b"" if value is None else msgspec.json.encode(value)
+        name = key.encode()
+        await self.add(topic, 0, [bytes([len(name)]) + name + data])
+
+    async def add(self, topic: str, part: int, records: list[bytes]) -> int:
+        """Append records and return the offset of the first."""
+        stored = self.partitions[topic, part]
+        offset = self.first[topic, part] + len(stored)
+        stored += records
+        async with self.changed:
+            self.changed.notify_all()
+        return offset
+
+    def forget(self, topic: str, part: int) -> None:
+        """Delete all records of a partition, as their retention does."""
+        stored = self.partitions[topic, part]
+        self.first[topic, part] += len(stored)
+        stored.clear()
+
+    def owner(self, group: str, part: int) -> str | None:
+        """Return the member that holds a partition."""
+        return self.groups[group].owners.get(part)
+
+    @web.middleware
+    async def _fail(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        if self.mode is StoreMode.BUSY:
+            return web.Response(status=503)
+        if self.mode is StoreMode.RESET:
+            return abort(request)
+        answer: web.StreamResponse = await handler(request)
+        if self.mode is StoreMode.LOSE_ANSWERS and request.method == "POST":
+            return abort(request)
+        return answer
+
+    async def append(self, request: web.Request) -> web.Response:
+        """Append the records of a body."""
+        part = int(request.query["part"])
+        records = split_records(await request.read())
+        offset = await self.add(request.query["Topic"], part, records)
+        return reply({"Offset": offset, "End": offset + len(records)})
+
+    async def read(self, request: web.Request) -> web.Response:
+        """Read from an offset on, waiting for a record."""
+        place = (request.query["Topic"], int(request.query["part"]))
+        start = int(request.query["From"])
+        wait_s = int(request.query.get("WaitMs", "0")) / 1000
+        await self._wait(place, start, wait_s)
+        first, stored = self.first[place], self.partitions[place]
+        if start < first:
+            return reply({"First": first}, status=410)
+        end = first + len(stored)
+        head = end.to_bytes(8, "big") + first.to_bytes(8, "big")
+        body = b"".join(
+            len(record).to_bytes(LENGTH_BYTES, "big") + record
+            for record in stored[start - first :]
+        )
+        return web.Response(body=head + body)
+
+    async def newest(self, request: web.Request) -> web.Response:
+        """List the newest record of each key."""
+        place = (request.query["Topic"], int(request.query["part"]))
+        found: dict[str, dict[str, Any]] = {}
+        for offset, record in enumerate(self.partitions[place], self.first[place]):
+            size = record[0]
+            key, value = record[1 : 1 + size].decode(), record[1 + size :]
+            found.pop(key, None)
+            if value:
+                text = b64encode(value).decode()
+                found[key] = {"Key": key, "Value": text, "Offset": offset}
+        end = self.first[place] + len(self.partitions[place])
+        return reply({"Items": list(found.values()), "HasMore": False, "End": end})
+
+    async def join(self, request: web.Request) -> web.Response:
+        """Join a group or stay in it."""
+        body = msgspec.json.decode(await request.read())
+        group = self.groups[body["Group"]]
+        if body["Member"] in self.cut_off:
+            return web.Response(status=503)
+        expiry = time.monotonic() + body["TtlMs"] / 1000
+        group.members[body["Member"]] = expiry
+        self._share_out(group)
+        rows = [
+            [body["Topics"][0], part, 0]
+            for part, owner in group.owners.items()
+            if owner == body["Member"]
+        ]
+        return reply({"Generation": group.generation, "parts": rows})
+
+    async def leave(self, request: web.Request) -> web.Response:
+        """Leave a group."""
+        body = msgspec.json.decode(await request.read())
+        group = self.groups[body["Group"]]
+        group.members.pop(body["Member"], None)
+        self._share_out(group)
+        return reply({})
+
+    def _share_out(self, group: Group) -> None:
+        now = time.monotonic()
+        alive = sorted(name for name, expiry in group.members.items() if expiry > now)
+        group.members = {name: group.members[name] for name in alive}
+        if set(group.owners.values()) == set(alive) and len(group.owners) == self.count:
+            return
+        group.generation += 1
+        # A partition stays with its owner as long as that one is there.
+        owners = {p: o for p, o in group.owners.items() if o in alive}
+        for part in range(self.count):
+            if part not in owners and alive:
+                held = list(owners.values())
+                owners[part] = min(alive, key=held.count)
+        group.owners = owners
+
+    async def _wait(self, place: tuple[str, int], start: int, wait_s: float) -> None:
+        def has_more() -> bool:
+            return self.first[place] + len(self.partitions[place]) > start
+
+        try:
+            async with asyncio.timeout(wait_s), self.changed:
+                await self.changed.wait_for(has_more)
+        except TimeoutError:
+            return
+
+
+def split_records(data: bytes) -> list[bytes]:
+    """Return the records of the body of an append."""
+    records = []
+    place = 0
+    while place < len(data):
+        begin = place + LENGTH_BYTES
+        place = begin + int.from_bytes(data[place:begin], "big")
+        records.append(data[begin:place])
+    return records
--- /dev/null
+++ b/testing/src/fulmarpulley_testing/platform_system.py
@@ -0,0 +1,328 @@
+"""Run nodes as processes against stand-ins of the platform in this process."""
+
+import asyncio
+import base64
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Coroutine
+from http.client import HTTPConnection
+from pathlib import Path
+from typing import Any, Self, TypeVar
+
+import msgspec
+from aiohttp import web
+
+from .platform_store import OPERATOR_TOPIC, SERVER_TOPIC, PlatformStore
+from .platform_worker import PlatformWorker
+from .ports import free_ports
+from .processes import wait_for
+from .serving import LOOPBACK
+
+T = TypeVar("T")
+PARTITIONS = 4
+MEMBER_TTL_MS = 600
+CALL_TIMEOUT_S = 10.0
+MODEL = "m0"
+ENGINES = "engines"
+DESK = "desk"
+HOST = "host.example"
+ROLLOUT_PREFIX = "/lot/"
+DESK_PREFIX = "/desk/"
+SETTINGS_VARIABLE = "FULMARPULLEY_NODE_FILE"
+
+
+class Answer(msgspec.Struct):
+    """Hold an answer of a node."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Decode the body."""
+        return json.loads(self.body)
+
+
+class NodeProcess:
+    """Hold the process of one node."""
+
+    def __init__(self, name: str, folder: Path, store_port: int) -> None:
+        self.name = name
+        self.callers, self.readiness, self.metrics = free_ports(3)
+        self.log = folder / f"{name}.log"
+        self.settings = folder / f"{name}.jsonc"
+        self.settings.write_text(json.dumps(self._settings(store_port)))
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start the process."""
+        environment = {**os.environ, SETTINGS_VARIABLE: str(self.settings)}
+        command = [sys.executable, "-m", "fulmarpulley_node.platform"]
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                command, env=environment, stdout=log, stderr=log
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def end(self) -> None:
+        """Kill the process."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        **headers: str,
+    ) -> Answer:
+        """Make a call on a new connection."""
+        connection = HTTPConnection(LOOPBACK, self.callers, timeout=CALL_TIMEOUT_S)
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        try:
+            connection.request(method, path, body, {"Host": HOST, **named})
+            response = connection.getresponse()
+            answer_headers = {k.lower(): v for k, v in response.getheaders()}
+            return Answer(response.status, answer_headers, response.read())
+        finally:
+            connection.close()
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may use the node."""
+        connection = HTTPConnection(LOOPBACK, self.readiness, timeout=1.0)
+        try:
+            connection.request("GET", "/-/readiness")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+        finally:
+            connection.close()
+
+    def events(self, name: str) -> list[str]:
+        """Return the log lines of an event."""
+        lines = self.log.read_text().splitlines()
+        return [line for line in lines if line.startswith(f"event={name} ")]
+
+    def _settings(self, store_port: int) -> dict[str, Any]:
+        return {
+            "node_id": self.name,
+            "data_centre": "a1",
+            "region": "a",
+            "regions": {"a1": "a", "b1": "b"},
+            "callers": f"{LOOPBACK}:{self.callers}",
+            "readiness": f"{LOOPBACK}:{self.readiness}",
+            "metrics": f"{LOOPBACK}:{self.metrics}",
+            "log": {
+                "address": f"{LOOPBACK}:{store_port}",
+                "partitions": PARTITIONS,
+                "member_ttl_ms": MEMBER_TTL_MS,
+            },
+            "bounds": {"lease_ms": 100.0, "grace_s": 8.0},
+        }
+
+
+class PlatformSystem:
+    """Own the stand-ins, their event loop and the nodes."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.store = PlatformStore(PARTITIONS)
+        self.workers: dict[str, PlatformWorker] = {}
+        self.nodes: list[NodeProcess] = []
+        self.runners: list[web.AppRunner] = []
+        self.store_port = 0
+        self.config_version = 0
+
+    def __enter__(self) -> Self:
+        """Start the store."""
+        self.thread.start()
+        self.store_port = self.run(self._serve(self.store.app()))
+        return self
+
+    def __exit__(self, *_error: object) -> None:
+        """End the nodes and the stand-ins."""
+        for node in self.nodes:
+            node.end()
+        for runner in self.runners:
+            self.run(runner.cleanup())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        self.loop.close()
+
+    def run(self, work: Coroutine[Any, Any, T]) -> T:
+        """Run a coroutine in the loop of the stand-ins."""
+        return asyncio.run_coroutine_threadsafe(work, self.loop).result(CALL_TIMEOUT_S)
+
+    def add_worker(self, name: str, service: str = ENGINES) -> PlatformWorker:
+        """Start a worker and list it in the store."""
+        models = [MODEL] if service == ENGINES else []
+        worker = PlatformWorker(name, models)
+        port = self.run(self._serve(worker.app()))
+        self.workers[name] = worker
+        entry = worker.entry(service, f"{LOOPBACK}:{port}", "a1", 4)
+        self.put_server(name, entry)
+        return worker
+
+    def put_server(self, name: str, entry: Any) -> None:
+        """Write the entry of a worker; None removes it."""
+        self.run(self.store.put(SERVER_TOPIC, name, entry))
+
+    def configure(self, **changes: Any) -> None:
+        """Write the next version of the configuration."""
+        self.config_version += 1
+        config = configuration(self.config_version)
+        self.run(self.store.put(OPERATOR_TOPIC, "config", {**config, **changes}))
+
+    def name_version(self, version: int) -> None:
+        """Name a version of the model, as its trainer does."""
+        value = {"Model": MODEL, "Version": version}
+        self.run(self.store.put(OPERATOR_TOPIC, f"version/{MODEL}", value))
+
+    def add_node(self, name: str, wait: bool = True) -> NodeProcess:
+        """Start a node."""
+        node = NodeProcess(name, self.folder, self.store_port)
+        self.nodes.append(node)
+        node.start()
+        if wait:
+            wait_for(node.is_ready, f"readiness of {name}")
+        return node
+
+    def owner(self, service: str = ENGINES) -> NodeProcess | None:
+        """Return the node that runs the items of a service."""
+        # Imported here, since the nodes' packages are under test.
+        from fulmarpulley_core.ids import ServiceName
+        from fulmarpulley_node.rollout.partitions import partition_of
+
+        part = partition_of(ServiceName(service), PARTITIONS)
+        member = self.store.owner("homes", part) or ""
+        return next((n for n in self.nodes if member.startswith(n.name + "/")), None)
+
+    def all_runs(self, request_id: str) -> list[Any]:
+        """Return the runs of a request at all workers."""
+        runs = [run for w in self.workers.values() for run in w.runs]
+        return [run for run in runs if run.request_id == request_id]
+
+    async def _serve(self, app: web.Application) -> int:
+        runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
+        )
+        await runner.setup()
+        (port,) = free_ports(1)
+        await web.TCPSite(runner, LOOPBACK, port).start()
+        self.runners.append(runner)
+        return port
+
+
+def configuration(version: int) -> dict[str, Any]:
+    """Return a configuration with an engine service and a desk."""
+    rollout = {
+        "Name": "r-lot",
+        "Host": HOST,
+        "PathPrefix": ROLLOUT_PREFIX,
+        "RouteKind": "rollout",
+        "TimeoutMs": 10000,
+        "TargetLatencyMs": 500,
+        "Priority": 1,
+        "Service": ENGINES,
+        "MaxAttempts": 3,
+        "RetentionS": 40.0,
+        "ResultDeadlineMs": 7500,
+        "StickySessions": True,
+        "Resumable": True,
+    }
+    desk = {
+        "Name": "r-desk",
+        "Host": HOST,
+        "PathPrefix": DESK_PREFIX,
+        "RouteKind": "safe",
+        "TimeoutMs": 3000,
+        "TargetLatencyMs": 200,
+        "Priority": 2,
+        "Service": DESK,
+        "MaxAttempts": 2,
+    }
+    engine = {
+        "Slots": 4,
+        "KvCacheTokens": 10000,
+        "Stride": 10,
+        "Models": [{"Name": MODEL}],
+    }
+    services = [
+        {"Name": ENGINES, "HealthPath": "/health", "Engine": engine},
+        {"Name": DESK, "HealthPath": "/health"},
+    ]
+    return {
+        "Version": version,
+        "Routes": [rollout, desk],
+        "Services": services,
+        "Limits": {},
+    }
+
+
+def submission(step: str, items: int, min_version: int = 1) -> bytes:
+    """Return the body of a step in groups of two items."""
+    entries = [
+        {
+            "Id": f"{step}-{number}",
+            "Path": f"{ROLLOUT_PREFIX}run/{number}",
+            "Headers": {"Model": MODEL, "Token-Counts": "10,100"},
+            "Body": base64.b64encode(f"body {number}".encode()).decode(),
+            "Tokens": 110,
+            "Group": f"{step}-g{number // 2}",
+        }
+        for number in range(items)
+    ]
+    return msgspec.json.encode(
+        {
+            "Step": 0,
+            "Model": MODEL,
+            "MinVersion": min_version,
+            "TargetGroups": items // 2,
+            "Items": entries,
+        }
+    )
+
+
+def submit(node: NodeProcess, step: str, items: int, min_version: int = 1) -> Answer:
+    """Submit a step."""
+    body = submission(step, items, min_version)
+    return node.call("POST", f"{ROLLOUT_PREFIX}{step}", body, Request_Id=step)
+
+
+def results(node: NodeProcess, step: str, after: int = 0) -> Any:
+    """Read the results of a step from a position on."""
+    path = f"/-/lots/{step}?After={after}"
+    answer = node.call("GET", path, Wait_Ms="200")
+    if answer.status != 200:
+        return {"Total": -1, "Results": [], "status": answer.status}
+    return answer.json()
+
+
+def wait_results(node: NodeProcess, step: str, count: int) -> list[Any]:
+    """Wait until a node returns a number of results, and return them."""
+    found: list[Any] = []
+
+    def enough() -> bool:
+        found[:] = results(node, step)["Results"]
+        return len(found) >= count
+
+    wait_for(enough, f"{count} results of {step}")
+    return found
+
+
+def settle(seconds: float) -> None:
+    """Let time pass in which nothing may happen."""
+    time.sleep(seconds)
--- /dev/null
+++ b/testing/src/fulmarpulley_testing/platform_worker.py
@@ -0,0 +1,155 @@
+"""Stand in for the platform's workers, as far as its protocol page documents them."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from .serving import reply
+
+STAMP = "stamp"
+
+
+class Run(msgspec.Struct):
+    """Hold a request that a worker has run, from which event on, and how it ended."""
+
+    worker: str
+    request_id: str
+    resume_after: int
+    method: str
+    path: str
+    body: bytes
+    events: int = 0
+    complete: bool = False
+
+
+class Order(msgspec.Struct):
+    """Hold an order that a worker accepted."""
+
+    holder: str
+    fence: int
+    version: int
+
+
+class PlatformWorker:
+    """Run requests, stream events and load versions."""
+
+    def __init__(self, name: str, models: list[str]) -> None:
+        self.name = name
+        self.versions = dict.fromkeys(models, 1)
+        self.event_s = 0.01
+        self.events_per_item = 5
+        self.load_s = 0.05
+        self.loading = False
+        self.fail_status = 0
+        self.break_after: int | None = None
+        self.wrong_id = False
+        self.runs: list[Run] = []
+        self.orders: list[Order] = []
+        self.accepted = 0
+
+    def app(self) -> web.Application:
+        """Return the application that serves the worker."""
+        app = web.Application(client_max_size=64 * 1024 * 1024)
+        app.router.add_get("/-/report", self.report)
+        app.router.add_post("/-/order", self.order)
+        app.router.add_route("*", "/{path:.*}", self.run)
+        return app
+
+    def entry(self, service: str, address: str, zone: str, slots: int) -> Any:
+        """Return the entry of the worker in the store."""
+        models = [{"Name": m, "Version": v} for m, v in self.versions.items()]
+        return {
+            "Service": service,
+            "Address": address,
+            "Zone": zone,
+            "Version": "v1",
+            "Slots": slots,
+            "State": "ready",
+            "ColdRemainingMs": 0,
+            "Models": models,
+            "Sequence": 1,
+            "born": 1,
+        }
+
+    async def report(self, request: web.Request) -> web.Response:
+        """Say what the worker serves."""
+        models = [{"Name": m, "Version": v} for m, v in self.versions.items()]
+        return reply(
+            {"Models": models, "Busy": self.loading, "Sequence": self.accepted}
+        )
+
+    async def order(self, request: web.Request) -> web.Response:
+        """Load a version."""
+        if request.headers.get("Expected-Instance") != self.name:
+            return web.Response(status=421)
+        body = msgspec.json.decode(await request.read())
+        newest = max((order.fence for order in self.orders), default=0)
+        if body["FencingToken"] < newest:
+            return web.Response(status=412)
+        if self.loading or body.get("Precondition", self.accepted) != self.accepted:
+            return web.Response(status=409)
+        self.accepted += 1
+        accepted = Order(body["Holder"], body["FencingToken"], body["Version"])
+        self.orders.append(accepted)
+        self.loading = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.load_s, self._loaded, body["Model"], body["Version"])
+        return web.Response(status=202)
+
+    def _loaded(self, model: str, version: int) -> None:
+        self.versions[model] = version
+        self.loading = False
+
+    async def run(self, request: web.Request) -> web.StreamResponse:
+        """Run a request, as a stream if it names a model."""
+        headers = request.headers
+        if headers.get("Expected-Instance") != self.name:
+            return web.Response(status=421)
+        model = headers.get("Model")
+        if model is not None and self.loading:
+            return web.Response(status=503, headers={"Not-Executed": "1"})
+        run = Run(
+            worker=self.name,
+            request_id=headers["Request-Id"],
+            resume_after=int(headers.get("Last-Event-Id", "0")),
+            method=request.method,
+            path=request.raw_path,
+            body=await request.read(),
+        )
+        self.runs.append(run)
+        if self.fail_status:
+            return web.Response(status=self.fail_status, headers=self._signed(run))
+        if model is not None:
+            return await self._stream(request, run, model)
+        await asyncio.sleep(self.event_s)
+        run.complete = True
+        return web.Response(body=b"answer " + run.body, headers=self._signed(run))
+
+    async def _stream(
+        self, request: web.Request, run: Run, model: str
+    ) -> web.StreamResponse:
+        version = self.versions[model]
+        headers = {**self._signed(run), "Weight-Versions": str(version)}
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        for number in range(run.resume_after + 1, self.events_per_item + 1):
+            await asyncio.sleep(self.event_s)
+            if run.events == self.break_after and request.transport is not None:
+                request.transport.abort()
+                return response
+            change = b""
+            if self.versions[model] != version:
+                version = self.versions[model]
+                change = f"weight-versions: {version}\n".encode()
+            data = f"id: {number}\ndata: {run.request_id}:{number}\n\n".encode()
+            await response.write(change + data)
+            run.events += 1
+        run.complete = True
+        return response
+
+    def _signed(self, run: Run) -> dict[str, str]:
+        request_id = "another" if self.wrong_id else run.request_id
+        return {"Request-Id": request_id, "Server-Stamp": STAMP}
--- /dev/null
+++ b/testing/tests/platform_case.py
@@ -0,0 +1,51 @@
+"""Hold what the tests on the platform share."""
+
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from fulmarpulley_testing.platform_system import (
+    DESK,
+    NodeProcess,
+    PlatformSystem,
+)
+from fulmarpulley_testing.processes import wait_for
+
+
+def text_of(item_id: str, events: int) -> str:
+    return "\n".join(f"{item_id}:{number}" for number in range(1, events + 1))
+
+
+class PlatformCase(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.system = self.enterContext(PlatformSystem(Path(folder)))
+        self.engines = [self.system.add_worker(f"e{n}") for n in range(2)]
+        self.desks = [self.system.add_worker(f"d{n}", DESK) for n in range(2)]
+        self.system.configure()
+        self.nodes = [self.system.add_node(f"n{n}") for n in range(2)]
+        wait_for(lambda: self.system.owner() is not None, "an owner")
+
+    def owner(self) -> NodeProcess:
+        owner = self.system.owner()
+        assert owner is not None
+        return owner
+
+    def other(self) -> NodeProcess:
+        owner = self.owner()
+        return next(node for node in self.nodes if node is not owner)
+
+    def assert_whole(self, found: list[Any], events: int) -> None:
+        for result in found:
+            self.assertEqual(result["State"], "completed")
+            self.assertEqual(result["Text"], text_of(result["Id"], events))
+
+    def assert_resumed_properly(self, item_id: str) -> None:
+        """Each run after the first was asked to go on where another one stopped."""
+        for run in self.system.all_runs(item_id):
+            longest = max(
+                other.resume_after + other.events
+                for other in self.system.all_runs(item_id)
+            )
+            self.assertLessEqual(run.resume_after, longest)
--- /dev/null
+++ b/testing/tests/test_platform_desk.py
@@ -0,0 +1,78 @@
+"""Guard plain requests on the platform."""
+
+from typing import Any
+
+from platform_case import PlatformCase
+
+from fulmarpulley_testing.platform_store import StoreMode
+from fulmarpulley_testing.platform_system import (
+    DESK,
+    NodeProcess,
+    settle,
+)
+from fulmarpulley_testing.processes import wait_for
+
+
+class DeskTest(PlatformCase):
+    """Guards against changed, doubled and unanswered requests."""
+
+    def ask(self, node: NodeProcess, **headers: str) -> Any:
+        fields = {"Request_Id": "q1", "Deadline_Ms": "2000", **headers}
+        return node.call("POST", "/desk/a?b=%2F", b"text", **fields)
+
+    def test_request_is_forwarded_unchanged(self) -> None:
+        answer = self.ask(self.nodes[0])
+        self.assertEqual((answer.status, answer.body), (200, b"answer text"))
+        self.assertEqual(answer.headers["server-stamp"], "stamp")
+        (run,) = self.system.all_runs("q1")
+        self.assertEqual((run.method, run.path), ("POST", "/desk/a?b=%2F"))
+
+    def test_request_is_answered_while_the_store_is_down(self) -> None:
+        self.system.store.mode = StoreMode.RESET
+        settle(0.3)
+        self.assertEqual(self.ask(self.nodes[0]).status, 200)
+
+    def test_request_moves_on_from_an_upstream_that_fails(self) -> None:
+        self.desks[0].wrong_id = True
+        self.assertEqual(self.ask(self.nodes[0]).status, 200)
+
+    def test_failure_of_all_upstreams_is_returned_unchanged(self) -> None:
+        for desk in self.desks:
+            desk.fail_status = 500
+        answer = self.ask(self.nodes[0])
+        self.assertEqual(answer.status, 500)
+        self.assertEqual(answer.headers["server-stamp"], "stamp")
+        self.assertEqual(len(self.system.all_runs("q1")), 2)
+
+    def test_request_without_a_route_is_not_found(self) -> None:
+        answer = self.nodes[0].call("POST", "/none/", b"", Request_Id="q2")
+        self.assertEqual(answer.status, 404)
+
+    def test_draining_upstream_gets_no_request(self) -> None:
+        entry = self.desks[0].entry(DESK, "127.0.0.1:1", "a1", 4)
+        self.system.put_server("d0", {**entry, "State": "draining"})
+        settle(0.5)
+        for number in range(6):
+            self.assertEqual(
+                self.ask(self.nodes[0], Request_Id=f"r{number}").status, 200
+            )
+        self.assertEqual(self.desks[0].runs, [])
+
+    def test_unreadable_entry_names_no_upstream(self) -> None:
+        self.system.put_server("d0", {"Service": 7})
+        settle(0.5)
+        self.assertEqual(self.ask(self.nodes[0]).status, 200)
+        self.assertEqual(self.desks[0].runs, [])
+
+    def test_unreadable_configuration_leaves_the_last_in_force(self) -> None:
+        self.system.configure(Routes=[{"Name": "broken"}])
+        settle(0.7)
+        self.assertEqual(self.ask(self.nodes[0]).status, 200)
+        self.assertTrue(self.nodes[0].events("config_unreadable"))
+
+    def test_node_without_a_configuration_is_not_ready(self) -> None:
+        self.system.store.mode = StoreMode.BUSY
+        node = self.system.add_node("n9", wait=False)
+        wait_for(lambda: bool(node.events("node_started")), "the start")
+        self.assertFalse(node.is_ready())
+        self.assertEqual(self.ask(node).status, 503)
--- /dev/null
+++ b/testing/tests/test_platform_owner.py
@@ -0,0 +1,88 @@
+"""Guard steps on the platform against failures of their owner."""
+
+import signal
+
+from platform_case import PlatformCase
+
+from fulmarpulley_testing.platform_system import (
+    results,
+    settle,
+    submit,
+    wait_results,
+)
+from fulmarpulley_testing.processes import wait_for
+
+
+class OwnerFailureTest(PlatformCase):
+    """Guards against steps that stall or change when their owner fails."""
+
+    def slow_down(self) -> None:
+        for engine in self.engines:
+            engine.events_per_item = 60
+            engine.event_s = 0.05
+
+    def test_killed_owner_is_replaced_and_its_items_resumed(self) -> None:
+        self.slow_down()
+        submit(self.other(), "s1", 4)
+        reader = self.other()
+        wait_for(
+            lambda: any(run.events > 40 for run in self.system.all_runs("s1-0")),
+            "saved progress",
+        )
+        self.owner().end()
+        found = wait_results(reader, "s1", 4)
+        self.assert_whole(found, 60)
+        runs = self.system.all_runs("s1-0")
+        self.assertEqual(len(runs), 2)
+        self.assertGreater(runs[1].resume_after, 0)
+        self.assert_resumed_properly("s1-0")
+
+    def test_results_keep_their_positions_after_a_takeover(self) -> None:
+        submit(self.other(), "s1", 4)
+        reader = self.other()
+        before = wait_results(reader, "s1", 4)
+        self.owner().end()
+        wait_for(lambda: self.system.owner() is reader, "a takeover")
+        self.assertEqual(results(reader, "s1")["Results"], before)
+
+    def test_frozen_owner_changes_no_result_when_it_wakes(self) -> None:
+        self.slow_down()
+        owner, reader = self.owner(), self.other()
+        submit(reader, "s1", 4)
+        wait_for(lambda: bool(self.system.all_runs("s1-0")), "a run")
+        owner.signal(signal.SIGSTOP)
+        before = wait_results(reader, "s1", 4)
+        owner.signal(signal.SIGCONT)
+        settle(1.0)
+        self.assertEqual(results(reader, "s1")["Results"], before)
+        self.assertEqual(results(owner, "s1")["Results"], before)
+        self.assert_whole(before, 60)
+
+    def test_stopped_owner_hands_its_items_over(self) -> None:
+        self.slow_down()
+        owner, reader = self.owner(), self.other()
+        submit(reader, "s1", 4)
+        wait_for(
+            lambda: any(run.events > 5 for run in self.system.all_runs("s1-0")),
+            "events of an item",
+        )
+        owner.signal(signal.SIGTERM)
+        self.assert_whole(wait_results(reader, "s1", 4), 60)
+        assert owner.process is not None
+        self.assertEqual(owner.process.wait(10), 0)
+        self.assertGreater(self.system.all_runs("s1-0")[1].resume_after, 0)
+
+    def test_owner_that_loses_its_partition_still_writes_results(self) -> None:
+        owner, reader = self.owner(), self.other()
+        submit(reader, "s1", 4)
+        wait_results(reader, "s1", 4)
+        member = next(
+            name
+            for name in self.system.store.groups["homes"].members
+            if name.startswith(owner.name)
+        )
+        self.slow_down()
+        submit(reader, "s2", 2)
+        wait_for(lambda: bool(self.system.all_runs("s2-0")), "a run")
+        self.system.store.cut_off.add(member)
+        self.assert_whole(wait_results(reader, "s2", 2), 60)
--- /dev/null
+++ b/testing/tests/test_platform_store.py
@@ -0,0 +1,61 @@
+"""Guard steps on the platform against failures of the store."""
+
+from platform_case import PlatformCase
+
+from fulmarpulley_testing.platform_store import StoreMode
+from fulmarpulley_testing.platform_system import (
+    results,
+    settle,
+    submit,
+    wait_results,
+)
+from fulmarpulley_testing.processes import wait_for
+
+
+class StoreFailureTest(PlatformCase):
+    """Guards against promises that the store did not confirm."""
+
+    def test_append_without_answer_is_read_back(self) -> None:
+        self.system.store.mode = StoreMode.LOSE_ANSWERS
+        self.assertEqual(submit(self.nodes[0], "s1", 2).status, 202)
+        self.system.store.mode = StoreMode.UP
+        self.assert_whole(wait_results(self.nodes[1], "s1", 2), 5)
+
+    def test_submission_to_a_busy_store_is_refused_and_never_runs(self) -> None:
+        self.system.store.mode = StoreMode.BUSY
+        answer = submit(self.nodes[0], "s1", 2)
+        self.assertEqual(answer.status, 503)
+        self.assertIn("retry-after", answer.headers)
+        self.system.store.mode = StoreMode.UP
+        settle(1.0)
+        self.assertEqual(self.system.all_runs("s1-0"), [])
+
+    def test_results_are_read_while_the_store_is_down(self) -> None:
+        submit(self.nodes[0], "s1", 2)
+        before = wait_results(self.nodes[0], "s1", 2)
+        self.system.store.mode = StoreMode.RESET
+        self.assertEqual(results(self.nodes[0], "s1")["Results"], before)
+
+    def test_unknown_step_while_the_store_is_down_is_refused(self) -> None:
+        # A 404 would say that the step does not exist.
+        self.system.store.mode = StoreMode.RESET
+        self.assertEqual(results(self.nodes[0], "s1")["status"], 503)
+
+    def test_results_that_end_during_an_outage_are_listed_after_it(self) -> None:
+        for engine in self.engines:
+            engine.events_per_item = 40
+            engine.event_s = 0.02
+        submit(self.nodes[0], "s1", 2)
+        wait_for(lambda: len(self.system.all_runs("s1-0")) > 0, "a run")
+        self.system.store.mode = StoreMode.BUSY
+        runs = self.system.all_runs("s1-0")
+        wait_for(lambda: any(run.complete for run in runs), "the end of a run")
+        settle(0.5)
+        self.system.store.mode = StoreMode.UP
+        self.assert_whole(wait_results(self.nodes[1], "s1", 2), 40)
+
+    def test_upstreams_stay_in_use_when_their_history_is_dropped(self) -> None:
+        self.system.store.forget("keyed.op", 0)
+        settle(0.7)
+        self.assertEqual(submit(self.nodes[0], "s1", 2).status, 202)
+        wait_results(self.nodes[0], "s1", 2)
