--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
@@ -1,6 +1,7 @@
 """Forward plain requests from the node that took them."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -8,7 +9,6 @@
 
 from fulmarpulley_core.ids import (
     AttemptId,
-    DataCentre,
     ModelName,
     Region,
     ServiceName,
@@ -18,25 +18,18 @@
 from fulmarpulley_core.pool.messages import (
     AttemptFailed,
     AttemptFinished,
-    Availability,
     CancelAttempt,
-    DocumentChanged,
     Failure,
     Finish,
-    Order,
     PoolSettings,
     Refuse,
     StartAttempt,
     Submit,
-    UpstreamState,
     Withdraw,
     Work,
     WorkKind,
 )
-from fulmarpulley_core.rollout.documents import pool_document
 from fulmarpulley_core.rollout.topology import Route, RouteKind, choose_service
-from fulmarpulley_core.rollout.upstreams import ListedState
-from fulmarpulley_schema.generated.document import ServiceDocument
 from fulmarpulley_schema.generated.http import Ran
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 
@@ -45,8 +38,7 @@
 from .directory import Directory
 from .interfaces import CallEnd, CallerRequest, UpstreamAnswer, UpstreamCalls
 from .metrics import RolloutMetrics, labels
-from .pool_driver import PoolDriver
-from .step_home import hash_of
+from .service_pools import ServicePools, hash_of
 
 # An upstream that says nothing for this part of the time is taken as silent, so that
 # time is left for another one. The longest work of a healthy one takes a fifth of it.
@@ -92,12 +84,12 @@
         self.calls = calls
         self.metrics = metrics
         self.tasks = TaskGroup()
-        self.pools: dict[ServiceName, PoolDriver] = {}
-        self.documents: dict[ServiceName, ServiceDocument] = {}
+        pool_settings = PoolSettings(id_prefix=f"{settings.node_id}.")
+        self.pools = ServicePools(settings, directory, pool_settings, self._handlers)
         self.pending: dict[WorkId, Pending] = {}
         self.attempt_tasks: dict[AttemptId, asyncio.Task[None]] = {}
         self.sequence = 0
-        directory.listeners.append(self.directory_changed)
+        directory.listeners.append(self.pools.directory_changed)
 
     async def forward(
         self, route: Route, request: CallerRequest
@@ -106,7 +98,7 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         name = choose_service(route, hash_of(request.request_id))
-        pool = self._pool(name)
+        pool = self.pools.open(name)
         if pool is None:
             return Refusal("no_upstream", Ran.NOT_RUN, 0.5)
         deadline = began + route.timeout_s
@@ -132,11 +124,6 @@
         self._note(pending, answer, loop.time() - began)
         return answer
 
-    def directory_changed(self) -> None:
-        """Take a change of the configuration or the upstreams."""
-        for name, pool in self.pools.items():
-            self._update_pool(name, pool)
-
     def _work(self, work_id: WorkId, pending: Pending) -> Work:
         route = pending.route
         return Work(
@@ -169,51 +156,13 @@
             seconds=seconds,
         )
 
-    def _pool(self, name: ServiceName) -> PoolDriver | None:
-        known = self.pools.get(name)
-        if known is not None:
-            return known
-        document = self._document(name)
-        if document is None:
-            return None
-        handlers: dict[type, Any] = {
+    def _handlers(self, _name: ServiceName) -> dict[type, Callable[[Any], object]]:
+        return {
             StartAttempt: self._start_attempt,
             CancelAttempt: self._cancel_attempt,
             Finish: self._finish,
             Refuse: self._refuse,
-            Order: lambda action: None,
         }
-        settings = PoolSettings(id_prefix=f"{self.settings.node_id}.")
-        pool = PoolDriver(document, settings, hash_of(name), handlers)
-        self.pools[name] = pool
-        self.documents[name] = document
-        return pool
-
-    def _document(self, name: ServiceName) -> ServiceDocument | None:
-        routes = self.directory.routes
-        service = routes.topology.services.get(name) if routes else None
-        if service is None or routes is None:
-            return None
-        regions = {DataCentre(k): Region(v) for k, v in self.settings.regions.items()}
-        return pool_document(
-            service,
-            routes.topology.routes,
-            self.directory.of_service(name),
-            regions,
-            self.settings.bounds.drain_ms / 1000,
-        )
-
-    def _update_pool(self, name: ServiceName, pool: PoolDriver) -> None:
-        document = self._document(name)
-        if document is None:
-            return
-        if document != self.documents[name]:
-            self.documents[name] = document
-            pool.post(DocumentChanged(document))
-        for entry in self.directory.of_service(name):
-            draining = entry.state is ListedState.DRAINING
-            state = Availability.DRAINING if draining else Availability.AVAILABLE
-            pool.post(UpstreamState(entry.upstream_id, state))
 
     def _start_attempt(self, action: StartAttempt) -> None:
         pending = self.pending[action.work_id]
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/service_pools.py
@@ -0,0 +1,106 @@
+"""Keep the pools of a node in step with the configuration and the upstreams."""
+
+from collections.abc import Callable
+from typing import Any
+
+import xxhash
+
+from fulmarpulley_core.ids import DataCentre, Region, ServiceName
+from fulmarpulley_core.pool.messages import (
+    Availability,
+    DocumentChanged,
+    PoolSettings,
+    UpstreamState,
+)
+from fulmarpulley_core.rollout.documents import pool_document
+from fulmarpulley_core.rollout.upstreams import ListedState
+from fulmarpulley_schema.generated.document import ServiceDocument
+from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
+
+from .directory import Directory
+from .pool_driver import PoolDriver
+
+Handlers = Callable[[ServiceName], dict[type, Callable[[Any], object]]]
+
+
+class ServicePools:
+    """Hold one pool for each service that this node has work for."""
+
+    def __init__(
+        self,
+        settings: RolloutSettings,
+        directory: Directory,
+        pool_settings: PoolSettings,
+        handlers: Handlers,
+    ) -> None:
+        self.settings = settings
+        self.directory = directory
+        self.pool_settings = pool_settings
+        self.handlers = handlers
+        self.pools: dict[ServiceName, PoolDriver] = {}
+        self.documents: dict[ServiceName, ServiceDocument] = {}
+        # Called after the pool of a service has taken a change.
+        self.updated: Callable[[ServiceName, PoolDriver], None] = lambda name, pool: (
+            None
+        )
+
+    def __getitem__(self, name: ServiceName) -> PoolDriver:
+        return self.pools[name]
+
+    def open(self, name: ServiceName) -> PoolDriver | None:
+        """Return the pool of a service, or None if the service is unknown."""
+        known = self.pools.get(name)
+        if known is not None:
+            return known
+        document = self._document(name)
+        if document is None:
+            return None
+        pool = PoolDriver(
+            document, self.pool_settings, hash_of(name), self.handlers(name)
+        )
+        self.pools[name] = pool
+        self.documents[name] = document
+        self._update(name, pool)
+        return pool
+
+    def directory_changed(self) -> None:
+        """Take a change of the configuration, the upstreams or the versions."""
+        for name, pool in self.pools.items():
+            self._update(name, pool)
+
+    def close(self) -> None:
+        """Close all pools."""
+        for pool in self.pools.values():
+            pool.close()
+
+    def _update(self, name: ServiceName, pool: PoolDriver) -> None:
+        document = self._document(name)
+        if document is None:
+            return
+        if document != self.documents[name]:
+            self.documents[name] = document
+            pool.post(DocumentChanged(document))
+        for entry in self.directory.of_service(name):
+            draining = entry.state is ListedState.DRAINING
+            state = Availability.DRAINING if draining else Availability.AVAILABLE
+            pool.post(UpstreamState(entry.upstream_id, state))
+        self.updated(name, pool)
+
+    def _document(self, name: ServiceName) -> ServiceDocument | None:
+        routes = self.directory.routes
+        service = routes.topology.services.get(name) if routes else None
+        if service is None or routes is None:
+            return None
+        regions = {DataCentre(k): Region(v) for k, v in self.settings.regions.items()}
+        return pool_document(
+            service,
+            routes.topology.routes,
+            self.directory.of_service(name),
+            regions,
+            self.settings.bounds.drain_ms / 1000,
+        )
+
+
+def hash_of(text: str) -> int:
+    """Return a number that is the same on all nodes."""
+    return xxhash.xxh64_intdigest(text.encode())
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
@@ -5,12 +5,10 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
-import xxhash
 from result import Ok
 
 from fulmarpulley_core.ids import (
     AttemptId,
-    DataCentre,
     ItemId,
     ModelName,
     PrefixId,
@@ -27,9 +25,7 @@
     AttemptFailed,
     AttemptFinished,
     AttemptProgress,
-    Availability,
     CancelAttempt,
-    DocumentChanged,
     Failure,
     Finish,
     Order,
@@ -38,19 +34,15 @@
     Refuse,
     StartAttempt,
     Submit,
-    UpstreamState,
     VersionAnnounced,
     VersionReport,
     Withdraw,
     Work,
     WorkKind,
 )
-from fulmarpulley_core.rollout.documents import pool_document
 from fulmarpulley_core.rollout.step_fold import Saved, Step
 from fulmarpulley_core.rollout.step_plan import rank_items
 from fulmarpulley_core.rollout.topology import Route, Service, choose_service
-from fulmarpulley_core.rollout.upstreams import ListedState
-from fulmarpulley_schema.generated.document import ServiceDocument
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 from fulmarpulley_schema.generated.steps import ItemResult, ItemSpec
 
@@ -65,6 +57,7 @@
 from .ownership import Ownership, Tenure
 from .partitions import Partitions, partition_of
 from .pool_driver import PoolDriver
+from .service_pools import ServicePools, hash_of
 
 RECONCILE_S = 0.5
 # Items that run for a second or longer are saved; most end before that, and to save
@@ -101,8 +94,13 @@
         self.follower = partitions.followers[tenure.partition]
         self.outbox = Outbox(partitions, tenure.partition)
         self.tasks = TaskGroup()
-        self.pools: dict[ServiceName, PoolDriver] = {}
-        self.documents: dict[ServiceName, ServiceDocument] = {}
+        pool_settings = PoolSettings(
+            id_prefix=f"{settings.node_id}.",
+            refuse_while_loading=True,
+            split_models=True,
+        )
+        self.pools = ServicePools(settings, directory, pool_settings, self._handlers)
+        self.pools.updated = self._pool_updated
         self.runs: dict[WorkId, ItemRun] = {}
         self.ranks: dict[StepId, Mapping[ItemId, int]] = {}
         self.pool_of: dict[WorkId, ServiceName] = {}
@@ -122,8 +120,7 @@
         """Cut all attempts; the next owner resumes what was saved."""
         self.directory.listeners.remove(self.directory_changed)
         self.follower.own(False)
-        for pool in self.pools.values():
-            pool.close()
+        self.pools.close()
         for task in self.attempt_tasks.values():
             task.cancel()
         await self.save(1)
@@ -147,15 +144,14 @@
     def directory_changed(self) -> None:
         """Take a change of the configuration, the upstreams or the versions."""
         self._open_pools()
-        for name, pool in self.pools.items():
-            self._update_pool(name, pool)
+        self.pools.directory_changed()
 
     def _open_pools(self) -> None:
         # Engines load named versions also while no step is open.
         routes = self.directory.routes
         for service in routes.topology.services.values() if routes else ():
             if service.engine is not None and self._gives_orders(service.name):
-                self._pool(service.name)
+                self.pools.open(service.name)
 
     def _gives_orders(self, name: ServiceName) -> bool:
         home = partition_of(name, self.settings.log.partitions)
@@ -206,7 +202,7 @@
             return
         if before is not None:
             self.pools[before].post(Withdraw(run.work_id))
-        pool = self._pool(name)
+        pool = self.pools.open(name)
         if pool is None:
             return
         self.pool_of[run.work_id] = name
@@ -238,60 +234,21 @@
             self.ranks[step.step_id] = known
         return known
 
-    def _pool(self, name: ServiceName) -> PoolDriver | None:
-        known = self.pools.get(name)
-        if known is not None:
-            return known
-        document = self._document(name)
-        if document is None:
-            return None
-        settings = PoolSettings(
-            id_prefix=f"{self.settings.node_id}.",
-            refuse_while_loading=True,
-            split_models=True,
-        )
-        handlers: dict[type, Callable[[Any], object]] = {
+    def _service(self, name: ServiceName) -> Service | None:
+        routes = self.directory.routes
+        return routes.topology.services.get(name) if routes else None
+
+    def _handlers(self, name: ServiceName) -> dict[type, Callable[[Any], object]]:
+        return {
             StartAttempt: self._start_attempt,
             CancelAttempt: self._cancel_attempt,
             Order: lambda action: self.tasks.spawn(self._order(name, action)),
             Finish: self._finish,
             Refuse: self._refused,
         }
-        pool = PoolDriver(document, settings, hash_of(name), handlers)
-        self.pools[name] = pool
-        self.documents[name] = document
-        self._update_pool(name, pool)
-        return pool
-
-    def _document(self, name: ServiceName) -> ServiceDocument | None:
-        service = self._service(name)
-        routes = self.directory.routes
-        if service is None or routes is None:
-            return None
-        regions = {DataCentre(k): Region(v) for k, v in self.settings.regions.items()}
-        return pool_document(
-            service,
-            routes.topology.routes,
-            self.directory.of_service(name),
-            regions,
-            self.settings.bounds.drain_ms / 1000,
-        )
 
-    def _service(self, name: ServiceName) -> Service | None:
-        routes = self.directory.routes
-        return routes.topology.services.get(name) if routes else None
-
-    def _update_pool(self, name: ServiceName, pool: PoolDriver) -> None:
-        document = self._document(name)
-        if document is None:
-            return
-        if document != self.documents[name]:
-            self.documents[name] = document
-            pool.post(DocumentChanged(document))
+    def _pool_updated(self, name: ServiceName, pool: PoolDriver) -> None:
         for entry in self.directory.of_service(name):
-            draining = entry.state is ListedState.DRAINING
-            state = Availability.DRAINING if draining else Availability.AVAILABLE
-            pool.post(UpstreamState(entry.upstream_id, state))
             for model, version in entry.versions.items():
                 self._report(pool, entry.upstream_id, model, version)
         for model, version in self.directory.versions.items():
@@ -558,8 +515,3 @@
 
     def _open_homes(self) -> Iterator[StepHome]:
         return iter(list(self.homes.values()))
-
-
-def hash_of(text: str) -> int:
-    """Return a number that is the same on all nodes."""
-    return xxhash.xxh64_intdigest(text.encode())
--- /dev/null
+++ b/packages/fulmarpulley-node/tests/test_platform_decoding.py
@@ -0,0 +1,82 @@
+import unittest
+
+import msgspec
+
+from fulmarpulley_node.platform import wire
+from fulmarpulley_node.platform.events import EventParser, StreamEvent
+from fulmarpulley_node.platform.headers import forwarded
+from fulmarpulley_node.platform.ingress import to_step
+from fulmarpulley_node.platform.published import decode_server, to_topology
+from fulmarpulley_node.platform.store import frame, unframe
+
+SERVER = {
+    "Service": "s",
+    "Address": "10.0.0.1:80",
+    "Zone": "a1",
+    "State": "ready",
+    "Slots": 4,
+    "Models": [{"Name": "m", "Version": 3}],
+    "born": 5,
+}
+
+
+class EventParserTest(unittest.TestCase):
+    def test_feed_waits_for_the_end_of_an_event(self) -> None:
+        # A worker may stop in the middle of an event, which then does not count.
+        parser = EventParser()
+        self.assertEqual(parser.feed(b"id: 1\ndata: a"), [])
+        self.assertEqual(parser.feed(b"b\n"), [])
+        self.assertEqual(parser.feed(b"\nid: 2\n"), [StreamEvent(1, b"ab", None)])
+
+    def test_feed_reads_a_change_of_version(self) -> None:
+        events = EventParser().feed(b"weight-versions: 7\nid: 4\ndata: x\n\n")
+        self.assertEqual(events, [StreamEvent(4, b"x", 7)])
+
+
+class DecodeServerTest(unittest.TestCase):
+    def test_decode_server_takes_a_whole_entry(self) -> None:
+        entry = decode_server("i-1", msgspec.json.encode(SERVER))
+        assert entry is not None
+        self.assertEqual((entry.upstream_id, entry.versions), ("i-1", {"m": 3}))
+
+    def test_decode_server_of_a_faulty_entry_names_no_upstream(self) -> None:
+        faulty = [
+            b"not json",
+            msgspec.json.encode({**SERVER, "State": "resting"}),
+            msgspec.json.encode({**SERVER, "Address": 7}),
+            msgspec.json.encode({"Service": "s"}),
+        ]
+        for data in faulty:
+            with self.subTest(data=data):
+                self.assertIsNone(decode_server("i-1", data))
+
+
+class TopologyTest(unittest.TestCase):
+    def test_to_topology_refuses_a_route_without_a_service(self) -> None:
+        route = {"Name": "r", "Host": "h", "PathPrefix": "/", "RouteKind": "safe"}
+        config = {"Version": 1, "Routes": [route], "Services": []}
+        entry = msgspec.json.decode(msgspec.json.encode(config), type=wire.ConfigEntry)
+        with self.assertRaisesRegex(ValueError, "route r names no service"):
+            to_topology(entry)
+
+
+class SubmissionTest(unittest.TestCase):
+    def test_to_step_refuses_an_item_that_is_named_twice(self) -> None:
+        item = {"Id": "a", "Path": "/p"}
+        body = msgspec.json.encode({"Items": [item, item]})
+        submission = msgspec.json.decode(body, type=wire.Submission)
+        with self.assertRaisesRegex(ValueError, "the same Id"):
+            to_step(submission, "s", "h", "/p")
+
+
+class FrameTest(unittest.TestCase):
+    def test_unframe_drops_a_record_that_is_cut_off(self) -> None:
+        data = frame(b"one") + frame(b"two")
+        self.assertEqual(unframe(data, 0), [b"one", b"two"])
+        self.assertEqual(unframe(data[:-1], 0), [b"one"])
+
+
+class HeadersTest(unittest.TestCase):
+    def test_forwarded_leaves_out_headers_of_one_connection(self) -> None:
+        headers = {"Connection": "X-Hop", "X-Hop": "1", "Keep-Alive": "5", "A": "b"}
+        self.assertEqual(dict(forwarded(headers)), {"A": "b"})
--- /dev/null
+++ b/packages/fulmarpulley-node/tests/test_wire_names.py
@@ -0,0 +1,65 @@
+import re
+import unittest
+from pathlib import Path
+
+import msgspec
+
+from fulmarpulley_node.platform import wire
+
+ROOT = Path(__file__).resolve().parents[3]
+PLATFORM = ROOT / "packages/fulmarpulley-node/src/fulmarpulley_node/platform"
+HEADERS = {
+    "Deadline-Ms",
+    "Expected-Instance",
+    "Last-Event-Id",
+    "Not-Executed",
+    "Prompt-Prefix",
+    "Server-Stamp",
+    "Token-Counts",
+    "Wait-Ms",
+    "Weight-Versions",
+}
+PATHS = {"/-/lots/", "/-/items/", "/-/order", "/-/report", "/-/readiness", "/-/log-"}
+# Words that are also ordinary English or names of the product's own.
+ORDINARY = {
+    "Address", "Body", "Busy", "End", "First", "Group", "Groups", "Headers", "Host",
+    "Id", "Items", "Key", "Limits", "Member", "Model", "Models", "Name", "Next",
+    "Offset", "Path", "Priority", "Results", "Routes", "Sequence", "Service",
+    "Services", "Slots", "State", "Step", "Text", "Tokens", "Topics", "Total",
+    "Value", "Version", "Versions", "Weight", "Generation", "Operation", "Holder",
+    "Engine", "Zone", "Resumable", "born", "parts", "HasMore", "Stride",
+}  # fmt: skip
+
+
+def wire_names() -> set[str]:
+    """Return the names that only the adapter may know."""
+    names = {*HEADERS, *PATHS}
+    for shape in vars(wire).values():
+        if isinstance(shape, type) and issubclass(shape, msgspec.Struct):
+            names |= {field.encode_name for field in msgspec.structs.fields(shape)}
+    return names - ORDINARY
+
+
+def sources() -> list[Path]:
+    """Return the sources outside the adapter; stand-ins and tests speak the wire."""
+    found = [*ROOT.glob("packages/*/src/**/*.py"), *ROOT.glob("bench/src/**/*.py")]
+    return [path for path in found if PLATFORM not in path.parents]
+
+
+class WireNamesTest(unittest.TestCase):
+    def test_wire_names_stand_only_in_the_adapter(self) -> None:
+        # Guards against the platform's names spreading into the product.
+        names = "|".join(re.escape(name) for name in sorted(wire_names()))
+        pattern = re.compile(rf"""["'][^"'\n]*(?<![\w-])({names})(?![\w-])""")
+        found = [
+            f"{path.relative_to(ROOT)}:{number}: {match.group(1)}"
+            for path in sources()
+            for number, line in enumerate(path.read_text().splitlines(), 1)
+            if (match := pattern.search(line)) is not None
+        ]
+        self.assertEqual(found, [])
+
+    def test_wire_names_cover_the_messages(self) -> None:
+        self.assertIn("FencingToken", wire_names())
+        self.assertIn("PathPrefix", wire_names())
+        self.assertGreater(len(sources()), 50)
