Take no answer without a length

Cause: the HTTP client reports an answer that ends with its connection as complete, also when the connection was reset; a caller would have got a part as the whole. Ruled out: reading the state of the connection after the answer, which the library has let go by then. Change: such an answer counts as broken and is asked for again. Figures: test_answer_without_a_length_that_is_reset_is_not_taken fails before and passes after.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
@@ -222,9 +222,18 @@
         return CallEnd(Failure.BROKEN, "the response belongs to another request")
     if 200 <= status < 300 and "Server-Stamp" not in response.headers:
         return CallEnd(Failure.BROKEN, "the response is not signed")
+    if not _has_length(response):
+        # The client library does not tell whether its connection was closed or reset.
+        return CallEnd(Failure.BROKEN, "the response has no length")
     return None
 
 
+def _has_length(response: aiohttp.ClientResponse) -> bool:
+    chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    bodiless = response.method == "HEAD" or response.status in (204, 304)
+    return chunked or bodiless or "Content-Length" in response.headers
+
+
 def _check_stream(response: aiohttp.ClientResponse, version: int) -> CallEnd | None:
     status = response.status
     if status != 200:
--- a/testing/src/fulmarpulley_testing/platform_worker.py
+++ b/testing/src/fulmarpulley_testing/platform_worker.py
@@ -1,12 +1,14 @@
 """Stand in for the platform's workers, as far as its protocol page documents them."""
 
 import asyncio
+import socket
+import struct
 from typing import Any
 
 import msgspec
 from aiohttp import web
 
-from .serving import reply
+from .serving import abort, reply
 
 STAMP = "stamp"
 
@@ -45,6 +47,7 @@
         self.fail_status = 0
         self.break_after: int | None = None
         self.wrong_id = False
+        self.reset_without_length = False
         self.runs: list[Run] = []
         self.orders: list[Order] = []
         self.accepted = 0
@@ -123,6 +126,8 @@
             return web.Response(status=self.fail_status, headers=self._signed(run))
         if model is not None:
             return await self._stream(request, run, model)
+        if self.reset_without_length:
+            return await self._reset_without_length(request, run)
         await asyncio.sleep(self.event_s)
         run.complete = True
         return web.Response(body=b"answer " + run.body, headers=self._signed(run))
@@ -150,6 +155,20 @@
         run.complete = True
         return response
 
+    async def _reset_without_length(
+        self, request: web.Request, run: Run
+    ) -> web.StreamResponse:
+        """Send the head and a part of an answer without a length, then reset."""
+        transport = request.transport
+        assert transport is not None
+        head = "".join(f"{k}: {v}\r\n" for k, v in self._signed(run).items())
+        transport.write(f"HTTP/1.1 200 OK\r\n{head}\r\nans".encode())
+        await asyncio.sleep(0.1)
+        opened = transport.get_extra_info("socket")
+        at_once = struct.pack("ii", 1, 0)
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, at_once)
+        return abort(request)
+
     def _signed(self, run: Run) -> dict[str, str]:
         request_id = "another" if self.wrong_id else run.request_id
         return {"Request-Id": request_id, "Server-Stamp": STAMP}
--- a/testing/tests/test_platform_desk.py
+++ b/testing/tests/test_platform_desk.py
@@ -36,6 +36,13 @@
         self.desks[0].wrong_id = True
         self.assertEqual(self.ask(self.nodes[0]).status, 200)
 
+    def test_answer_without_a_length_that_is_reset_is_not_taken(self) -> None:
+        # The HTTP client reports such an answer as complete.
+        self.desks[0].reset_without_length = True
+        for number in range(4):
+            answer = self.ask(self.nodes[0], Request_Id=f"t{number}")
+            self.assertEqual((answer.status, answer.body), (200, b"answer text"))
+
     def test_failure_of_all_upstreams_is_returned_unchanged(self) -> None:
         for desk in self.desks:
             desk.fail_status = 500
