--- a/packages/fulmarpulley-core/src/fulmarpulley_core/placement.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/placement.py
@@ -53,12 +53,12 @@
 
 def partition_of(service: str, key: str, partitions: int) -> Partition:
     """Return the claim partition of a caller's key."""
-    return Partition(_hash(f"{service}/{key}") % partitions)
+    return Partition(text_hash(f"{service}/{key}") % partitions)
 
 
 def shard_of(prefix: str, shards: int) -> int:
     """Return the pool shard of a prompt prefix."""
-    return _hash(prefix) % shards
+    return text_hash(prefix) % shards
 
 
 def shard_count(upstreams: int) -> int:
@@ -67,8 +67,9 @@
 
 
 def _weight(key: str, node: str) -> int:
-    return _hash(f"{key}\x00{node}")
+    return text_hash(f"{key}\x00{node}")
 
 
-def _hash(text: str) -> int:
+def text_hash(text: str) -> int:
+    """Return a number that is the same on all nodes."""
     return xxhash.xxh64_intdigest(text.encode())
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/model_placement.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/model_placement.py
@@ -7,9 +7,8 @@
 import math
 from collections.abc import Mapping, Sequence
 
-import xxhash
-
 from ..ids import ModelName, UpstreamId, Version
+from ..placement import text_hash
 from .state import Upstream
 
 # Work of the last steps decides, not that of a trainer that has stopped.
@@ -88,5 +87,4 @@
     # An upstream that serves a newer version of a model keeps it.
     model, upstream = pair
     served = upstream.versions.get(model, Version(0))
-    name = f"{model}@{upstream.upstream_id}".encode()
-    return (-served, xxhash.xxh64_intdigest(name))
+    return (-served, text_hash(f"{model}@{upstream.upstream_id}"))
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
@@ -15,7 +15,7 @@
 from ..rollout.ownership import Ownership
 from ..rollout.partitions import Partitions
 from ..rollout.step_entry import StepEntry
-from ..rollout.step_home import StepHomes
+from ..rollout.step_homes import StepHomes
 from .ingress import Ingress
 from .published import Published
 from .store import Store
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
@@ -88,7 +88,7 @@
 
     async def answer_metrics(self, request: web.BaseRequest) -> web.StreamResponse:
         """Return the metrics."""
-        body, headers = self.metrics.render()
+        body, headers = self.metrics.render(["text/plain"])
         return web.Response(body=body, headers=headers)
 
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/store.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/store.py
@@ -67,9 +67,8 @@
         answer = done.ok_value
         if answer.status in (409, 412):
             return Err(StoreFailure.CONFLICT)
-        if answer.status != 200:
-            return Err(self._unexpected("append", answer))
-        return _decode(answer, AppendedReply).map(lambda reply: reply.first_offset)
+        decoded = self._decode("append", answer, AppendedReply)
+        return decoded.map(lambda reply: reply.first_offset)
 
     async def read(
         self, topic: str, partition: int, start: int, wait_s: float
@@ -104,9 +103,7 @@
             done = await self._call("newest", "GET", path + after)
             if isinstance(done, Err):
                 return done
-            if done.ok_value.status != 200:
-                return Err(self._unexpected("newest", done.ok_value))
-            page = _decode(done.ok_value, NewestReply)
+            page = self._decode("newest", done.ok_value, NewestReply)
             if isinstance(page, Err):
                 return page
             reply = page.ok_value
@@ -128,9 +125,7 @@
         done = await self._call("join", "POST", "/-/log-join", body, json=True)
         if isinstance(done, Err):
             return done
-        if done.ok_value.status != 200:
-            return Err(self._unexpected("join", done.ok_value))
-        decoded = _decode(done.ok_value, JoinReply)
+        decoded = self._decode("join", done.ok_value, JoinReply)
         return decoded.map(
             lambda reply: Membership(
                 reply.generation,
@@ -190,6 +185,13 @@
             return Err(StoreFailure.REFUSED)
         return Ok(answer)
 
+    def _decode(
+        self, call: str, answer: Answer, kind: type[T]
+    ) -> Result[T, StoreFailure]:
+        if answer.status != 200:
+            return Err(self._unexpected(call, answer))
+        return _decode(answer, kind)
+
     def _unexpected(self, call: str, answer: Answer) -> StoreFailure:
         text = answer.body[:200].decode(errors="replace")
         log_event("store_answer_unexpected", call=call, status=answer.status, body=text)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
@@ -31,8 +31,6 @@
 LOAD_S = 0.95
 POLL_S = 0.25
 LOAD_TIMEOUT_S = 8.0
-# A response whose head takes longer comes from a worker that is silent or stuck.
-HEAD_TIMEOUT_S = 6.0
 MISDIRECTED = 421
 RUNS_GO_ON = "retain"
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
@@ -15,6 +15,7 @@
     TenantId,
     WorkId,
 )
+from fulmarpulley_core.placement import text_hash
 from fulmarpulley_core.pool.messages import (
     AttemptFailed,
     AttemptFinished,
@@ -38,7 +39,7 @@
 from .directory import Directory
 from .interfaces import CallEnd, CallerRequest, UpstreamAnswer, UpstreamCalls
 from .metrics import RolloutMetrics, labels
-from .service_pools import ServicePools, hash_of
+from .service_pools import ServicePools
 
 # An upstream that says nothing for this part of the time is taken as silent, so that
 # time is left for another one. The longest work of a healthy one takes a fifth of it.
@@ -60,7 +61,6 @@
     request: CallerRequest
     route: Route
     service: ServiceName
-    began: float
     deadline: float
     done: asyncio.Future[UpstreamAnswer | Refusal]
     answers: dict[AttemptId, UpstreamAnswer] = {}
@@ -97,7 +97,7 @@
         """Return the answer of an upstream, or why there is none."""
         loop = asyncio.get_running_loop()
         began = loop.time()
-        name = choose_service(route, hash_of(request.request_id))
+        name = choose_service(route, text_hash(request.request_id))
         pool = self.pools.open(name)
         if pool is None:
             return Refusal("no_upstream", Ran.NOT_RUN, 0.5)
@@ -108,7 +108,6 @@
             request=request,
             route=route,
             service=name,
-            began=began,
             deadline=deadline,
             done=loop.create_future(),
         )
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
@@ -1,6 +1,6 @@
 """Define what a node needs from the platform it runs on."""
 
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from enum import StrEnum
 from typing import Protocol
 
@@ -158,6 +158,3 @@
 
     async def close(self) -> None:
         """Close all connections."""
-
-
-Regions = Mapping[str, str]
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/partitions.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/partitions.py
@@ -4,11 +4,11 @@
 import time
 from collections.abc import Iterable
 
-import xxhash
 from aiomisc import Service
 from result import Err, Ok, Result
 
 from fulmarpulley_core.ids import Partition, ServiceName, StepId
+from fulmarpulley_core.placement import text_hash
 from fulmarpulley_core.rollout.step_fold import Step
 from fulmarpulley_core.rollout.step_records import StepRecord, encode, split
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
@@ -86,4 +86,4 @@
 
 def partition_of(service: ServiceName, partitions: int) -> Partition:
     """Return the partition of a service, the same on all nodes."""
-    return Partition(xxhash.xxh64_intdigest(service.encode()) % partitions)
+    return Partition(text_hash(service) % partitions)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/service_pools.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/service_pools.py
@@ -3,9 +3,8 @@
 from collections.abc import Callable
 from typing import Any
 
-import xxhash
-
 from fulmarpulley_core.ids import DataCentre, Region, ServiceName
+from fulmarpulley_core.placement import text_hash
 from fulmarpulley_core.pool.messages import (
     Availability,
     DocumentChanged,
@@ -56,7 +55,7 @@
         if document is None:
             return None
         pool = PoolDriver(
-            document, self.pool_settings, hash_of(name), self.handlers(name)
+            document, self.pool_settings, text_hash(name), self.handlers(name)
         )
         self.pools[name] = pool
         self.documents[name] = document
@@ -99,8 +98,3 @@
             regions,
             self.settings.bounds.drain_ms / 1000,
         )
-
-
-def hash_of(text: str) -> int:
-    """Return a number that is the same on all nodes."""
-    return xxhash.xxh64_intdigest(text.encode())
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from result import Ok
@@ -21,6 +21,7 @@
     Version,
     WorkId,
 )
+from fulmarpulley_core.placement import text_hash
 from fulmarpulley_core.pool.messages import (
     AttemptFailed,
     AttemptFinished,
@@ -57,7 +58,7 @@
 from .ownership import Ownership, Tenure
 from .partitions import Partitions, partition_of
 from .pool_driver import PoolDriver
-from .service_pools import ServicePools, hash_of
+from .service_pools import ServicePools
 
 RECONCILE_S = 0.5
 # Items that run for a second or longer are saved; most end before that, and to save
@@ -196,7 +197,7 @@
             self._submit(run, route)
 
     def _submit(self, run: ItemRun, route: Route) -> None:
-        name = choose_service(route, hash_of(run.item.item_id))
+        name = choose_service(route, text_hash(run.item.item_id))
         before = self.pool_of.get(run.work_id)
         if before == name:
             return
@@ -464,54 +465,3 @@
             seconds=time.monotonic() - began,
         )
         return isinstance(done, Ok)
-
-
-class StepHomes:
-    """Hold a home for each partition that this node owns."""
-
-    def __init__(
-        self,
-        settings: RolloutSettings,
-        directory: Directory,
-        partitions: Partitions,
-        calls: UpstreamCalls,
-        ownership: Ownership,
-        metrics: RolloutMetrics,
-    ) -> None:
-        self.settings = settings
-        self.directory = directory
-        self.partitions = partitions
-        self.calls = calls
-        self.ownership = ownership
-        self.metrics = metrics
-        self.tasks = TaskGroup()
-        self.homes: dict[Tenure, StepHome] = {}
-        ownership.gained = self.open
-        ownership.lost = self.close
-
-    def open(self, tenure: Tenure) -> None:
-        """Start to run the items of a partition."""
-        home = StepHome(
-            self.settings,
-            self.directory,
-            self.partitions,
-            self.calls,
-            self.ownership,
-            tenure,
-            self.metrics,
-        )
-        self.homes[tenure] = home
-        home.start()
-
-    def close(self, tenure: Tenure) -> None:
-        """Stop to run the items of a partition."""
-        home = self.homes.pop(tenure, None)
-        if home is not None:
-            self.tasks.spawn(home.stop())
-
-    async def save(self) -> None:
-        """Save the unfinished items of all partitions."""
-        await asyncio.gather(*(home.save(1) for home in self._open_homes()))
-
-    def _open_homes(self) -> Iterator[StepHome]:
-        return iter(list(self.homes.values()))
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_homes.py
@@ -0,0 +1,61 @@
+"""Hold a step home for each partition that this node owns."""
+
+import asyncio
+
+from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
+
+from ..tasks import TaskGroup
+from .directory import Directory
+from .interfaces import UpstreamCalls
+from .metrics import RolloutMetrics
+from .ownership import Ownership, Tenure
+from .partitions import Partitions
+from .step_home import StepHome
+
+
+class StepHomes:
+    """Hold a home for each partition that this node owns."""
+
+    def __init__(
+        self,
+        settings: RolloutSettings,
+        directory: Directory,
+        partitions: Partitions,
+        calls: UpstreamCalls,
+        ownership: Ownership,
+        metrics: RolloutMetrics,
+    ) -> None:
+        self.settings = settings
+        self.directory = directory
+        self.partitions = partitions
+        self.calls = calls
+        self.ownership = ownership
+        self.metrics = metrics
+        self.tasks = TaskGroup()
+        self.homes: dict[Tenure, StepHome] = {}
+        ownership.gained = self.open
+        ownership.lost = self.close
+
+    def open(self, tenure: Tenure) -> None:
+        """Start to run the items of a partition."""
+        home = StepHome(
+            self.settings,
+            self.directory,
+            self.partitions,
+            self.calls,
+            self.ownership,
+            tenure,
+            self.metrics,
+        )
+        self.homes[tenure] = home
+        home.start()
+
+    def close(self, tenure: Tenure) -> None:
+        """Stop to run the items of a partition."""
+        home = self.homes.pop(tenure, None)
+        if home is not None:
+            self.tasks.spawn(home.stop())
+
+    async def save(self) -> None:
+        """Save the unfinished items of all partitions."""
+        await asyncio.gather(*(home.save(1) for home in self.homes.values()))
--- a/packages/fulmarpulley-schema/src/fulmarpulley_schema/codec.py
+++ b/packages/fulmarpulley-schema/src/fulmarpulley_schema/codec.py
@@ -8,16 +8,6 @@
 import msgspec
 from result import Err, Ok, Result
 
-from .generated import (
-    document,
-    http,
-    peer,
-    records,
-    rollout_settings,
-    settings,
-    steps,
-    upstream,
-)
 from .generated.http import Finding
 
 if TYPE_CHECKING:
@@ -25,16 +15,6 @@
 
 T = TypeVar("T", bound=msgspec.Struct)
 
-_MODULES = (
-    document,
-    http,
-    peer,
-    records,
-    rollout_settings,
-    settings,
-    steps,
-    upstream,
-)
 _json_encoder = msgspec.json.Encoder()
 _msgpack_encoder = msgspec.msgpack.Encoder()
 
@@ -94,8 +74,7 @@
     # jsonschema takes 10 MB, which a node that only reads messages does not need.
     from jsonschema.validators import Draft202012Validator
 
-    module = next(m for m in _MODULES if m.__name__ == kind.__module__)
-    name = module.__name__.rpartition(".")[2]
+    name = kind.__module__.rpartition(".")[2]
     source = resources.files(__package__) / "sources" / f"{name}.schema.json"
     schema = json.loads(source.read_text())
     definition = schema.get("$defs", {}).get(kind.__name__)
