Score the results of steps by their reward calls

Ruled out: listing the text first and adding the score later, since a position keeps its content; the pools of callers, since their retries hide the number of failures.

One record lists text and score. The next owner makes only the calls that are left. "Score" joins the ordinary words of test_wire_names: the product's own interface uses it.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/fair_queue.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/fair_queue.py
@@ -271,4 +271,4 @@
     work = item.work
     if work.kind is WorkKind.SAMPLE:
         return (work.step, work.rank, work.group, item.sequence)
-    return (-work.priority, 0, 0, item.sequence)
+    return (-work.priority, work.rank, 0, item.sequence)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
@@ -51,8 +51,8 @@
     """Describe one unit of work; times are monotonic seconds of the pool home.
 
     `oldest_version` belongs to the `resume_tokens` that the owner already has. The
-    samples of a step start by `rank`, then by `group`. `length_hint` is an estimate of
-    the generated tokens, zero without one.
+    samples of a step start by `rank`, then by `group`, desk requests of one priority by
+    `rank`. `length_hint` is an estimate of the generated tokens, zero without one.
     """
 
     work_id: WorkId
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_fold.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_fold.py
@@ -13,6 +13,7 @@
     ItemProgress,
     ItemResult,
     ItemResults,
+    ItemsGenerated,
     ItemSpec,
     OrderIntent,
     OwnerFence,
@@ -48,13 +49,15 @@
 class Step(msgspec.Struct, eq=False, kw_only=True):
     """Hold a step; `results` are in the order of their positions.
 
-    `carried` are the groups of which an earlier step had items.
+    `carried` are the groups of which an earlier step had items, `generated` the whole
+    texts of open items that have no score yet.
     """
 
     accepted: StepAccepted
     open_items: dict[ItemId, ItemSpec]
     results: list[ItemResult] = []
     saved: dict[ItemId, SavedRefs] = {}
+    generated: dict[ItemId, ItemResult] = {}
     ended: bool = False
     carried: frozenset[str] = frozenset()
 
@@ -92,6 +95,7 @@
             StepAccepted: self._accept,
             ItemResults: self._list,
             ItemProgress: self._save,
+            ItemsGenerated: self._generate,
             StepEnded: self._end,
         }
 
@@ -139,12 +143,15 @@
             if step.open_items.pop(item_id, None) is not None:
                 step.results.append(result)
                 step.saved.pop(item_id, None)
+                step.generated.pop(item_id, None)
 
     def _save(self, record: ItemProgress) -> None:
         step = self.steps.get(StepId(record.step_id))
         if step is None or ItemId(record.item_id) not in step.open_items:
             return
         item_id = ItemId(record.item_id)
+        if item_id in step.generated:
+            return
         known = step.saved.get(item_id)
         if record.start == 0:
             if known is None or len(record.versions) > len(known.versions):
@@ -158,8 +165,19 @@
             known.refs.append(record.events_ref)
             known.versions.extend(record.versions)
 
+    def _generate(self, record: ItemsGenerated) -> None:
+        step = self.steps.get(StepId(record.step_id))
+        if step is None or step.ended:
+            return
+        for result in record.results:
+            item_id = ItemId(result.item_id)
+            if item_id in step.open_items:
+                step.generated.setdefault(item_id, result)
+                step.saved.pop(item_id, None)
+
     def _end(self, record: StepEnded) -> None:
         step = self.steps.get(StepId(record.step_id))
         if step is not None:
             step.ended = True
             step.saved.clear()
+            step.generated.clear()
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_records.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_records.py
@@ -12,6 +12,7 @@
 from fulmarpulley_schema.generated.steps import (
     ItemProgress,
     ItemResults,
+    ItemsGenerated,
     OrderIntent,
     OwnerFence,
     StepAccepted,
@@ -19,7 +20,13 @@
 )
 
 StepRecord = (
-    StepAccepted | ItemResults | ItemProgress | StepEnded | OwnerFence | OrderIntent
+    StepAccepted
+    | ItemResults
+    | ItemProgress
+    | ItemsGenerated
+    | StepEnded
+    | OwnerFence
+    | OrderIntent
 )
 
 
@@ -32,6 +39,7 @@
     STEP_ENDED = 4
     OWNER_FENCE = 5
     ORDER_INTENT = 6
+    ITEMS_GENERATED = 7
     PART = 16
     LAST_PART = 17
 
@@ -43,6 +51,7 @@
     RecordKind.STEP_ENDED: StepEnded,
     RecordKind.OWNER_FENCE: OwnerFence,
     RecordKind.ORDER_INTENT: OrderIntent,
+    RecordKind.ITEMS_GENERATED: ItemsGenerated,
 }
 _KIND_OF = {kind: number for number, kind in KINDS.items()}
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/fulmarpulley-core/tests/rollout/test_step_fold.py
+++ b/packages/fulmarpulley-core/tests/rollout/test_step_fold.py
@@ -6,6 +6,7 @@
     ItemProgress,
     ItemResult,
     ItemResults,
+    ItemsGenerated,
     ItemSpec,
     ItemState,
     StepAccepted,
@@ -146,3 +147,44 @@
         self.assertIn(StepId("s"), self.fold.steps)
         self.fold.expire(200_000, 120.0)
         self.assertEqual(self.fold.steps, {})
+
+
+class GeneratedTest(unittest.TestCase):
+    """Guards against texts that are generated again although they wait for a score."""
+
+    def setUp(self) -> None:
+        self.fold = StepFold()
+        self.fold.apply(accepted("s", "a", "b"))
+        self.step = self.fold.steps[StepId("s")]
+
+    def generate(self, **texts: str) -> None:
+        found = results("s", **texts).results
+        self.fold.apply(ItemsGenerated(step_id="s", results=found))
+
+    def kept(self) -> dict[str, bytes]:
+        return {name: result.text for name, result in self.step.generated.items()}
+
+    def test_generated_text_is_kept_and_not_listed(self) -> None:
+        self.generate(a="one")
+        self.generate(a="two")
+        self.assertEqual(self.kept(), {"a": b"one"})
+        self.assertEqual(self.step.results, [])
+        self.assertIn(ItemId("a"), self.step.open_items)
+
+    def test_listed_result_replaces_the_generated_text(self) -> None:
+        self.generate(a="one")
+        self.fold.apply(results("s", a="one"))
+        self.generate(a="one")
+        self.assertEqual(self.kept(), {})
+        self.assertEqual(len(self.step.results), 1)
+
+    def test_end_of_the_step_drops_generated_texts(self) -> None:
+        self.generate(a="one")
+        self.fold.apply(StepEnded(step_id="s"))
+        self.generate(b="two")
+        self.assertEqual(self.kept(), {})
+
+    def test_late_progress_of_a_generated_item_is_ignored(self) -> None:
+        self.generate(a="one")
+        self.fold.apply(Texts().progress("r", 0, "x"))
+        self.assertEqual(self.step.saved, {})
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
@@ -14,6 +14,7 @@
 from ..rollout.metrics import RolloutMetrics
 from ..rollout.ownership import Ownership
 from ..rollout.partitions import Partitions
+from ..rollout.rewards import Rewards
 from ..rollout.step_entry import StepEntry
 from ..rollout.step_homes import StepHomes
 from .ingress import Ingress
@@ -40,11 +41,13 @@
         self.published = Published(self.store, self.directory)
         self.partitions = Partitions(settings, self.store)
         self.ownership = Ownership(settings, self.store, self.partitions)
+        self.rewards = Rewards(settings, self.directory, self.workers, self.metrics)
         self.homes = StepHomes(
             settings,
             self.directory,
             self.partitions,
             self.workers,
+            self.rewards,
             self.ownership,
             self.metrics,
         )
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
@@ -13,7 +13,12 @@
 from fulmarpulley_core.rollout.topology import Route, RouteKind
 from fulmarpulley_schema.generated.http import Ran
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
-from fulmarpulley_schema.generated.steps import ItemResult, ItemSpec, StepAccepted
+from fulmarpulley_schema.generated.steps import (
+    ItemResult,
+    ItemSpec,
+    RewardCall,
+    StepAccepted,
+)
 
 from ..observe.events import log_event
 from ..rollout.clock import unix_ms
@@ -266,6 +271,7 @@
         state=result.state.value,
         text=result.text.decode(errors="replace"),
         versions=result.versions or None,
+        score=result.score or None,
     )
 
 
@@ -284,6 +290,18 @@
         length_hint=_number(headers.get("length-hint")) or 0,
         prefix=parts[0].partition(":")[0],
         group=item.group,
+        reward=None if item.reward is None else _reward(item.reward),
+    )
+
+
+def _reward(entry: wire.RewardEntry) -> RewardCall:
+    if not entry.request_id:
+        raise ValueError("a scoring endpoint has no Id")
+    return RewardCall(
+        request_id=entry.request_id,
+        host=entry.host.partition(":")[0],
+        path=entry.path,
+        body=entry.body,
     )
 
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/wire.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/wire.py
@@ -173,6 +173,15 @@
     operation: str = msgspec.field(name="Operation", default="Version")
 
 
+class RewardEntry(msgspec.Struct):
+    """Hold the call that scores an item's text; the body is base64."""
+
+    request_id: str = msgspec.field(name="Id")
+    host: str = msgspec.field(name="Host")
+    path: str = msgspec.field(name="Path")
+    body: bytes = msgspec.field(name="Body", default=b"")
+
+
 class ItemEntry(msgspec.Struct):
     """Hold an item of a submission; the body is base64."""
 
@@ -183,6 +192,8 @@
     # Prompt tokens and the most output tokens together.
     tokens: int = msgspec.field(name="Tokens", default=0)
     group: str = msgspec.field(name="Group", default="")
+    # No address: the call goes through the route of its host and path.
+    reward: RewardEntry | None = msgspec.field(name="ScoringEndpoint", default=None)
 
 
 class Submission(msgspec.Struct):
@@ -202,6 +213,8 @@
     state: str = msgspec.field(name="State")
     text: str = msgspec.field(name="Text")
     versions: list[int] | None = msgspec.field(name="Versions", default=None)
+    # The signature of the answer to the item's reward call, not a number.
+    score: str | None = msgspec.field(name="Score", default=None)
 
 
 class ResultsReply(msgspec.Struct):
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
@@ -70,7 +70,10 @@
                 answer_headers = CIMultiDict(forwarded(response.headers))
                 return Ok(
                     UpstreamAnswer(
-                        status=response.status, headers=answer_headers, body=body
+                        status=response.status,
+                        signature=response.headers.get("Server-Stamp", ""),
+                        headers=answer_headers,
+                        body=body,
                     )
                 )
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as fault:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
@@ -39,7 +39,7 @@
 from .directory import Directory
 from .interfaces import CallEnd, CallerRequest, UpstreamAnswer, UpstreamCalls
 from .metrics import RolloutMetrics, labels
-from .service_pools import ServicePools
+from .service_pools import ServicePools, Tailor, unchanged
 
 # An upstream that says nothing for this part of the time is taken as silent, so that
 # time is left for another one. The longest work of a healthy one takes a fifth of it.
@@ -70,7 +70,10 @@
 
 
 class Forwarder:
-    """Own one pool for each plain service at this node."""
+    """Own one pool for each plain service at this node.
+
+    `tailor` changes the document that a pool gets of its service.
+    """
 
     def __init__(
         self,
@@ -78,25 +81,30 @@
         directory: Directory,
         calls: UpstreamCalls,
         metrics: RolloutMetrics,
+        routing: str = "open_connection",
+        tailor: Tailor = unchanged,
     ) -> None:
         self.settings = settings
         self.directory = directory
         self.calls = calls
         self.metrics = metrics
         self.tasks = TaskGroup()
-        pool_settings = PoolSettings(
-            id_prefix=f"{settings.node_id}.", routing="open_connection"
+        pool_settings = PoolSettings(id_prefix=f"{settings.node_id}.", routing=routing)
+        self.pools = ServicePools(
+            settings, directory, pool_settings, self._handlers, tailor
         )
-        self.pools = ServicePools(settings, directory, pool_settings, self._handlers)
         self.pending: dict[WorkId, Pending] = {}
         self.attempt_tasks: dict[AttemptId, asyncio.Task[None]] = {}
         self.sequence = 0
         directory.listeners.append(self.pools.directory_changed)
 
     async def forward(
-        self, route: Route, request: CallerRequest
+        self, route: Route, request: CallerRequest, rank: int = 0
     ) -> UpstreamAnswer | Refusal:
-        """Return the answer of an upstream, or why there is none."""
+        """Return the answer of an upstream, or why there is none.
+
+        :param rank: place among the requests that wait; the lowest starts first
+        """
         loop = asyncio.get_running_loop()
         began = loop.time()
         name = choose_service(route, text_hash(request.request_id))
@@ -116,7 +124,7 @@
         self.sequence += 1
         work_id = WorkId(f"{request.request_id}.{self.sequence}")
         self.pending[work_id] = pending
-        pool.post(Submit(self._work(work_id, pending)))
+        pool.post(Submit(self._work(work_id, pending, rank)))
         try:
             answer = await pending.done
         finally:
@@ -125,7 +133,7 @@
         self._note(pending, answer, loop.time() - began)
         return answer
 
-    def _work(self, work_id: WorkId, pending: Pending) -> Work:
+    def _work(self, work_id: WorkId, pending: Pending, rank: int) -> Work:
         route = pending.route
         return Work(
             work_id=work_id,
@@ -137,6 +145,7 @@
             repeatable=route.kind is RouteKind.SAFE,
             priority=max(0, 9 - route.priority),
             deadline=pending.deadline,
+            rank=rank,
         )
 
     def _note(
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
@@ -112,9 +112,10 @@
 
 
 class UpstreamAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold the whole answer of an upstream."""
+    """Hold the whole answer of an upstream, and its signature if it has one."""
 
     status: int
+    signature: str = ""
     headers: CIMultiDict[str]
     body: bytes
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/item_runs.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/item_runs.py
@@ -1,5 +1,7 @@
 """Hold the items that a node runs and what their attempts have produced."""
 
+import asyncio
+
 import msgspec
 
 from fulmarpulley_core.ids import AttemptId, StepId, UpstreamId, WorkId
@@ -35,6 +37,17 @@
         )
 
 
+class ResultEntry(msgspec.Struct, eq=False):
+    """Hold a result from the end of its item until it is on the log.
+
+    One that is not `listed` yet waits for its score; its text is kept meanwhile.
+    """
+
+    step_id: StepId
+    result: ItemResult
+    listed: bool = True
+
+
 class ItemRun(msgspec.Struct, eq=False, kw_only=True):
     """Hold an item from its submission to the pool until its result is listed."""
 
@@ -45,6 +58,9 @@
     logged_run: str = ""
     logged_events: int = 0
     errors: int = 0
+    # The whole text, while the reward call is not answered.
+    generated: ResultEntry | None = None
+    scoring: asyncio.Task[None] | None = None
     ended: bool = False
 
     @property
@@ -56,7 +72,8 @@
         """Return what the log does not hold yet, if it is at least some events."""
         saved = self.saved
         start = self.logged_events if saved.run == self.logged_run else 0
-        if self.ended or len(saved.events) - start < least:
+        whole = self.ended or self.generated is not None
+        if whole or len(saved.events) - start < least:
             return None
         return Progress(
             step_id=self.step_id,
@@ -72,6 +89,11 @@
         self.logged_run = progress.run
         self.logged_events = progress.start + len(progress.events)
 
+    def stop_scoring(self) -> None:
+        """Cut the reward call."""
+        if self.scoring is not None:
+            self.scoring.cancel()
+
     def result(self, saved: Saved) -> ItemResult:
         """Return the result for the events of a whole run."""
         return ItemResult(
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/outbox.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/outbox.py
@@ -2,17 +2,17 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 
 import msgspec
 from result import Err, Ok
 
 from fulmarpulley_core.ids import Partition, StepId
-from fulmarpulley_schema.generated.steps import ItemResult, ItemResults
+from fulmarpulley_schema.generated.steps import ItemResult, ItemResults, ItemsGenerated
 
 from ..observe.events import log_event
 from .interfaces import StoreFailure
-from .item_runs import Progress
+from .item_runs import Progress, ResultEntry
 from .partitions import Partitions
 from .texts import encode_events
 
@@ -24,7 +24,7 @@
 # Shorter texts stand in the record itself: a reference would take as many bytes.
 INLINE_BYTES = 64
 
-Batch = list[tuple[StepId, ItemResult]]
+Batch = list[ResultEntry]
 Write = Callable[[], Awaitable[StoreFailure | None]]
 
 
@@ -38,15 +38,17 @@
         self.partitions = partitions
         self.partition = partition
         self.call_bytes = int(partitions.settings.log.call_bytes * BATCH_SHARE)
-        self._waiting: list[tuple[StepId, ItemResult]] = []
+        self._waiting: Batch = []
         self._arrived = asyncio.Event()
         self._written = asyncio.Event()
         self._written.set()
         self._lost_at: float | None = None
 
-    def put(self, step_id: StepId, result: ItemResult) -> None:
-        """Queue a result."""
-        self._waiting.append((step_id, result))
+    def put(self, entry: ResultEntry) -> None:
+        """Queue a result; one that waits already is written as it is by then."""
+        if entry in self._waiting:
+            return
+        self._waiting.append(entry)
         self._arrived.set()
         self._written.clear()
 
@@ -99,7 +101,7 @@
         batch: Batch = []
         while self._waiting and size < self.call_bytes:
             batch.append(self._waiting.pop(0))
-            size += len(batch[-1][1].text)
+            size += len(batch[-1].result.text)
         return batch
 
     async def _write_until_done(self, batch: Batch) -> None:
@@ -114,20 +116,20 @@
 
     async def _write_texts(self, batch: Batch) -> StoreFailure | None:
         """Append the longer texts and leave references in their place."""
-        places = [n for n, (_, result) in enumerate(batch) if _is_long(result)]
-        if not places:
+        entries = [entry for entry in batch if _is_long(entry.result)]
+        if not entries:
             return None
-        texts = [batch[place][1].text for place in places]
+        texts = [entry.result.text for entry in entries]
         done = await self.partitions.texts.append(self.partition, texts)
         if isinstance(done, Err):
             return done.err_value
-        for place, ref in zip(places, done.ok_value, strict=True):
-            step_id, result = batch[place]
-            refers = msgspec.structs.replace(result, text=b"", text_ref=ref)
-            batch[place] = (step_id, refers)
+        for entry, ref in zip(entries, done.ok_value, strict=True):
+            entry.result = msgspec.structs.replace(entry.result, text=b"", text_ref=ref)
         return None
 
-    async def _append(self, records: list[ItemResults]) -> StoreFailure | None:
+    async def _append(
+        self, records: Sequence[ItemResults | ItemsGenerated]
+    ) -> StoreFailure | None:
         done = await self.partitions.append(self.partition, records)
         return done.err_value if isinstance(done, Err) else None
 
@@ -170,8 +172,12 @@
     return result.text_ref is None and len(result.text) > INLINE_BYTES
 
 
-def _records(batch: Batch) -> list[ItemResults]:
-    steps: dict[StepId, list[ItemResult]] = {}
-    for step_id, result in batch:
-        steps.setdefault(step_id, []).append(result)
-    return [ItemResults(step_id=s, results=r) for s, r in steps.items()]
+def _records(batch: Batch) -> list[ItemResults | ItemsGenerated]:
+    records: dict[tuple[StepId, bool], ItemResults | ItemsGenerated] = {}
+    for entry in batch:
+        key = (entry.step_id, entry.listed)
+        if key not in records:
+            kind = ItemResults if entry.listed else ItemsGenerated
+            records[key] = kind(step_id=entry.step_id, results=[])
+        records[key].results.append(entry.result)
+    return list(records.values())
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/rewards.py
@@ -0,0 +1,117 @@
+"""Score whole texts by the calls that their items name."""
+
+import asyncio
+import time
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from fulmarpulley_core.rollout.rewards import (
+    RewardCalls,
+    RewardOutcome,
+    reward_document,
+    reward_rank,
+)
+from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
+from fulmarpulley_schema.generated.steps import RewardCall
+
+from ..observe.events import log_event
+from .directory import Directory
+from .forwarder import Forwarder, Refusal
+from .interfaces import CallerRequest, UpstreamAnswer, UpstreamCalls
+from .item_runs import ItemRun
+from .metrics import RolloutMetrics
+
+SERVER_ERROR = 500
+SUCCESS = range(200, 300)
+
+
+class Rewards:
+    """Make the reward calls of this node's items, in pools of their own."""
+
+    def __init__(
+        self,
+        settings: RolloutSettings,
+        directory: Directory,
+        calls: UpstreamCalls,
+        metrics: RolloutMetrics,
+    ) -> None:
+        self.directory = directory
+        self.forwarder = Forwarder(
+            settings, directory, calls, metrics, "least_tokens", reward_document
+        )
+
+    async def score(self, run: ItemRun, rank: int, attempts: int) -> str | None:
+        """Return the signature of a good answer, or None if every call fails.
+
+        The caller cancels this once nobody needs the score any more.
+
+        :param rank: place of the item within its step
+        :param attempts: failures that the item's own route allows
+        """
+        reward = run.item.reward
+        assert reward is not None, "the item has no reward call"
+        calls = RewardCalls(attempts)
+        began = time.monotonic()
+        place = reward_rank(run.step.accepted.submitted_ms, rank)
+        while not calls.hopeless:
+            outcome, signature = await self._call(reward, place, calls)
+            if outcome is RewardOutcome.SCORED:
+                self._note(run, reward, calls, outcome, began)
+                return signature
+            calls.note(outcome)
+            if not calls.hopeless:
+                await asyncio.sleep(calls.pause_s())
+        self._note(run, reward, calls, RewardOutcome.FAILED, began)
+        return None
+
+    async def _call(
+        self, reward: RewardCall, place: int, calls: RewardCalls
+    ) -> tuple[RewardOutcome, str]:
+        """Make a call by the routes in force now."""
+        routes = self.directory.routes
+        route = routes.find(reward.host, reward.path) if routes else None
+        if route is None:
+            log_event("reward_without_route", request=reward.request_id)
+            return RewardOutcome.LOST, ""
+        # Either route may allow more failures; a text is only given up after both.
+        calls.most_failures = max(calls.most_failures, route.attempts)
+        headers = CIMultiDict({"Host": reward.host, "Request-Id": reward.request_id})
+        request = CallerRequest(
+            request_id=reward.request_id,
+            method="POST",
+            target=reward.path,
+            host=reward.host,
+            headers=CIMultiDictProxy(headers),
+            body=reward.body,
+            deadline=asyncio.get_running_loop().time() + route.timeout_s,
+        )
+        return _outcome(await self.forwarder.forward(route, request, place))
+
+    def _note(
+        self,
+        run: ItemRun,
+        reward: RewardCall,
+        calls: RewardCalls,
+        outcome: RewardOutcome,
+        began: float,
+    ) -> None:
+        log_event(
+            "reward_ended",
+            step=run.step_id,
+            item=run.item.item_id,
+            request=reward.request_id,
+            outcome=outcome.value,
+            failed=calls.failures,
+            lost=calls.lost,
+            seconds=time.monotonic() - began,
+        )
+
+
+def _outcome(answer: UpstreamAnswer | Refusal) -> tuple[RewardOutcome, str]:
+    if isinstance(answer, Refusal):
+        return RewardOutcome.LOST, ""
+    if answer.status in SUCCESS and answer.signature:
+        return RewardOutcome.SCORED, answer.signature
+    if answer.status >= SERVER_ERROR:
+        return RewardOutcome.FAILED, ""
+    return RewardOutcome.LOST, ""
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/service_pools.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/service_pools.py
@@ -20,6 +20,12 @@
 from .pool_driver import PoolDriver
 
 Handlers = Callable[[ServiceName], dict[type, Callable[[Any], object]]]
+Tailor = Callable[[ServiceDocument], ServiceDocument]
+
+
+def unchanged(document: ServiceDocument) -> ServiceDocument:
+    """Return the document as it is."""
+    return document
 
 
 class ServicePools:
@@ -31,11 +37,13 @@
         directory: Directory,
         pool_settings: PoolSettings,
         handlers: Handlers,
+        tailor: Tailor = unchanged,
     ) -> None:
         self.settings = settings
         self.directory = directory
         self.pool_settings = pool_settings
         self.handlers = handlers
+        self.tailor = tailor
         self.pools: dict[ServiceName, PoolDriver] = {}
         self.documents: dict[ServiceName, ServiceDocument] = {}
         # Called after the pool of a service has taken a change.
@@ -91,10 +99,11 @@
         if service is None or routes is None:
             return None
         regions = {DataCentre(k): Region(v) for k, v in self.settings.regions.items()}
-        return pool_document(
+        document = pool_document(
             service,
             routes.topology.routes,
             self.directory.of_service(name),
             regions,
             self.settings.bounds.drain_ms / 1000,
         )
+        return self.tailor(document)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+import msgspec
 from result import Ok
 
 from fulmarpulley_core.ids import (
@@ -39,7 +40,7 @@
 from fulmarpulley_core.rollout.step_plan import rank_items
 from fulmarpulley_core.rollout.topology import Route, Service, choose_service
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
-from fulmarpulley_schema.generated.steps import ItemResult, ItemSpec
+from fulmarpulley_schema.generated.steps import ItemSpec
 
 from ..observe.events import log_event
 from ..tasks import TaskGroup
@@ -47,13 +48,14 @@
 from .clock import unix_ms
 from .directory import Directory
 from .interfaces import CallEnd, UpstreamCalls
-from .item_runs import ItemRun, work_id_of
+from .item_runs import ItemRun, ResultEntry, work_id_of
 from .metrics import RolloutMetrics
 from .orders import Orders
 from .outbox import Outbox
 from .ownership import Ownership, Tenure
 from .partitions import Partitions, partition_of
 from .pool_driver import PoolDriver
+from .rewards import Rewards
 from .service_pools import ServicePools
 
 RECONCILE_S = 0.5
@@ -78,12 +80,14 @@
         directory: Directory,
         partitions: Partitions,
         calls: UpstreamCalls,
+        rewards: Rewards,
         ownership: Ownership,
         tenure: Tenure,
         metrics: RolloutMetrics,
     ) -> None:
         self.settings = settings
         self.directory = directory
+        self.rewards = rewards
         self.tenure = tenure
         self.metrics = metrics
         self.follower = partitions.followers[tenure.partition]
@@ -121,6 +125,8 @@
         self.follower.own(False)
         self.pools.close()
         self.attempts.cancel_all()
+        for run in self.runs.values():
+            run.stop_scoring()
         await self.save(1)
         await self.outbox.flush(FLUSH_S)
         await self.tasks.stop()
@@ -205,10 +211,15 @@
             saved = self.recovered.pop(work_id, Saved())
             run = ItemRun(work_id=work_id, step=step, item=item, saved=saved)
             self.runs[work_id] = run
+            kept = step.generated.get(ItemId(item.item_id))
+            if kept is not None:
+                run.generated = ResultEntry(step.step_id, kept, listed=False)
         if route is None:
             self._give_up(run, "the route was removed")
         elif now_ms > step.accepted.submitted_ms + route.retention_s * 1000:
             self._give_up(run, "the retention time of the route has passed")
+        elif run.generated is not None:
+            self._score(run, route)
         else:
             self._submit(run, route)
 
@@ -314,7 +325,39 @@
         if route is not None and route.single_version and len(set(saved.versions)) > 1:
             self._start_over(run, "several versions generated it")
             return
-        self._end(run, run.result(saved), attempt.upstream)
+        entry = ResultEntry(run.step_id, run.result(saved))
+        if route is None or run.item.reward is None:
+            self._end(run, entry, attempt.upstream)
+            return
+        log_event(
+            "item_generated",
+            step=run.step_id,
+            item=run.item.item_id,
+            upstream=attempt.upstream,
+            events=len(saved.events),
+            reward=run.item.reward.request_id,
+        )
+        entry.listed = False
+        run.generated = entry
+        self.outbox.put(entry)
+        self._score(run, route)
+
+    def _score(self, run: ItemRun, route: Route) -> None:
+        if run.scoring is None:
+            run.scoring = self.tasks.spawn(self._list_with_score(run, route.attempts))
+
+    async def _list_with_score(self, run: ItemRun, attempts: int) -> None:
+        rank = self._ranks(run.step)[ItemId(run.item.item_id)]
+        score = await self.rewards.score(run, rank, attempts)
+        entry = run.generated
+        if run.ended or entry is None:
+            return
+        if score is None:
+            self._give_up(run, "every reward call failed")
+            return
+        entry.result = msgspec.structs.replace(entry.result, score=score)
+        entry.listed = True
+        self._end(run, entry)
 
     def _start_over(self, run: ItemRun, reason: str) -> None:
         log_event(
@@ -325,9 +368,10 @@
         loop = asyncio.get_running_loop()
         loop.call_soon(self.pools[name].post, Submit(self._work(run)))
 
-    def _end(self, run: ItemRun, result: ItemResult, upstream: str = "") -> None:
+    def _end(self, run: ItemRun, entry: ResultEntry, upstream: str = "") -> None:
         run.ended = True
-        self.outbox.put(run.step_id, result)
+        self.outbox.put(entry)
+        result = entry.result
         age_s = (unix_ms() - run.step.accepted.submitted_ms) / 1000
         labels = {"model": run.step.accepted.model, "state": result.state.value}
         self.metrics.items.observe(labels, max(0.0, age_s))
@@ -348,11 +392,13 @@
         log_event(
             "item_given_up", step=run.step_id, item=run.item.item_id, reason=reason
         )
-        self._end(run, run.dead())
+        self._end(run, ResultEntry(run.step_id, run.dead()))
         self._withdraw(run)
+        run.stop_scoring()
 
     def _forget(self, run: ItemRun) -> None:
         run.ended = True
+        run.stop_scoring()
         self._withdraw(run)
         del self.runs[run.work_id]
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_homes.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_homes.py
@@ -10,6 +10,7 @@
 from .metrics import RolloutMetrics
 from .ownership import Ownership, Tenure
 from .partitions import Partitions
+from .rewards import Rewards
 from .step_home import StepHome
 
 
@@ -22,6 +23,7 @@
         directory: Directory,
         partitions: Partitions,
         calls: UpstreamCalls,
+        rewards: Rewards,
         ownership: Ownership,
         metrics: RolloutMetrics,
     ) -> None:
@@ -29,6 +31,7 @@
         self.directory = directory
         self.partitions = partitions
         self.calls = calls
+        self.rewards = rewards
         self.ownership = ownership
         self.metrics = metrics
         self.tasks = TaskGroup()
@@ -43,6 +46,7 @@
             self.directory,
             self.partitions,
             self.calls,
+            self.rewards,
             self.ownership,
             tenure,
             self.metrics,
--- a/packages/fulmarpulley-node/tests/test_wire_names.py
+++ b/packages/fulmarpulley-node/tests/test_wire_names.py
@@ -27,7 +27,7 @@
     "Offset", "Path", "Priority", "Results", "Routes", "Sequence", "Service",
     "Services", "Slots", "State", "Step", "Text", "Tokens", "Topics", "Total",
     "Value", "Version", "Versions", "Weight", "Generation", "Operation", "Holder",
-    "Engine", "Zone", "Resumable", "born", "parts", "HasMore", "Stride",
+    "Engine", "Zone", "Resumable", "born", "parts", "HasMore", "Stride", "Score",
 }  # fmt: skip
 
 
--- a/testing/src/fulmarpulley_testing/platform_checks.py
+++ b/testing/src/fulmarpulley_testing/platform_checks.py
@@ -9,8 +9,8 @@
 
 from .findings import Fault, Finding
 from .platform_history import PlatformHistory, RequestSeen, StepSeen, WindowKind
-from .platform_system import ENGINES
-from .platform_worker import PlatformWorker, Run
+from .platform_system import ENGINES, reward_id
+from .platform_worker import PlatformWorker, Run, stamp_of
 
 # Statuses that promise that a request has not run and never will.
 PROMISES = frozenset({408, 421, 429, 503})
@@ -62,7 +62,9 @@
             yield Finding(Fault.FALSE_NOT_RUN, request.request_id, detail)
     for step in list(history.seen.steps.values()):
         if step.accepted_at is None and step.refused:
-            ran = [item for item in history.items(step) if history.runs.get(item)]
+            items = list(history.items(step))
+            calls = [reward_id(item) for item in items]
+            ran = [name for name in items + calls if history.runs.get(name)]
             if ran:
                 yield Finding(Fault.FALSE_NOT_RUN, step.step_id, f"items ran: {ran}")
 
@@ -95,13 +97,13 @@
 @checks.register("requests are forwarded unchanged")
 def check_forwarded(history: History, final: bool) -> Iterator[Finding]:
     """Find runs that no client asked for, or with another path or body."""
-    items = {
-        item for step in history.seen.steps.values() for item in history.items(step)
-    }
+    steps = list(history.seen.steps.values())
+    items = {item for step in steps for item in history.items(step)}
+    calls = {reward_id(item) for s in steps if s.rewards for item in history.items(s)}
     for request_id, runs in list(history.runs.items()):
         request = history.seen.requests.get(request_id)
         if request is None:
-            if request_id not in items:
+            if request_id not in items | calls:
                 yield Finding(Fault.FOREIGN_ANSWER, request_id, "nobody asked for it")
             continue
         for run in runs:
@@ -185,6 +187,30 @@
         yield Finding(Fault.STALE, item, f"{versions} below {step.min_version}")
 
 
+@checks.register("scores are earned")
+def check_scores(history: History, final: bool) -> Iterator[Finding]:
+    """Find scores that are no signature of the item's call after its last event."""
+    for step in list(history.seen.steps.values()):
+        for result in list(step.results.values()):
+            item, score = result["Id"], result.get("Score")
+            if not step.rewards:
+                if score is not None:
+                    yield Finding(Fault.MISLABELLED, item, f"has the score {score}")
+                continue
+            if result["State"] == "completed" and not _was_earned(history, item, score):
+                yield Finding(Fault.MISLABELLED, item, f"did not earn {score}")
+
+
+def _was_earned(history: History, item: str, score: str | None) -> bool:
+    whole = [run.last_event for run in history.runs.get(item, []) if run.complete]
+    earliest = min(whole, default=float("inf"))
+    call = reward_id(item)
+    return any(
+        run.complete and stamp_of(run.worker, call) == score and run.started >= earliest
+        for run in history.runs.get(call, [])
+    )
+
+
 @checks.register("ended steps do not run")
 def check_ended(history: History, final: bool) -> Iterator[Finding]:
     """Find items that started after the end of their step was acknowledged."""
@@ -192,7 +218,8 @@
         if step.ended_at is None:
             continue
         due = step.ended_at + CANCEL_S
-        for item in history.items(step):
+        items = list(history.items(step))
+        for item in items + [reward_id(item) for item in items]:
             late = [run for run in history.runs.get(item, []) if run.started > due]
             if late and not _hindered(history, step.ended_at, late[0].started):
                 after = late[0].started - step.ended_at
--- a/testing/src/fulmarpulley_testing/platform_clients.py
+++ b/testing/src/fulmarpulley_testing/platform_clients.py
@@ -32,6 +32,7 @@
 STEP_DEADLINE_S = 7.5
 TRAIN_S = 0.3
 END_SHARE = 0.7
+REWARD_SHARE = 0.5
 DEADLINE_MS = 3000
 REQUEST_PAUSE_S = 0.15
 # Requests that a caller sends on one connection.
@@ -118,6 +119,7 @@
             step_id=f"{self.name}s{number}",
             items=2 * self.random.randint(2, 6),
             min_version=max(1, self.system.version - 1),
+            rewards=self.random.random() < REWARD_SHARE,
         )
         self.history.steps[step.step_id] = step
         await self._submit(step, number)
@@ -133,7 +135,9 @@
         await self.system.name_version(self.system.version + 1)
 
     async def _submit(self, step: StepSeen, number: int) -> None:
-        body = submission(step.step_id, step.items, step.min_version, number)
+        body = submission(
+            step.step_id, step.items, step.min_version, number, step.rewards
+        )
         path = f"{ROLLOUT_PREFIX}{step.step_id}"
         for _ in range(SUBMIT_ATTEMPTS):
             status, _ = await self.call(
--- a/testing/src/fulmarpulley_testing/platform_history.py
+++ b/testing/src/fulmarpulley_testing/platform_history.py
@@ -34,6 +34,7 @@
     step_id: str
     items: int
     min_version: int
+    rewards: bool = False
     statuses: list[int] = []
     accepted_at: float | None = None
     ended_at: float | None = None
--- a/testing/src/fulmarpulley_testing/platform_system.py
+++ b/testing/src/fulmarpulley_testing/platform_system.py
@@ -298,9 +298,30 @@
     }
 
 
-def submission(step: str, items: int, min_version: int = 1, number: int = 0) -> bytes:
+def reward_id(item: str) -> str:
+    """Return the id of an item's reward call."""
+    return f"{item}-reward"
+
+
+def reward_call(item: str) -> dict[str, str]:
+    """Return the reward call of an item, which goes through the route of the desk."""
+    return {
+        "Id": reward_id(item),
+        "Host": HOST,
+        "Path": f"{DESK_PREFIX}score/{item}",
+        "Body": base64.b64encode(f"score {item}".encode()).decode(),
+    }
+
+
+def submission(
+    step: str,
+    items: int,
+    min_version: int = 1,
+    number: int = 0,
+    rewards: bool = False,
+) -> bytes:
     """Return the body of a step in groups of two items."""
-    entries = [
+    entries: list[dict[str, Any]] = [
         {
             "Id": f"{step}-{place}",
             "Path": f"{ROLLOUT_PREFIX}run/{place}",
@@ -311,6 +332,9 @@
         }
         for place in range(items)
     ]
+    if rewards:
+        for entry in entries:
+            entry["ScoringEndpoint"] = reward_call(entry["Id"])
     return msgspec.json.encode(
         {
             "Step": number,
@@ -322,9 +346,15 @@
     )
 
 
-def submit(node: NodeProcess, step: str, items: int, min_version: int = 1) -> Answer:
+def submit(
+    node: NodeProcess,
+    step: str,
+    items: int,
+    min_version: int = 1,
+    rewards: bool = False,
+) -> Answer:
     """Submit a step."""
-    body = submission(step, items, min_version)
+    body = submission(step, items, min_version, rewards=rewards)
     return node.call("POST", f"{ROLLOUT_PREFIX}{step}", body, Request_Id=step)
 
 
--- a/testing/src/fulmarpulley_testing/platform_worker.py
+++ b/testing/src/fulmarpulley_testing/platform_worker.py
@@ -11,7 +11,10 @@
 
 from .serving import abort, reply
 
-STAMP = "stamp"
+
+def stamp_of(worker: str, request_id: str) -> str:
+    """Return the signature of a worker's answer to a request."""
+    return f"{worker}.{request_id}"
 
 
 class Run(msgspec.Struct):
@@ -25,6 +28,7 @@
     body: bytes
     started: float = 0.0
     events: int = 0
+    last_event: float = 0.0
     versions: list[int] = []
     complete: bool = False
     ended: bool = False
@@ -52,6 +56,8 @@
         self.load_s = 0.05
         self.loading = False
         self.fail_status = 0
+        # Requests that fail each time they run.
+        self.failing: set[str] = set()
         self.break_after: int | None = None
         self.wrong_id = False
         self.reset_without_length = False
@@ -151,8 +157,9 @@
     async def _answer(
         self, request: web.Request, run: Run, model: str | None
     ) -> web.StreamResponse:
-        if self.fail_status:
-            return web.Response(status=self.fail_status, headers=self._signed(run))
+        if self.fail_status or run.request_id in self.failing:
+            status = self.fail_status or 500
+            return web.Response(status=status, headers=self._signed(run))
         if model is not None:
             return await self._stream(request, run, model)
         if self.reset_without_length:
@@ -181,6 +188,7 @@
             data = f"id: {number}\ndata: {run.request_id}:{number}\n\n".encode()
             # What was made counts as made, also if nobody reads it any more.
             run.events += 1
+            run.last_event = time.monotonic()
             run.versions.append(version)
             await response.write(change + data)
         run.complete = True
@@ -202,4 +210,5 @@
 
     def _signed(self, run: Run) -> dict[str, str]:
         request_id = "another" if self.wrong_id else run.request_id
-        return {"Request-Id": request_id, "Server-Stamp": STAMP}
+        stamp = stamp_of(self.name, run.request_id)
+        return {"Request-Id": request_id, "Server-Stamp": stamp}
--- a/testing/tests/test_platform_checks.py
+++ b/testing/tests/test_platform_checks.py
@@ -178,6 +178,32 @@
         self.add_step(min_version=3)
         self.assertEqual(self.faults(), {Fault.STALE})
 
+    def add_scored(self, score: str | None, call_at: float, **changes: object) -> None:
+        step = self.add_step(rewards=True)
+        step.results[0]["Score"] = score
+        self.worker.runs[0].last_event = self.now + 1.0
+        self.add_run("s1-0-reward", started=call_at, **changes)
+
+    def test_score_of_a_call_after_the_text_is_no_finding(self) -> None:
+        self.add_scored("engines-1.s1-0-reward", self.now + 1.1)
+        self.assertEqual(self.faults(), set())
+
+    def test_score_of_a_call_before_the_last_event_is_found(self) -> None:
+        self.add_scored("engines-1.s1-0-reward", self.now + 0.9)
+        self.assertEqual(self.faults(), {Fault.MISLABELLED})
+
+    def test_score_of_a_failed_call_is_found(self) -> None:
+        self.add_scored("engines-1.s1-0-reward", self.now + 1.1, complete=False)
+        self.assertEqual(self.faults(), {Fault.MISLABELLED})
+
+    def test_result_without_its_score_is_found(self) -> None:
+        self.add_scored(None, self.now + 1.1)
+        self.assertEqual(self.faults(), {Fault.MISLABELLED})
+
+    def test_score_of_an_item_without_a_call_is_found(self) -> None:
+        self.add_step().results[0]["Score"] = "engines-1.s1-0-reward"
+        self.assertEqual(self.faults(), {Fault.MISLABELLED})
+
     def test_run_long_after_the_end_is_found(self) -> None:
         self.add_step(ended_at=self.now - 10)
         self.assertEqual(self.faults(), {Fault.LATE_RUN})
--- a/testing/tests/test_platform_desk.py
+++ b/testing/tests/test_platform_desk.py
@@ -10,6 +10,7 @@
     NodeProcess,
     settle,
 )
+from fulmarpulley_testing.platform_worker import stamp_of
 from fulmarpulley_testing.processes import wait_for
 
 
@@ -23,8 +24,9 @@
     def test_request_is_forwarded_unchanged(self) -> None:
         answer = self.ask(self.nodes[0])
         self.assertEqual((answer.status, answer.body), (200, b"answer text"))
-        self.assertEqual(answer.headers["server-stamp"], "stamp")
         (run,) = self.system.all_runs("q1")
+        stamp = stamp_of(run.worker, "q1")
+        self.assertEqual(answer.headers["server-stamp"], stamp)
         self.assertEqual((run.method, run.path), ("POST", "/desk/a?b=%2F"))
 
     def test_request_is_answered_while_the_store_is_down(self) -> None:
@@ -48,8 +50,10 @@
             desk.fail_status = 500
         answer = self.ask(self.nodes[0])
         self.assertEqual(answer.status, 500)
-        self.assertEqual(answer.headers["server-stamp"], "stamp")
-        self.assertEqual(len(self.system.all_runs("q1")), 2)
+        runs = self.system.all_runs("q1")
+        self.assertEqual(len(runs), 2)
+        stamps = [stamp_of(run.worker, "q1") for run in runs]
+        self.assertIn(answer.headers["server-stamp"], stamps)
 
     def test_request_without_a_route_is_not_found(self) -> None:
         answer = self.nodes[0].call("POST", "/none/", b"", Request_Id="q2")
--- /dev/null
+++ b/testing/tests/test_platform_rewards.py
@@ -0,0 +1,183 @@
+"""Guard the scores of results on the platform."""
+
+import json
+import signal
+from typing import Any
+
+from platform_case import PlatformCase, text_of
+
+from fulmarpulley_testing.platform_system import (
+    HOST,
+    NodeProcess,
+    configuration,
+    results,
+    reward_call,
+    reward_id,
+    settle,
+    submission,
+    submit,
+    wait_results,
+)
+from fulmarpulley_testing.platform_worker import Run, stamp_of
+from fulmarpulley_testing.processes import wait_for
+
+ROLLOUT_ATTEMPTS = 3
+
+
+class RewardCase(PlatformCase):
+    def submit(self, node: NodeProcess, step: str, items: int) -> None:
+        self.assertEqual(submit(node, step, items, rewards=True).status, 202)
+
+    def reward_runs(self, item: str) -> list[Run]:
+        return self.system.all_runs(reward_id(item))
+
+    def assert_scored(self, result: Any, events: int = 5) -> None:
+        item = result["Id"]
+        self.assertEqual(result["State"], "completed")
+        self.assertEqual(result["Text"], text_of(item, events))
+        stamps = [stamp_of(r.worker, r.request_id) for r in self.reward_runs(item)]
+        self.assertIn(result["Score"], stamps)
+
+
+class RewardTest(RewardCase):
+    """Guards against results without the score that their text earned."""
+
+    def test_result_carries_the_signature_of_its_own_call(self) -> None:
+        self.submit(self.nodes[0], "s1", 6)
+        found = wait_results(self.other(), "s1", 6)
+        for result in found:
+            self.assert_scored(result)
+            item = result["Id"]
+            (run,) = self.reward_runs(item)
+            self.assertEqual((run.method, run.path), ("POST", f"/desk/score/{item}"))
+            self.assertEqual(run.body, f"score {item}".encode())
+
+    def test_call_follows_the_last_event_of_the_text(self) -> None:
+        for engine in self.engines:
+            engine.event_s = 0.1
+        self.submit(self.nodes[0], "s1", 2)
+        wait_results(self.nodes[0], "s1", 2)
+        for item in ("s1-0", "s1-1"):
+            (generation,) = self.system.all_runs(item)
+            (call,) = self.reward_runs(item)
+            self.assertGreaterEqual(call.started, generation.started + 5 * 0.1)
+
+    def test_step_without_reward_calls_has_no_scores(self) -> None:
+        submit(self.nodes[0], "s1", 2)
+        found = wait_results(self.nodes[0], "s1", 2)
+        self.assertFalse(any("Score" in result for result in found))
+
+    def test_call_that_always_fails_ends_its_item_only(self) -> None:
+        for desk in self.desks:
+            desk.failing.add(reward_id("s1-0"))
+        self.submit(self.nodes[0], "s1", 4)
+        found = {r["Id"]: r for r in wait_results(self.nodes[0], "s1", 4)}
+        self.assertEqual(found["s1-0"]["State"], "dead")
+        self.assertEqual(len(self.reward_runs("s1-0")), ROLLOUT_ATTEMPTS)
+        for item in ("s1-1", "s1-2", "s1-3"):
+            self.assert_scored(found[item])
+
+    def test_spoiled_answers_are_no_scores(self) -> None:
+        for desk in self.desks:
+            desk.wrong_id = True
+        self.submit(self.nodes[0], "s1", 2)
+        wait_for(lambda: len(self.reward_runs("s1-0")) > 4, "several calls")
+        self.assertEqual(results(self.nodes[0], "s1")["Results"], [])
+        for desk in self.desks:
+            desk.wrong_id = False
+        for result in wait_results(self.nodes[0], "s1", 2):
+            self.assert_scored(result)
+
+    def test_generated_text_waits_for_a_route(self) -> None:
+        whole = configuration(0)["Routes"]
+        without = [route for route in whole if route["Name"] != "r-desk"]
+        self.system.configure(Routes=without)
+        settle(0.7)
+        self.submit(self.nodes[0], "s1", 2)
+        owner = self.owner()
+        wait_for(lambda: bool(owner.events("reward_without_route")), "a call")
+        self.assertEqual(results(self.nodes[0], "s1")["Results"], [])
+        self.system.configure()
+        for result in wait_results(self.nodes[0], "s1", 2):
+            self.assert_scored(result)
+
+    def test_ended_step_makes_no_more_calls(self) -> None:
+        for desk in self.desks:
+            desk.fail_status = 404
+        self.submit(self.nodes[0], "s1", 2)
+        wait_for(lambda: bool(self.reward_runs("s1-0")), "a call")
+        ended = self.nodes[0].call("DELETE", "/-/lots/s1")
+        self.assertEqual(ended.status, 200)
+        settle(1.0)
+        calls = len(self.reward_runs("s1-0"))
+        settle(1.5)
+        self.assertEqual(len(self.reward_runs("s1-0")), calls)
+
+
+class RewardOwnerTest(RewardCase):
+    """Guards against texts that are lost with the owner that waits for a score."""
+
+    def start_calls(self) -> None:
+        """Let the owner wait for the scores of texts that are on the log."""
+        for desk in self.desks:
+            desk.event_s = 60.0
+        self.submit(self.other(), "s1", 4)
+        items = [f"s1-{number}" for number in range(4)]
+        wait_for(lambda: all(self.reward_runs(i) for i in items), "reward calls")
+        # The texts are written while the calls run.
+        settle(0.5)
+        for desk in self.desks:
+            desk.event_s = 0.01
+
+    def assert_not_generated_again(self, reader: NodeProcess) -> None:
+        for result in wait_results(reader, "s1", 4):
+            self.assert_scored(result)
+            self.assertEqual(len(self.system.all_runs(result["Id"])), 1)
+
+    def test_killed_owner_costs_reward_calls_only(self) -> None:
+        self.start_calls()
+        reader = self.other()
+        self.owner().end()
+        self.assert_not_generated_again(reader)
+
+    def test_stopped_owner_costs_reward_calls_only(self) -> None:
+        self.start_calls()
+        reader = self.other()
+        self.owner().signal(signal.SIGTERM)
+        self.assert_not_generated_again(reader)
+
+    def test_frozen_owner_changes_no_score_when_it_wakes(self) -> None:
+        self.start_calls()
+        owner, reader = self.owner(), self.other()
+        owner.signal(signal.SIGSTOP)
+        before = wait_results(reader, "s1", 4)
+        owner.signal(signal.SIGCONT)
+        settle(1.0)
+        self.assertEqual(results(owner, "s1")["Results"], before)
+
+
+class BadRewardTest(RewardCase):
+    """Guards against scoring endpoints that cannot be called."""
+
+    def submit_with(self, endpoint: Any) -> int:
+        step = json.loads(submission("s1", 2, rewards=True))
+        step["Items"][1]["ScoringEndpoint"] = endpoint
+        body = json.dumps(step).encode()
+        answer = self.nodes[0].call("POST", "/lot/s1", body, Request_Id="s1")
+        if answer.status == 400:
+            self.assertIn(b"submission cannot be read", answer.body)
+        return answer.status
+
+    def test_endpoint_that_cannot_be_read_is_refused_with_its_step(self) -> None:
+        whole = reward_call("s1-1")
+        for endpoint in (
+            7,
+            {"Host": HOST, "Path": "/desk/x"},
+            {**whole, "Id": ""},
+            {**whole, "Body": "*"},
+            {**whole, "Path": 3},
+        ):
+            self.assertEqual(self.submit_with(endpoint), 400, endpoint)
+        self.assertEqual(self.nodes[0].call("GET", "/-/lots/s1?After=0").status, 404)
+        self.assertEqual(self.system.all_runs("s1-0"), [])
+        self.assertEqual(self.submit_with(whole), 202)
