Let a new owner wait for each engine by its own last order

Cause: after a takeover no engine got an order until a lease after the last order that the former owner had announced for any engine.

Ruled out: the time of the takeover itself (the fence was taken 1.5 s after the cut).

Change: the history of orders keeps the last announcement for each upstream, since the lease between two holders is one of each engine.

--- a/packages/fulmarpulley-core/tests/rollout/test_order_history.py
+++ b/packages/fulmarpulley-core/tests/rollout/test_order_history.py
@@ -1,7 +1,13 @@
 import math
 import unittest
 
-from fulmarpulley_core.rollout.order_history import DELIVERY_S, PERMIT_S, OrderHistory
+from fulmarpulley_core.ids import UpstreamId
+from fulmarpulley_core.rollout.order_history import (
+    DELIVERY_S,
+    FORGET_S,
+    PERMIT_S,
+    OrderHistory,
+)
 from fulmarpulley_schema.generated.steps import OrderIntent, OwnerFence
 
 LEASE_S = 3.0
@@ -15,12 +21,12 @@
     def fence(self, tenure: str) -> None:
         self.history.take_over(OwnerFence(node_id="n", tenure=tenure))
 
-    def intent(self, tenure: str, read_at_s: float) -> None:
+    def intent(self, tenure: str, read_at_s: float, upstream: str = "u") -> None:
         self.history.now_s = read_at_s
-        self.history.intend(OrderIntent(tenure=tenure, upstream="u"))
+        self.history.intend(OrderIntent(tenure=tenure, upstream=upstream))
 
-    def allowed(self, tenure: str) -> float | None:
-        return self.history.allowed_from_s(tenure, LEASE_S)
+    def allowed(self, tenure: str, upstream: str = "u") -> float | None:
+        return self.history.allowed_from_s(tenure, UpstreamId(upstream), LEASE_S)
 
     def test_allowed_from_after_a_recent_foreign_order(self) -> None:
         # Guards against two holders that order one engine within the lease time.
@@ -37,6 +43,26 @@
         self.fence("third")
         self.assertEqual(self.allowed("third"), 10.0 + PAUSE_S)
 
+    def test_allowed_from_counts_each_engine_by_itself(self) -> None:
+        # Guards against a takeover after which no engine got an order for 4.8 s, so
+        # that a step of a quiet day started too late.
+        self.fence("old")
+        self.intent("old", 5.0, "v")
+        self.intent("old", 10.0, "u")
+        self.fence("new")
+        self.assertEqual(self.allowed("new", "v"), 5.0 + PAUSE_S)
+        self.assertEqual(self.allowed("new", "w"), -math.inf)
+        self.assertEqual(self.allowed("new", "u"), 10.0 + PAUSE_S)
+
+    def test_take_over_forgets_engines_without_orders_for_long(self) -> None:
+        # Guards against a history that grows with every engine that was replaced.
+        self.fence("old")
+        for number in range(100):
+            self.intent("old", float(number), f"u{number}")
+        self.history.now_s = 99.0 + FORGET_S
+        self.fence("new")
+        self.assertEqual(self.history._others_s, {})
+
     def test_allowed_from_without_foreign_orders_is_long_past(self) -> None:
         # Guards against a fixed pause after each takeover, which cost a step 4.5 s.
         self.fence("old")
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/ownership.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/ownership.py
@@ -96,7 +96,8 @@
             if not await follower.sync(SYNC_TIMEOUT_S):
                 await asyncio.sleep(RETRY_S)
                 continue
-            allowed_s = follower.fold.orders.allowed_from_s(tenure.name, lease_s)
+            orders = follower.fold.orders
+            allowed_s = orders.allowed_from_s(tenure.name, upstream, lease_s)
             if allowed_s is None:
                 log_event("order_void", partition=tenure.partition, fence=tenure.fence)
                 if tenure.superseded_at is None:
