Read the entries of upstreams in groups

Cause: each node reads the topic of the workers by long polls that end with each record, so that every heartbeat of every worker wakes every node: calls and wake-ups grow as nodes times workers.

Ruled out: reading it at nodes without work only, since any node forwards requests; a digest that few nodes write, since it would be one more thing to trust and to lose.

Change: after a read that reached the end of the topic a node waits 0.25 s, a tenth of the shortest bound for draining workers. A node that is behind does not wait.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/published.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/published.py
@@ -41,6 +41,10 @@
 # the bounds for changes of the configuration and for draining workers.
 LONG_POLL_S = 0.5
 RETRY_S = 0.1
+# Workers write their entries all the time. Those of this time are read together, so
+# that the calls and wake-ups of a node do not grow with the number of workers. It is a
+# tenth of the shortest bound for draining workers.
+GATHER_S = 0.25
 
 KeyHandler = Callable[[DirectoryListener, str, bytes], None]
 key_handlers: Registry[KeyHandler] = Registry("published key")
@@ -58,7 +62,8 @@
     async def start(self) -> None:
         """Start to follow both topics."""
         self.tasks.spawn(Tail(self.store, OPERATOR_TOPIC, OperatorRecords(self)).run())
-        self.tasks.spawn(Tail(self.store, SERVER_TOPIC, ServerRecords(self)).run())
+        servers = Tail(self.store, SERVER_TOPIC, ServerRecords(self), GATHER_S)
+        self.tasks.spawn(servers.run())
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop."""
@@ -117,15 +122,23 @@
 
 
 class Tail:
-    """List a keyed topic, then read on from there."""
+    """List a keyed topic, then read on from there.
 
-    def __init__(self, store: Store, topic: str, reader: TopicReader) -> None:
+    `gather_s` is the least time between the reads of two groups of records.
+    """
+
+    def __init__(
+        self, store: Store, topic: str, reader: TopicReader, gather_s: float = 0.0
+    ) -> None:
         self.store = store
         self.topic = topic
         self.reader = reader
+        self.gather_s = gather_s
         self.offset: int | None = None
         self.contact = time.monotonic()
         self.lost = False
+        # Whether the store held more than the last read returned.
+        self.behind = True
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
@@ -134,6 +147,8 @@
             if isinstance(done, Ok):
                 self._note_contact()
                 done.ok_value()
+                if not self.behind:
+                    await asyncio.sleep(self.gather_s)
                 continue
             if not self.lost:
                 self.lost = True
@@ -163,8 +178,10 @@
             if page.start > start or page.end < start:
                 # History was dropped between the two reads.
                 self.offset = None
+                self.behind = True
                 return
             self.offset = start + len(page.records)
+            self.behind = self.offset < page.end
             for record in page.records:
                 self._take(record)
 
