Load weights so that each model keeps an engine that takes work

Orders went to the engines with the least work in the order in which models were named, so that both engines of a trainer loaded at once while its step waited, and a third trainer's engines came last. A new owner learned the models one by one, placed the first one on all engines and ordered it onto those of others. An order that waited for its turn after a takeover carried the version of its beginning (yeny80e82f got version 3 when 5 was named).

Ruled out: more loads at once, since loads are slower then.

Change: the model with the fewest up-to-date engines is loaded first; at most half of a model's engines load at once; an engine stays where it was placed. Events that belong together reach the pool in one batch before it decides. An order takes the newest version when its turn has come.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
@@ -1,6 +1,6 @@
 """Dispatch the work of one pool shard to its upstreams."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from fulmarpulley_schema.generated.document import ServiceDocument
@@ -71,11 +71,16 @@
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Apply an event at a monotonic time in seconds and return the actions."""
+        return self.handle_all((event,), now)
+
+    def handle_all(self, events: Sequence[Event], now: float) -> list[Action]:
+        """Apply events that belong together before anything is decided on them."""
         parts = self.parts
         parts.now = now
-        handler = self.handlers.get(type(event))
-        if handler is not None:
-            handler(event, now)
+        for event in events:
+            handler = self.handlers.get(type(event))
+            if handler is not None:
+                handler(event, now)
         parts.timers.run_due(now)
         if parts.can_dispatch:
             self._dispatch()
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/model_placement.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/model_placement.py
@@ -22,6 +22,7 @@
 
     def __init__(self) -> None:
         self.quotas: dict[ModelName, int] = {}
+        self.placed: dict[ModelName, set[UpstreamId]] = {}
         self._demand: dict[ModelName, float] = {}
         self._demand_at = 0.0
 
@@ -38,18 +39,29 @@
         """Return the upstreams that are to serve each model."""
         if len(models) < 2 or len(upstreams) < len(models):
             everywhere = {u.upstream_id for u in upstreams}
+            self.placed = {}
             return dict.fromkeys(models, everywhere)
         self._update_quotas(models, len(upstreams))
         placed: dict[ModelName, set[UpstreamId]] = {model: set() for model in models}
         taken: set[UpstreamId] = set()
         pairs = [(model, u) for model in models for u in upstreams]
-        for model, upstream in sorted(pairs, key=_preference):
+        for model, upstream in sorted(pairs, key=self._preference):
             name = upstream.upstream_id
             if name not in taken and len(placed[model]) < self.quotas[model]:
                 placed[model].add(name)
                 taken.add(name)
+        self.placed = placed
         return placed
 
+    def _preference(self, pair: tuple[ModelName, Upstream]) -> tuple[bool, int, int]:
+        # An upstream stays where it was placed, also before it has loaded; one without
+        # a place goes to the model of which it serves the newest version.
+        model, upstream = pair
+        name = upstream.upstream_id
+        served = upstream.versions.get(model, Version(0))
+        moves = name not in self.placed.get(model, ())
+        return (moves, -served, text_hash(f"{model}@{name}"))
+
     def _update_quotas(self, models: Sequence[ModelName], count: int) -> None:
         ideal = _ideal(models, self._demand, count)
         same = set(self.quotas) == set(models) and sum(self.quotas.values()) == count
@@ -81,10 +93,3 @@
         model = min(able, key=lambda m: (ideal[m] - quotas[m], m))
         quotas[model] -= 1
     return quotas
-
-
-def _preference(pair: tuple[ModelName, Upstream]) -> tuple[int, int]:
-    # An upstream that serves a newer version of a model keeps it.
-    model, upstream = pair
-    served = upstream.versions.get(model, Version(0))
-    return (-served, text_hash(f"{model}@{upstream.upstream_id}"))
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/weights.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/weights.py
@@ -126,12 +126,52 @@
             return
         # Models whose first copy is on its way to a region, found in this pass.
         crossing: set[tuple[str, ModelName]] = set()
-        models = self._models()
-        for upstream in self._by_work():
-            if self._order_first(upstream, models, crossing, now):
-                room -= 1
-                if not room:
-                    return
+        while room > 0 and self._order_next(crossing, now):
+            room -= 1
+
+    def _order_next(self, crossing: set[tuple[str, ModelName]], now: float) -> bool:
+        """Give the next order; a model that the fewest upstreams serve goes first."""
+        upstreams = self._by_work()
+        for model in sorted(self._models(), key=self._copies):
+            if self._loads_enough(model):
+                continue
+            for upstream in upstreams:
+                region = upstream.entry.region
+                if (region, model) in crossing:
+                    continue
+                if not self._is_due(upstream, model, now):
+                    continue
+                if self._order(upstream, model, now):
+                    return True
+                crossing.add((region, model))
+        return False
+
+    def _loads_enough(self, model: ModelName) -> bool:
+        """Tell whether half of a model's upstreams load it.
+
+        New work of the model starts at the others meanwhile.
+        """
+        placed = self._placed.get(model)
+        if placed is None:
+            return False
+        loading = sum(
+            load.order.model == model and not load.confirming
+            for load in self._loads.values()
+        )
+        return loading >= max(1, len(placed) // 2)
+
+    def _copies(self, model: ModelName) -> int:
+        """Return how many upstreams serve the newest version, or are about to."""
+        newest = self._freshness.newest[model]
+        loading = {
+            load.order.upstream
+            for load in self._loads.values()
+            if load.order.model == model and load.order.version == newest
+        }
+        serving = {
+            u.upstream_id for u in self._able() if u.versions.get(model) == newest
+        }
+        return len(loading | serving)
 
     def _place(self) -> None:
         able = self._able()
@@ -157,22 +197,6 @@
         # The dict of newest versions keeps the order in which models came.
         return [model for model in self._freshness.newest if model in served]
 
-    def _order_first(
-        self,
-        upstream: Upstream,
-        models: list[ModelName],
-        crossing: set[tuple[str, ModelName]],
-        now: float,
-    ) -> bool:
-        region = upstream.entry.region
-        for model in models:
-            if (region, model) in crossing or not self._is_due(upstream, model, now):
-                continue
-            if self._order(upstream, model, now):
-                return True
-            crossing.add((region, model))
-        return False
-
     def _is_due(self, upstream: Upstream, model: ModelName, now: float) -> bool:
         served = upstream.versions.get(model)
         if served is not None and served >= self._freshness.newest[model]:
--- a/packages/fulmarpulley-core/tests/pool/test_weights.py
+++ b/packages/fulmarpulley-core/tests/pool/test_weights.py
@@ -1,6 +1,6 @@
 from unittest import TestCase
 
-from fulmarpulley_core.ids import ModelName, Version
+from fulmarpulley_core.ids import ModelName, UpstreamId, Version
 from fulmarpulley_core.pool import messages as m
 from fulmarpulley_schema.generated.document import (
     ServiceKind,
@@ -227,3 +227,60 @@
         )
         begun = driver.finish(last)
         self.assertEqual(begun[-1].work_id, "next")  # type: ignore[union-attr]
+
+
+class SplitModelsTest(TestCase):
+    """Guards against a trainer that waits until the engines of another have loaded."""
+
+    def setUp(self) -> None:
+        self.driver = self.new_driver(swaps_at_once=2)
+
+    def new_driver(self, swaps_at_once: int) -> Driver:
+        trainers = [TrainerEntry(id=name, model=name) for name in ("m", "n")]
+        weights = Weights(swaps_at_once=swaps_at_once, swap_s=0.0, bytes=0)
+        names = ["u1", "u2", "u3", "u4"]
+        doc = document(
+            names,
+            kind=ServiceKind.TRAINING,
+            trainers=trainers,
+            weights=weights,
+            staleness_bound=1_000_000,
+        )
+        driver = Driver(doc, split_models=True, refuse_while_loading=True)
+        for name in names:
+            for model in ("m", "n"):
+                served = m.VersionReport(UpstreamId(name), ModelName(model), Version(1))
+                driver.send(served)
+        return driver
+
+    def announce_both(self, version: int) -> list[m.Order]:
+        events = [
+            m.VersionAnnounced(ModelName(name), Version(version)) for name in ("m", "n")
+        ]
+        actions = self.driver.pool.handle_all(events, self.driver.now)
+        return list(orders(actions).values())
+
+    def test_each_model_gets_its_first_engine_before_any_gets_a_second(self) -> None:
+        given = self.announce_both(2)
+        self.assertEqual(sorted(order.model for order in given), ["m", "n"])
+        for order in given:
+            following = load(self.driver, order)
+            self.assertEqual([o.model for o in following.values()], [order.model])
+
+    def test_versions_that_are_known_together_are_placed_together(self) -> None:
+        # Guards against a new owner that orders the first model onto all engines.
+        first = self.announce_both(2)
+        given = first + [
+            o for order in first for o in load(self.driver, order).values()
+        ]
+        self.assertEqual(len({order.upstream for order in given}), 4)
+        self.assertEqual([o.model for o in given].count(ModelName("m")), 2)
+
+    def test_half_of_the_engines_of_a_model_take_work_while_it_loads(self) -> None:
+        # Guards against a step that waits a whole load although its version is there.
+        self.driver = self.new_driver(swaps_at_once=4)
+        self.announce_both(2)
+        started = self.driver.submit(
+            sample("a", model=ModelName("m"), min_version=Version(1))
+        )
+        self.assertEqual(len(started), 1)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/orders.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/orders.py
@@ -4,6 +4,7 @@
 
 from result import Ok
 
+from fulmarpulley_core.ids import Version
 from fulmarpulley_core.pool.messages import Order
 
 from ..observe.events import log_event
@@ -27,27 +28,33 @@
         self.ownership = ownership
         self.tenure = tenure
 
-    async def give(self, order: Order) -> bool:
-        """Give an order and tell whether the engine has carried it out."""
+    async def give(self, order: Order) -> Version | None:
+        """Give an order and return the version that the engine loaded, if it did."""
         fence = await self.ownership.fence(self.tenure)
-        entry = self.directory.upstream(order.upstream)
-        if entry is None or fence is None:
-            return False
+        upstream = order.upstream
+        if fence is None or not await self.ownership.await_turn(self.tenure, upstream):
+            return None
+        entry = self.directory.upstream(upstream)
+        if entry is None:
+            return None
         began = time.monotonic()
+        # A newer version may have been named while the order waited for its turn.
+        newest = self.directory.versions.get(order.model, order.version)
+        version = max(order.version, newest)
         load = LoadOrder(
             model=order.model,
-            version=order.version,
+            version=version,
             fence=fence,
-            permit=lambda: self.ownership.permit_order(self.tenure, order.upstream),
+            permit=lambda: self.ownership.permit_order(self.tenure, upstream),
         )
         done = await self.calls.load_version(entry, load)
         log_event(
             "order_finished",
-            upstream=order.upstream,
+            upstream=upstream,
             model=order.model,
-            version=order.version,
+            version=version,
             fence=fence,
             outcome="ok" if isinstance(done, Ok) else done.err_value,
             seconds=time.monotonic() - began,
         )
-        return isinstance(done, Ok)
+        return version if isinstance(done, Ok) else None
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/ownership.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/ownership.py
@@ -88,8 +88,8 @@
             await asyncio.sleep(RETRY_S)
         return None
 
-    async def permit_order(self, tenure: Tenure, upstream: UpstreamId) -> bool:
-        """Announce an order and wait until it may be given; False if never."""
+    async def await_turn(self, tenure: Tenure, upstream: UpstreamId) -> bool:
+        """Wait until no order of another owner can be recent; False if never."""
         follower = self.partitions.followers[tenure.partition]
         lease_s = self.settings.bounds.lease_ms / 1000
         while not tenure.ended:
@@ -104,9 +104,15 @@
                     tenure.superseded_at = time.monotonic()
                 return False
             wait_s = allowed_s - elapsed_s()
-            if wait_s > 0:
-                await asyncio.sleep(min(wait_s, RETRY_S))
-            elif await self._announce(tenure, upstream):
+            if wait_s <= 0:
+                return True
+            await asyncio.sleep(min(wait_s, RETRY_S))
+        return False
+
+    async def permit_order(self, tenure: Tenure, upstream: UpstreamId) -> bool:
+        """Announce an order that may be given at once; False if it never may."""
+        while await self.await_turn(tenure, upstream):
+            if await self._announce(tenure, upstream):
                 return True
         return False
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/pool_driver.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/pool_driver.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from fulmarpulley_core.pool.dispatcher import Pool
@@ -31,13 +31,13 @@
         self.pool = Pool(document, settings, seed)
         self.handlers = handlers
         self.closed = False
-        self._events: deque[Event] = deque()
+        self._events: deque[Sequence[Event]] = deque()
         self._busy = False
         self._timer: asyncio.TimerHandle | None = None
 
-    def post(self, event: Event) -> None:
-        """Handle an event now, or after the one in progress."""
-        self._events.append(event)
+    def post(self, *events: Event) -> None:
+        """Handle events together now, or after those in progress."""
+        self._events.append(events)
         if self._busy or self.closed:
             return
         self._busy = True
@@ -54,9 +54,9 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    def _handle(self, event: Event) -> None:
+    def _handle(self, events: Sequence[Event]) -> None:
         now = asyncio.get_running_loop().time()
-        for action in self.pool.handle(event, now):
+        for action in self.pool.handle_all(events, now):
             self._act(action)
 
     def _act(self, action: Action) -> None:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/service_pools.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/service_pools.py
@@ -1,6 +1,6 @@
 """Keep the pools of a node in step with the configuration and the upstreams."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from fulmarpulley_core.ids import DataCentre, Region, ServiceName
@@ -8,6 +8,7 @@
 from fulmarpulley_core.pool.messages import (
     Availability,
     DocumentChanged,
+    Event,
     PoolSettings,
     UpstreamState,
 )
@@ -46,9 +47,9 @@
         self.tailor = tailor
         self.pools: dict[ServiceName, PoolDriver] = {}
         self.documents: dict[ServiceName, ServiceDocument] = {}
-        # Called after the pool of a service has taken a change.
-        self.updated: Callable[[ServiceName, PoolDriver], None] = lambda name, pool: (
-            None
+        # Returns what else the pool of a service has to know after a change.
+        self.reports: Callable[[ServiceName, PoolDriver], Iterable[Event]] = (
+            lambda name, pool: ()
         )
 
     def __getitem__(self, name: ServiceName) -> PoolDriver:
@@ -84,14 +85,15 @@
         document = self._document(name)
         if document is None:
             return
+        events: list[Event] = []
         if document != self.documents[name]:
             self.documents[name] = document
-            pool.post(DocumentChanged(document))
+            events.append(DocumentChanged(document))
         for entry in self.directory.of_service(name):
             draining = entry.state is ListedState.DRAINING
             state = Availability.DRAINING if draining else Availability.AVAILABLE
-            pool.post(UpstreamState(entry.upstream_id, state))
-        self.updated(name, pool)
+            events.append(UpstreamState(entry.upstream_id, state))
+        pool.post(*events, *self.reports(name, pool))
 
     def _document(self, name: ServiceName) -> ServiceDocument | None:
         routes = self.directory.routes
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
@@ -1,7 +1,7 @@
 """Run the items of the steps of one partition while this node owns it."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
 import msgspec
@@ -16,13 +16,13 @@
     StepId,
     StepNumber,
     TenantId,
-    UpstreamId,
     Version,
     WorkId,
 )
 from fulmarpulley_core.placement import text_hash
 from fulmarpulley_core.pool.messages import (
     CancelAttempt,
+    Event,
     Finish,
     Order,
     OrderFinished,
@@ -100,7 +100,7 @@
             split_models=True,
         )
         self.pools = ServicePools(settings, directory, pool_settings, self._handlers)
-        self.pools.updated = self._pool_updated
+        self.pools.reports = self._reports
         self.runs: dict[WorkId, ItemRun] = {}
         # Events that former owners saved of items that are not placed yet.
         self.recovered: dict[WorkId, Saved] = {}
@@ -275,21 +275,18 @@
             Refuse: self._refused,
         }
 
-    def _pool_updated(self, name: ServiceName, pool: PoolDriver) -> None:
+    def _reports(self, name: ServiceName, pool: PoolDriver) -> Iterator[Event]:
+        """Yield the versions that engines serve and those that trainers named."""
         for entry in self.directory.of_service(name):
+            known = pool.pool.parts.ledger.upstreams.get(entry.upstream_id)
             for model, version in entry.versions.items():
-                self._report(pool, entry.upstream_id, model, version)
+                # Entries lag behind what responses have shown; versions of an upstream
+                # only go back when an order is carried out late, which responses show
+                # as well.
+                if known is None or known.versions.get(model, Version(0)) < version:
+                    yield VersionReport(entry.upstream_id, model, version)
         for model, version in self.directory.versions.items():
-            pool.post(VersionAnnounced(model, version))
-
-    def _report(
-        self, pool: PoolDriver, upstream: UpstreamId, model: ModelName, version: Version
-    ) -> None:
-        # Entries lag behind what responses have shown; versions of an upstream only
-        # go back when an order is carried out late, which responses show as well.
-        known = pool.pool.parts.ledger.upstreams.get(upstream)
-        if known is None or known.versions.get(model, Version(0)) < version:
-            pool.post(VersionReport(upstream, model, version))
+            yield VersionAnnounced(model, version)
 
     def _event_tokens(self, run: ItemRun) -> int:
         name = self.pool_of.get(run.work_id)
@@ -416,7 +413,7 @@
 
     async def _order(self, name: ServiceName, order: Order) -> None:
         pool = self.pools[name]
-        ok = self._gives_orders(name) and await self.orders.give(order)
-        if ok:
-            pool.post(VersionReport(order.upstream, order.model, order.version))
-        pool.post(OrderFinished(order.order_id, ok))
+        loaded = await self.orders.give(order) if self._gives_orders(name) else None
+        if loaded is not None:
+            pool.post(VersionReport(order.upstream, order.model, loaded))
+        pool.post(OrderFinished(order.order_id, loaded is not None))
