--- a/packages/fulmarpulley-core/tests/pool/test_weights.py
+++ b/packages/fulmarpulley-core/tests/pool/test_weights.py
@@ -279,8 +279,11 @@
     def test_half_of_the_engines_of_a_model_take_work_while_it_loads(self) -> None:
         # Guards against a step that waits a whole load although its version is there.
         self.driver = self.new_driver(swaps_at_once=4)
-        self.announce_both(2)
+        waiting = self.announce_both(2)
+        while waiting:
+            waiting += load(self.driver, waiting.pop()).values()
+        self.driver.send(m.VersionAnnounced(ModelName("m"), Version(3)))
         started = self.driver.submit(
-            sample("a", model=ModelName("m"), min_version=Version(1))
+            sample("a", model=ModelName("m"), min_version=Version(2))
         )
         self.assertEqual(len(started), 1)
