Report the model that an order names in the tests of weights

Loads of the second model were reported as those of the first, so that the test of half the engines passed without its guard. It fails without it now.

--- a/packages/fulmarpulley-core/tests/pool/test_weights.py
+++ b/packages/fulmarpulley-core/tests/pool/test_weights.py
@@ -46,7 +46,7 @@
     """Finishes an order and reports the version; returns the orders that follow."""
     given = orders(driver.send(m.OrderFinished(order.order_id, True)))
     before = len(driver.log)
-    driver.report_versions(order.version, order.upstream)
+    driver.send(m.VersionReport(order.upstream, order.model, order.version))
     return given | orders(driver.log[before:])
 
 
