Hedge by the recent pace of an attempt

Cause: an item of 181 events runs for 7.1 s at a healthy engine and is due in 7.5 s.

Ruled out: the budget of hedges, which was not used up; slots, which were free elsewhere.

Change: the pace of an attempt is measured over the last half to whole second.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
@@ -23,6 +23,8 @@
 
 # Hints are right at the median, so some room is left for longer answers.
 HINT_MARGIN = 1.25
+# A recent pace covers between one and two of these times, some ten events.
+PACE_WINDOW_S = 0.5
 
 
 class Item(msgspec.Struct, eq=False, kw_only=True):
@@ -69,6 +71,28 @@
             self.past_runs = ran
 
 
+class Pace(msgspec.Struct):
+    """Measure the recent pace of an attempt between two moments.
+
+    The mean since its start would hide for seconds that an upstream has turned slow.
+    """
+
+    before: tuple[float, int]
+    newer: tuple[float, int]
+
+    def note(self, now: float, tokens: int) -> None:
+        """Take the tokens received until now."""
+        if now - self.newer[0] >= PACE_WINDOW_S:
+            self.before, self.newer = self.newer, (now, tokens)
+
+    def token_s(self, last_token: float, tokens: int) -> float | None:
+        """Return the seconds per token, or None if no token has come since."""
+        since, received = self.before
+        if tokens <= received or last_token <= since:
+            return None
+        return (last_token - since) / (tokens - received)
+
+
 class Attempt(msgspec.Struct, eq=False, kw_only=True):
     """Hold an attempt that was started and has not ended."""
 
@@ -81,6 +105,7 @@
     resume_from: int = 0
     tokens: int = 0
     last_token: float = -math.inf
+    pace: Pace | None = None
     hedge: bool = False
     probed: bool = False
 
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/stragglers.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/stragglers.py
@@ -12,7 +12,7 @@
 from .fair_queue import FairQueue
 from .ledger import Ledger
 from .retries import Budget
-from .state import Attempt, Item, Upstream
+from .state import Attempt, Item, Pace, Upstream
 from .timers import Timers
 
 MEAN_WEIGHT = 0.1
@@ -126,6 +126,8 @@
     def _scan(self, now: float) -> None:
         self._armed = False
         self.arm(now)
+        for attempt in self._ledger.attempts.values():
+            _note_pace(attempt, now)
         if self.budget.wait(now) > 0 or not self._has_free_upstream():
             return
         found = sorted(self._candidates(now), key=lambda each: -each.gain)
@@ -173,7 +175,15 @@
     since = attempt.silent_since(now)
     produced = attempt.tokens - attempt.resume_from
     pace = (since - attempt.started) / produced if produced else usual
-    return pace, now - since
+    recent = attempt.pace.token_s(since, attempt.tokens) if attempt.pace else None
+    return recent or pace, now - since
+
+
+def _note_pace(attempt: Attempt, now: float) -> None:
+    if attempt.pace is None:
+        begin = (now, attempt.tokens)
+        attempt.pace = Pace(begin, begin)
+    attempt.pace.note(now, attempt.tokens)
 
 
 def _burst(document: ServiceDocument) -> float:
--- a/packages/fulmarpulley-core/tests/pool/test_stragglers.py
+++ b/packages/fulmarpulley-core/tests/pool/test_stragglers.py
@@ -74,6 +74,22 @@
         unserved = sample("b", min_version=9)
         self.assertEqual(hedges_of([sample("a"), unserved]), 0)
 
+    def test_attempt_whose_upstream_turns_slow_is_hedged_soon(self) -> None:
+        # Guards against a long item that stays on an engine which has become four
+        # times slower: its mean pace was that of a healthy one for seconds more.
+        driver = tail([sample("a", max_tokens=200, length_hint=200)])
+        attempt = starts(driver.log)[0].attempt_id
+        for tokens in range(6, 66):
+            run(driver, 0.1)
+            driver.progress(attempt, tokens)
+        self.assertEqual(hedges(driver), [])
+        for tokens in range(66, 71):
+            run(driver, 0.4)
+            driver.progress(attempt, tokens)
+        # It has had 65 tokens when the upstream turns slow, and three more a second on.
+        self.assertEqual(len(hedges(driver)), 1)
+        self.assertLessEqual(hedges(driver)[0].resume_from, 68)
+
     def test_steady_attempt_is_not_hedged(self) -> None:
         driver = tail([sample("a")])
         for tokens in range(6, 10):
