Load first what waiting work demands, and the stalest engine of a model

Ruled out: the wait of the new owner, which ended at 40.1 s.

Change: models whose waiting work no engine can run are loaded first, then those of which the fewest engines serve the newest version; within a model the stalest engine loads.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/fair_queue.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/fair_queue.py
@@ -211,6 +211,16 @@
         flow = band.active.get(tenant) if band else None
         return flow is not None and any(key.step <= step for key in flow.lanes)
 
+    def wanted_versions(self) -> dict[ModelName, Version]:
+        """Return the newest version of each model that waiting work demands."""
+        wanted: dict[ModelName, Version] = {}
+        for band in self._ranked:
+            for flow in band.active.values():
+                for key in flow.lanes:
+                    known = wanted.get(key.model, key.min_version)
+                    wanted[key.model] = max(known, key.min_version)
+        return wanted
+
     def _due_bands(self) -> list[Band]:
         active = [band for band in self._ranked if band.active]
         owed = [band for band in active[1:] if band.credit > 0]
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/parts.py
@@ -51,6 +51,7 @@
             self.timers,
             self.jitter,
             self.wake,
+            self.queue.wanted_versions,
         )
         self.routing = ROUTING.get(settings.routing)(settings)
         self.ledger.list_upstreams(document)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/weights.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/weights.py
@@ -1,6 +1,6 @@
 """Order upstreams to load new versions of weights until all serve the newest."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 
@@ -56,8 +56,10 @@
         timers: Timers,
         jitter: Choices,
         wake: Callable[[], None],
+        wanted_versions: Callable[[], Mapping[ModelName, Version]],
     ) -> None:
         self.document = document
+        self._wanted_versions = wanted_versions
         self._ledger = ledger
         self._freshness = freshness
         self._timers = timers
@@ -130,12 +132,24 @@
             room -= 1
 
     def _order_next(self, crossing: set[tuple[str, ModelName]], now: float) -> bool:
-        """Give the next order; a model that the fewest upstreams serve goes first."""
+        """Give the next order.
+
+        Models go first whose work no upstream can run, then those of which the fewest
+        serve the newest version.
+        """
+        wanted = self._wanted_versions()
+        models = sorted(
+            self._models(),
+            key=lambda model: (
+                model not in wanted or self._copies(model, wanted[model]) > 0,
+                self._copies(model, self._freshness.newest[model]),
+            ),
+        )
         upstreams = self._by_work()
-        for model in sorted(self._models(), key=self._copies):
+        for model in models:
             if self._loads_enough(model):
                 continue
-            for upstream in upstreams:
+            for upstream in _stalest_first(upstreams, model):
                 region = upstream.entry.region
                 if (region, model) in crossing:
                     continue
@@ -160,16 +174,17 @@
         )
         return loading >= max(1, len(placed) // 2)
 
-    def _copies(self, model: ModelName) -> int:
-        """Return how many upstreams serve the newest version, or are about to."""
-        newest = self._freshness.newest[model]
+    def _copies(self, model: ModelName, version: Version) -> int:
+        """Return how many upstreams serve a version or newer, or are about to."""
         loading = {
             load.order.upstream
             for load in self._loads.values()
-            if load.order.model == model and load.order.version == newest
+            if load.order.model == model and load.order.version >= version
         }
         serving = {
-            u.upstream_id for u in self._able() if u.versions.get(model) == newest
+            u.upstream_id
+            for u in self._able()
+            if u.versions.get(model, Version(0)) >= version
         }
         return len(loading | serving)
 
@@ -300,3 +315,16 @@
     def _loads_of(self, upstream: Upstream) -> list[Load]:
         loads = self._loads.values()
         return [x for x in loads if x.order.upstream == upstream.upstream_id]
+
+
+def _stalest_first(upstreams: Iterable[Upstream], model: ModelName) -> list[Upstream]:
+    """Return the upstreams by the version that they serve, ejected ones last.
+
+    One that has just loaded a version takes the work that waited for it, before it
+    loads the next one.
+    """
+    ejected = HealthState.EJECTED
+    return sorted(
+        upstreams,
+        key=lambda u: (u.health.state is ejected, u.versions.get(model, Version(0))),
+    )
--- a/packages/fulmarpulley-core/tests/pool/test_weights.py
+++ b/packages/fulmarpulley-core/tests/pool/test_weights.py
@@ -287,3 +287,23 @@
             sample("a", model=ModelName("m"), min_version=Version(2))
         )
         self.assertEqual(len(started), 1)
+
+    def test_model_whose_work_cannot_run_loads_first(self) -> None:
+        # Guards against a step that waits behind loads which nobody needs yet.
+        self.driver = self.new_driver(swaps_at_once=1)
+        work = sample("a", model=ModelName("n"), min_version=Version(2))
+        self.driver.submit(work)
+        (first,) = self.announce_both(2)
+        self.assertEqual(first.model, "n")
+
+    def test_engine_that_has_just_loaded_takes_work_before_the_next_load(self) -> None:
+        self.driver = self.new_driver(swaps_at_once=2)
+        work = sample("a", model=ModelName("m"), min_version=Version(2))
+        self.driver.submit(work)
+        first = next(o for o in self.announce_both(2) if o.model == "m")
+        self.driver.send(m.VersionAnnounced(ModelName("m"), Version(3)))
+        self.driver.log.clear()
+        load(self.driver, first)
+        self.assertEqual(
+            [s.upstream for s in starts(self.driver.log)], [first.upstream]
+        )
