--- a/packages/fulmarpulley-core/tests/pool/test_weights.py
+++ b/packages/fulmarpulley-core/tests/pool/test_weights.py
@@ -298,12 +298,16 @@
 
     def test_engine_that_has_just_loaded_takes_work_before_the_next_load(self) -> None:
         self.driver = self.new_driver(swaps_at_once=2)
-        work = sample("a", model=ModelName("m"), min_version=Version(2))
-        self.driver.submit(work)
+        old = [sample(f"o{n}", model=ModelName("m")) for n in range(8)]
+        running = self.driver.submit(*old)
         first = next(o for o in self.announce_both(2) if o.model == "m")
+        self.driver.submit(sample("a", model=ModelName("m"), min_version=Version(2)))
+        for start in running:
+            if start.upstream == first.upstream:
+                self.driver.finish(start.attempt_id)
         self.driver.send(m.VersionAnnounced(ModelName("m"), Version(3)))
-        self.driver.log.clear()
-        load(self.driver, first)
-        self.assertEqual(
-            [s.upstream for s in starts(self.driver.log)], [first.upstream]
-        )
+        # The home of a step reports the version before the end of its order.
+        loaded = m.VersionReport(first.upstream, first.model, first.version)
+        actions = self.driver.send(loaded)
+        self.assertEqual([s.upstream for s in starts(actions)], [first.upstream])
+        self.assertNotIn(first.upstream, orders(actions))
