Bound answers and close connections that send more than one

Cause: a worker or the store could send bytes without end. A second copy of an answer that came late, on an idle connection, was handed to the next call; answers of the store carry no id, so that a page of another partition was taken for the one asked for.

Ruled out: limits on reading the body alone, since heads, chunk sizes and trailers are read by the HTTP library before any body.

Change: the protocol of a connection counts bytes as they arrive, ends an answer above 8 MB or a head above 128 KB, and closes a connection that sends anything while no answer is awaited. An item's stream ends with more events than it may have tokens.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/connections.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/connections.py
@@ -1,8 +1,14 @@
-"""Open connections that notice when the other side falls silent."""
+"""Open connections that notice when the other side falls silent or never ends."""
 
+import asyncio
+import functools
 import socket
+from typing import Any
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
+from aiohttp.streams import StreamReader
 
 # A connection whose bytes are not acknowledged for this long is given up.
 USER_TIMEOUT_MS = 2000
@@ -13,11 +19,90 @@
 # Workers close idle connections after ten seconds; a shorter time here means that a
 # request seldom meets a connection that is being closed.
 IDLE_TIMEOUT_S = 9.0
+# Answers of workers take some KB, streams some hundred, and pages of the store up to
+# 2 MB. A node with 128 MB survives several answers of this size at a time.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+# Interim answers and the head; the HTTP library limits single lines and fields only.
+MAX_HEAD_BYTES = 128 * 1024
+# Answers below this status are interim ones.
+FINAL_STATUS = 200
+
+
+class AnswerProtocol(ResponseHandler):
+    """Close a connection whose answer never ends, or that sends more than an answer.
+
+    Bytes are counted as they arrive, so that no part of an answer can be endless. A
+    second copy of an answer may come late: a connection with surplus bytes is not used
+    again, since the next caller would take them for its own answer.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.received = 0
+        self.most_bytes = MAX_HEAD_BYTES
+        self.awaiting = False
+        self.answer: StreamReader | None = None
+
+    def set_response_params(self, **params: Any) -> None:
+        """Begin to await the answer to a request."""
+        self.received = 0
+        self.most_bytes = MAX_HEAD_BYTES
+        self.awaiting = True
+        self.answer = None
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes of an answer."""
+        # The library calls this without data when it resumes to read.
+        if data and not self.awaiting:
+            self._give_up("the connection sent more than an answer")
+            return
+        self.received += len(data)
+        super().data_received(data)
+        if self.received > self.most_bytes:
+            self._give_up(f"the answer has more than {self.most_bytes} bytes")
+
+    def feed_data(
+        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
+    ) -> None:
+        """Take the head of an answer."""
+        message, payload = data
+        if not self.awaiting:
+            self.force_close()
+            return
+        if message.code >= FINAL_STATUS:
+            self.most_bytes = MAX_ANSWER_BYTES
+            self.answer = payload
+            payload.on_eof(self._end)
+        super().feed_data(data, size)
+
+    def _end(self) -> None:
+        self.awaiting = False
+
+    def _give_up(self, reason: str) -> None:
+        fault = aiohttp.ClientPayloadError(reason)
+        if self.answer is not None:
+            self.answer.set_exception(fault)
+        self.set_exception(fault)
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class AnswerConnector(aiohttp.TCPConnector):
+    """Open connections with a protocol of our own.
+
+    The library has no public way to choose it; test_endless_answers fails without.
+    """
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        factory: Any = functools.partial(AnswerProtocol, loop=self._loop)
+        self._factory = factory
 
 
 def new_session(idle_timeout_s: float = IDLE_TIMEOUT_S) -> aiohttp.ClientSession:
     """Return a client session that sends bodies as they are."""
-    connector = aiohttp.TCPConnector(
+    connector = AnswerConnector(
         limit=0,
         keepalive_timeout=idle_timeout_s,
         use_dns_cache=False,
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
@@ -29,6 +29,8 @@
 # Loading takes 0.9 s. Reports lag by some hundred ms, in which the engine would stand
 # idle; one that takes longer refuses its next request, or answers with its version.
 LOAD_S = 0.95
+# Events of an item that does not say how many tokens it may have.
+MAX_EVENTS = 1_000_000
 ACCEPTED = 202
 MISDIRECTED = 421
 RUNS_GO_ON = "retain"
@@ -106,7 +108,10 @@
                 if end is not None:
                     response.close()
                     return Err(end)
-                return await _read_events(response, resume_after, min_version, sink)
+                most = item.max_tokens or MAX_EVENTS
+                return await _read_events(
+                    response, resume_after, most, min_version, sink
+                )
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as fault:
             return Err(_call_end(fault))
 
@@ -179,6 +184,7 @@
 async def _read_events(
     response: aiohttp.ClientResponse,
     resume_after: int,
+    most_events: int,
     min_version: int,
     sink: EventSink,
 ) -> Result[None, CallEnd]:
@@ -187,8 +193,10 @@
     expected = resume_after + 1
     async for chunk in response.content.iter_any():
         for event in parser.feed(chunk):
-            if event.number != expected:
+            if event.number != expected or expected > most_events:
                 reason = f"event {event.number} came instead of {expected}"
+                if expected > most_events:
+                    reason = f"more than {most_events} events came"
                 response.close()
                 return Err(CallEnd(Failure.BROKEN, reason))
             version = event.version if event.version is not None else version
