Keep an answer that is whole when more bytes follow it

Cause, found on reading the diff: a connection that sends bytes behind a whole answer set a fault on that answer, which its caller might not have read yet. A request that must not be repeated would have lost an answer that had arrived.

Change: such a connection is only closed. The test failed before with "the connection sent more than an answer".

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/connections.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/connections.py
@@ -55,7 +55,8 @@
         """Take bytes of an answer."""
         # The library calls this without data when it resumes to read.
         if data and not self.awaiting:
-            self._give_up("the connection sent more than an answer")
+            # The answer before is whole, and its caller may still be reading it.
+            self._abort()
             return
         self.received += len(data)
         super().data_received(data)
@@ -84,6 +85,9 @@
         if self.answer is not None:
             self.answer.set_exception(fault)
         self.set_exception(fault)
+        self._abort()
+
+    def _abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
 
--- a/packages/fulmarpulley-node/tests/test_endless_answers.py
+++ b/packages/fulmarpulley-node/tests/test_endless_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import unittest
+import unittest.mock
 from collections.abc import AsyncIterator, Iterable, Iterator
 from contextlib import asynccontextmanager
 
@@ -13,7 +14,7 @@
 from fulmarpulley_core.ids import DataCentre, ServiceName, UpstreamId
 from fulmarpulley_core.pool.messages import Failure
 from fulmarpulley_core.rollout.upstreams import ListedUpstream
-from fulmarpulley_node.platform.connections import MAX_ANSWER_BYTES
+from fulmarpulley_node.platform.connections import MAX_ANSWER_BYTES, AnswerProtocol
 from fulmarpulley_node.platform.store import Store
 from fulmarpulley_node.platform.workers import Workers
 from fulmarpulley_node.rollout.interfaces import (
@@ -210,6 +211,13 @@
                     await self.assert_bounded(server)
 
 
+async def _next_head(reader: asyncio.StreamReader) -> bytes:
+    try:
+        return await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, OSError):
+        return b""
+
+
 class LateCopyTest(EndlessCase):
     """Guards against a late second answer that the next call takes for its own."""
 
@@ -220,7 +228,7 @@
         async def serve(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
-            while head := await reader.readuntil(b"\r\n\r\n"):
+            while head := await _next_head(reader):
                 part = head.partition(b"part=")[2][:1]
                 paths.append(part)
                 page = (1).to_bytes(8, "big") + bytes(8) + b"\0\0\0\1" + part
@@ -248,3 +256,19 @@
         finally:
             await store.close()
             listening.close()
+
+    async def test_bytes_behind_an_answer_do_not_spoil_it(self) -> None:
+        # Guards against a request that must not be repeated and loses its whole answer.
+        loop = asyncio.get_running_loop()
+        protocol = AnswerProtocol(loop)
+        sent = unittest.mock.Mock(spec=asyncio.Transport)
+        sent.is_closing.return_value = False
+        protocol.connection_made(sent)
+        protocol.set_response_params(read_until_eof=True)
+        answer = SIGNED + b"Content-Length: 2\r\n\r\nok"
+        protocol.data_received(answer)
+        protocol.data_received(answer)
+        message, payload = await protocol.read()
+        self.assertEqual(message.code, 200)
+        self.assertEqual(await payload.read(), b"ok")
+        sent.abort.assert_called_once()
