Refuse an order whose fence was renewed while it waited for its permit

If the fence of the tenure is renewed meanwhile, the order was permitted under the new name and carried the old number.

Change: a permit is for a fencing number, and is void once the tenure has another one.

Tests: two of test_ownership failed before.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/orders.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/orders.py
@@ -45,7 +45,7 @@
             model=order.model,
             version=version,
             fence=fence,
-            permit=lambda: self.ownership.permit_order(self.tenure, upstream),
+            permit=lambda: self.ownership.permit_order(self.tenure, upstream, fence),
         )
         done = await self.calls.load_version(entry, load)
         log_event(
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/ownership.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/ownership.py
@@ -109,11 +109,16 @@
             await asyncio.sleep(min(wait_s, RETRY_S))
         return False
 
-    async def permit_order(self, tenure: Tenure, upstream: UpstreamId) -> bool:
-        """Announce an order that may be given at once; False if it never may."""
-        while await self.await_turn(tenure, upstream):
+    async def permit_order(
+        self, tenure: Tenure, upstream: UpstreamId, fence: FenceNumber
+    ) -> bool:
+        """Announce an order that may be given at once; False if it never may.
+
+        :param fence: number that the order carries; it is void once it was renewed
+        """
+        while tenure.fence == fence and await self.await_turn(tenure, upstream):
             if await self._announce(tenure, upstream):
-                return True
+                return tenure.fence == fence
         return False
 
     async def _announce(self, tenure: Tenure, upstream: UpstreamId) -> bool:
