List no result without its score while its route is missing

Found on the second read: an item with a reward call whose own route was removed between its start and its last event was listed as completed without a score. Its text is kept as generated now, and the next pass gives the item up or scores it once the route is back.

No test shows it: the pass that gives such items up follows within half a second.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
@@ -323,7 +323,7 @@
             self._start_over(run, "several versions generated it")
             return
         entry = ResultEntry(run.step_id, run.result(saved))
-        if route is None or run.item.reward is None:
+        if run.item.reward is None:
             self._end(run, entry, attempt.upstream)
             return
         log_event(
@@ -337,7 +337,8 @@
         entry.listed = False
         run.generated = entry
         self.outbox.put(entry)
-        self._score(run, route)
+        if route is not None:
+            self._score(run, route)
 
     def _score(self, run: ItemRun, route: Route) -> None:
         if run.scoring is None:
