Wait longer for items whose attempts were cut for their silence

Cause: an attempt without an event for 2 s is cut and its item starts again. Where every engine needs longer than that for the first event, no item ever ended: the new test's two items had no result after 30 s (first events after 3 s at both engines).

Ruled out: cutting by bytes instead of events, since a stalled stream that sends comments must end (test_stream_of_comments_without_events_is_given_up passes before and after). Doubling from the second attempt on would slow items that meet two hanging engines in a row, which is more likely than that all are slow.

Change: the silence that is allowed doubles with each further cut attempt, until the item receives a token. The test ends within 30 s now.

Also adds tests that pass without a change, on faults that operators of similar systems report: answers that break off (before the head, within a length, within chunks), runs whose answer is lost, slow streams, and streams of comments.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/outcomes.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/outcomes.py
@@ -8,6 +8,12 @@
 from .parts import Parts
 from .state import Attempt, HealthState
 
+# Where all upstreams are slow, items would never end if each attempt was cut after
+# the same silence. It doubles with each further attempt cut. Two upstreams that hang
+# are more likely, so the second silence is cut as soon as the first one.
+FREE_STALLS = 1
+MAX_STALL_DOUBLINGS = 4
+
 
 class Outcomes:
     """Turn the outcome of an attempt into an end or a retry of its item."""
@@ -62,7 +68,9 @@
                 self._parts.lengths.note_first_token(attempt, self._parts.now)
             attempt.last_token = self._parts.now
         note_tokens(attempt, tokens)
-        attempt.item.received = max(attempt.item.received, tokens)
+        if tokens > attempt.item.received:
+            attempt.item.received = tokens
+            attempt.item.stalls = 0
 
     def _note_version(self, attempt: Attempt, version: Version | None) -> None:
         parts, model = self._parts, attempt.item.work.model
@@ -100,16 +108,24 @@
             self._parts.retries.schedule(item, now)
 
     def _watch(self, attempt: Attempt) -> None:
-        silent_since = attempt.silent_since(self._parts.now)
-        due = silent_since + self._parts.document.stall_s
+        # A token that comes meanwhile ends the patience, so this looks again early.
+        now = self._parts.now
+        due = min(self._stalled_from(attempt, now), now + self._parts.document.stall_s)
         self._parts.timers.at(due, lambda now: self._check_stall(attempt, now))
 
+    def _stalled_from(self, attempt: Attempt, now: float) -> float:
+        stalls = max(0, attempt.item.stalls - FREE_STALLS)
+        doublings = min(stalls, MAX_STALL_DOUBLINGS)
+        patience_s = self._parts.document.stall_s * 2.0**doublings
+        return attempt.silent_since(now) + patience_s
+
     def _check_stall(self, attempt: Attempt, now: float) -> None:
         if not self._parts.ledger.is_live(attempt):
             return
-        if attempt.silent_since(now) + self._parts.document.stall_s > now:
+        if self._stalled_from(attempt, now) > now:
             self._watch(attempt)
             return
+        attempt.item.stalls += 1
         self._parts.ledger.cancel(attempt)
         self._fail(attempt, Failure.BROKEN, now)
         self._parts.health.failed(attempt.upstream, now)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
@@ -41,6 +41,8 @@
     oldest: Version | None = None
     tries: int = 0
     failures: int = 0
+    # Attempts cut for their silence since the item last received a token.
+    stalls: int = 0
     past_runs: Ran = Ran.NOT_RUN
     queued: bool = False
     charge: int = 0
--- a/packages/fulmarpulley-core/tests/pool/test_health.py
+++ b/packages/fulmarpulley-core/tests/pool/test_health.py
@@ -213,6 +213,29 @@
         self.assertEqual(run(driver, 1.0), [])
         self.assertEqual(refusals(driver.log)[0].ran, "may_have_run")
 
+    def test_item_ends_although_all_upstreams_begin_late(self) -> None:
+        # Each upstream needs 7 s for the first token; a silence of 5 s is cut.
+        driver = Driver(document(stall_s=5.0))
+        latest = driver.submit(work("a"))[0]
+        began = driver.now
+        while driver.now < 60.0:
+            started = run(driver, 0.5)
+            if started:
+                latest, began = started[-1], driver.now
+            if driver.now >= began + 7.0:
+                break
+        self.assertEqual(len(driver.finish(latest.attempt_id)), 1)
+        self.assertLess(driver.now, 30.0)
+
+    def test_progress_ends_the_patience_with_an_item(self) -> None:
+        driver = Driver(document(FIVE, stall_s=5.0))
+        (attempt,) = driver.submit(work("a"))
+        for _ in range(2):
+            (attempt,) = run(driver, 6.0)
+        driver.progress(attempt.attempt_id, 1)
+        run(driver, 5.1)
+        self.assertIn(m.CancelAttempt(attempt.attempt_id), driver.log)
+
     def test_plain_service_is_bounded_by_the_deadline_only(self) -> None:
         driver = Driver(document([upstream("u1", dialect="plain")], stall_s=5.0))
         attempt = driver.submit(work("a"))[0].attempt_id
--- a/testing/src/fulmarpulley_testing/platform_worker.py
+++ b/testing/src/fulmarpulley_testing/platform_worker.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import time
+from enum import Enum
 from typing import Any
 
 import msgspec
@@ -17,6 +18,14 @@
     return f"{worker}.{request_id}"
 
 
+class CutAnswer(Enum):
+    """Name how the answer to a plain request breaks off after the request has run."""
+
+    UNSENT = "unsent"
+    WITHIN_LENGTH = "within_length"
+    WITHIN_CHUNKS = "within_chunks"
+
+
 class Run(msgspec.Struct):
     """Hold a request that a worker has run, from which event on, and how it ended."""
 
@@ -61,6 +70,10 @@
         self.break_after: int | None = None
         self.wrong_id = False
         self.reset_without_length = False
+        self.cut_answer: CutAnswer | None = None
+        # Streams send comments instead of events.
+        self.comments_only = False
+        self.first_event_s = 0.0
         self.runs: list[Run] = []
         self.orders: list[Order] = []
         self.accepted = 0
@@ -165,6 +178,8 @@
         if self.reset_without_length:
             return await self._reset_without_length(request, run)
         await asyncio.sleep(self.event_s)
+        if self.cut_answer is not None:
+            return await self._cut(request, run, self.cut_answer)
         run.complete = True
         return web.Response(body=b"answer " + run.body, headers=self._signed(run))
 
@@ -176,6 +191,10 @@
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
+        while self.comments_only:
+            await response.write(b": wait\n")
+            await asyncio.sleep(self.event_s)
+        await asyncio.sleep(self.first_event_s)
         for number in range(run.resume_after + 1, self.events_per_item + 1):
             await asyncio.sleep(self.event_s)
             if run.events == self.break_after and request.transport is not None:
@@ -208,6 +227,24 @@
         opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, at_once)
         return abort(request)
 
+    async def _cut(
+        self, request: web.Request, run: Run, cut: CutAnswer
+    ) -> web.StreamResponse:
+        """Close the connection before the answer is whole."""
+        if cut is CutAnswer.UNSENT:
+            return abort(request)
+        body = b"answer " + run.body
+        response = web.StreamResponse(headers=self._signed(run))
+        if cut is CutAnswer.WITHIN_LENGTH:
+            response.content_length = len(body)
+        else:
+            response.enable_chunked_encoding()
+        await response.prepare(request)
+        await response.write(body[:-1])
+        if request.transport is not None:
+            request.transport.close()
+        return response
+
     def _signed(self, run: Run) -> dict[str, str]:
         request_id = "another" if self.wrong_id else run.request_id
         stamp = stamp_of(self.name, run.request_id)
--- a/testing/tests/test_platform_desk.py
+++ b/testing/tests/test_platform_desk.py
@@ -10,7 +10,7 @@
     NodeProcess,
     settle,
 )
-from fulmarpulley_testing.platform_worker import stamp_of
+from fulmarpulley_testing.platform_worker import CutAnswer, stamp_of
 from fulmarpulley_testing.processes import wait_for
 
 
@@ -87,3 +87,44 @@
         wait_for(lambda: bool(node.events("node_started")), "the start")
         self.assertFalse(node.is_ready())
         self.assertEqual(self.ask(node).status, 503)
+
+
+class CutAnswerTest(PlatformCase):
+    """Guards against halves taken as answers, and against false or second runs."""
+
+    def ask(self, prefix: str, name: str) -> Any:
+        fields = {"Request_Id": name, "Deadline_Ms": "2000"}
+        return self.nodes[0].call("POST", f"{prefix}a", b"text", **fields)
+
+    def cut_all(self, cut: CutAnswer | None) -> None:
+        for desk in self.desks:
+            desk.cut_answer = cut
+
+    def test_cut_answer_of_a_repeatable_request_is_asked_for_again(self) -> None:
+        for cut in CutAnswer:
+            with self.subTest(cut=cut):
+                self.desks[0].cut_answer = cut
+                for number in range(3):
+                    answer = self.ask("/desk/", f"{cut.value}{number}")
+                    self.assertEqual(answer.status, 200)
+                    self.assertEqual(answer.body, b"answer text")
+
+    def test_cut_answer_is_never_a_success(self) -> None:
+        for cut in CutAnswer:
+            with self.subTest(cut=cut):
+                self.cut_all(cut)
+                answer = self.ask("/desk/", f"half-{cut.value}")
+                self.assertIn(answer.status, (502, 504))
+
+    def test_request_that_ran_without_an_answer_is_not_run_again(self) -> None:
+        for cut in CutAnswer:
+            with self.subTest(cut=cut):
+                self.cut_all(cut)
+                name = f"once-{cut.value}"
+                answer = self.ask("/once/", name)
+                # 503 would promise that it has not run.
+                self.assertIn(answer.status, (502, 504))
+                self.assertEqual(len(self.system.all_runs(name)), 1)
+                self.cut_all(None)
+                settle(1.0)
+                self.assertEqual(len(self.system.all_runs(name)), 1)
--- a/testing/tests/test_platform_steps.py
+++ b/testing/tests/test_platform_steps.py
@@ -70,6 +70,28 @@
         resumed = [run.resume_after for run in self.system.all_runs("s1-0")]
         self.assertEqual(resumed, [0, 3])
 
+    def test_stream_of_comments_without_events_is_given_up(self) -> None:
+        self.engines[0].comments_only = True
+        submit(self.nodes[0], "s1", 6)
+        self.assert_whole(wait_results(self.nodes[0], "s1", 6), 5)
+        wait_for(lambda: all(r.ended for r in self.engines[0].runs), "closed streams")
+
+    def test_slow_stream_is_not_cut(self) -> None:
+        # A stream of 0.8 s a token takes 4 s in all, longer than a silence may last.
+        for engine in self.engines:
+            engine.event_s = 0.8
+        submit(self.nodes[0], "s1", 4)
+        self.assert_whole(wait_results(self.nodes[0], "s1", 4), 5)
+        for number in range(4):
+            self.assertEqual(len(self.system.all_runs(f"s1-{number}")), 1)
+
+    def test_streams_that_begin_late_everywhere_end(self) -> None:
+        # Longer than a silence may last: cutting each attempt there would end none.
+        for engine in self.engines:
+            engine.first_event_s = 3.0
+        submit(self.nodes[0], "s1", 2)
+        self.assert_whole(wait_results(self.nodes[0], "s1", 2), 5)
+
     def test_item_that_can_never_be_done_is_listed_as_dead(self) -> None:
         for engine in self.engines:
             engine.fail_status = 422
