Answer the requests that reach a node until it closes

Cause: a stopping node closed its connections once no request was open, together with requests that arrived in that moment.

Ruled out: the pool and the forwarder, since the requests had not been read; the lag of the balancer, since kept connections stay in use without it.

Change: new connections are refused first, by a filter that drops segments which begin a connection, since closing the listening socket resets connections that it has not taken yet; then the node waits until it read no request for 0.25 s.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
@@ -26,7 +26,6 @@
 BALANCER_LAG_S = 2.5
 # Part of the grace time after which open requests are cut.
 GRACE_SHARE = 0.9
-CHECK_S = 0.05
 
 
 class Node:
@@ -81,8 +80,7 @@
         await self.homes.save()
         await self.ownership.leave()
         await asyncio.sleep(BALANCER_LAG_S)
-        self.ingress.closing = True
-        await self._drain(began + self.settings.bounds.grace_s * GRACE_SHARE)
+        await self.ingress.drain(began + self.settings.bounds.grace_s * GRACE_SHARE)
         log_event("shutdown_finished", open_requests=self.ingress.open_requests)
 
     async def close(self) -> None:
@@ -90,13 +88,6 @@
         await self.workers.close()
         await self.store.close()
 
-    async def _drain(self, deadline: float) -> None:
-        while True:
-            late = asyncio.get_running_loop().time() >= deadline
-            if late or not self.ingress.open_requests:
-                return
-            await asyncio.sleep(CHECK_S)
-
     def _reload(self) -> None:
         # The settings hold addresses and bounds of the whole deployment, which
         # change only with a restart; the configuration comes from the store.
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/connections.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/connections.py
@@ -1,8 +1,10 @@
 """Open connections that notice when the other side falls silent or never ends."""
 
 import asyncio
+import ctypes
 import functools
 import socket
+import struct
 from typing import Any
 
 import aiohttp
@@ -26,6 +28,16 @@
 MAX_HEAD_BYTES = 128 * 1024
 # Answers below this status are interim ones.
 FINAL_STATUS = 200
+# Packet filter that drops segments which begin a connection and takes all others:
+# load the flags of TCP, test SYN, return nothing or everything. Python's socket module
+# does not name the option of Linux that attaches it.
+SO_ATTACH_FILTER = 26
+NO_NEW_CONNECTIONS = (
+    (0x30, 0, 0, 13),
+    (0x45, 0, 1, 0x02),
+    (0x06, 0, 0, 0),
+    (0x06, 0, 0, 0x7FFFFFFF),
+)
 
 
 class AnswerProtocol(ResponseHandler):
@@ -122,6 +134,17 @@
     )
 
 
+def refuse_new_connections(listener: socket.socket) -> None:
+    """Let a listening socket take no more connections but those that have begun.
+
+    Closing it at once would reset connections whose requests were already sent.
+    """
+    code = b"".join(struct.pack("HBBI", *step) for step in NO_NEW_CONNECTIONS)
+    held = ctypes.create_string_buffer(code, len(code))
+    program = struct.pack("HL", len(NO_NEW_CONNECTIONS), ctypes.addressof(held))
+    listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+
+
 def _new_socket(address: aiohttp.AddrInfoType) -> socket.socket:
     family, kind, protocol = address[0], address[1], address[2]
     opened = socket.socket(family=family, type=kind, proto=protocol)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
@@ -1,6 +1,7 @@
 """Serve the platform's callers, trainers and balancer."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -28,6 +29,7 @@
 from ..rollout.metrics import RolloutMetrics
 from ..rollout.step_entry import ResultPage, StepEntry, StepOutcome
 from . import wire
+from .connections import refuse_new_connections
 from .headers import forwarded
 
 MAX_WAIT_S = 1.0
@@ -37,6 +39,12 @@
 SUBMIT_RETRY_AFTER_S = 1.0
 HEADER_LIMIT = 65536
 IDLE_TIMEOUT_S = 16.0
+BACKLOG = 512
+# Connections that had begun when new ones were refused are accepted within this time.
+HANDSHAKE_S = 0.1
+# Requests that were sent while the last answers went out arrive within this time.
+QUIET_S = 0.25
+CHECK_S = 0.05
 
 STEPS_PATH = "/-/lots/"
 ITEMS_PATH = "/-/items/"
@@ -67,13 +75,36 @@
         self.leaving = False
         self.closing = False
         self.open_requests = 0
+        self.last_request = float("-inf")
         self.runners: list[web.ServerRunner] = []
+        self.callers_site: web.SockSite | None = None
+        self.callers_socket: socket.socket | None = None
 
     async def start(self) -> None:
         """Listen."""
-        await self._listen(self.settings.callers, self.answer)
-        await self._listen(self.settings.readiness, self.answer_balancer)
-        await self._listen(self.settings.metrics, self.answer_metrics)
+        listen = self._listen
+        self.callers_socket, self.callers_site = await listen(
+            self.settings.callers, self.answer
+        )
+        await listen(self.settings.readiness, self.answer_balancer)
+        await listen(self.settings.metrics, self.answer_metrics)
+
+    async def drain(self, deadline: float) -> None:
+        """Refuse connections, and answer all requests that were sent.
+
+        :param deadline: time of the loop at which the rest is cut
+        """
+        loop = asyncio.get_running_loop()
+        self.closing = True
+        if self.callers_socket is not None and self.callers_site is not None:
+            refuse_new_connections(self.callers_socket)
+            await asyncio.sleep(HANDSHAKE_S)
+            await self.callers_site.stop()
+        self.last_request = max(self.last_request, loop.time())
+        while loop.time() < deadline:
+            if not self.open_requests and loop.time() > self.last_request + QUIET_S:
+                return
+            await asyncio.sleep(CHECK_S)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Close all connections."""
@@ -99,6 +130,7 @@
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of a caller or trainer."""
         self.open_requests += 1
+        self.last_request = asyncio.get_running_loop().time()
         try:
             response = await self._answer(request)
         except (asyncio.CancelledError, ConnectionError):
@@ -182,7 +214,9 @@
         response.headers["Retry-After"] = f"{SUBMIT_RETRY_AFTER_S:.3f}"
         return response
 
-    async def _listen(self, endpoint: str, handler: Handler) -> None:
+    async def _listen(
+        self, endpoint: str, handler: Handler
+    ) -> tuple[socket.socket, web.SockSite]:
         server = web.Server(
             handler,
             access_log=None,
@@ -195,8 +229,11 @@
         runner = web.ServerRunner(server, shutdown_timeout=0.5)
         await runner.setup()
         host, _, port = endpoint.rpartition(":")
-        await web.TCPSite(runner, host, int(port), backlog=512).start()
+        listener = socket.create_server((host, int(port)), backlog=BACKLOG)
+        site = web.SockSite(runner, listener, backlog=BACKLOG)
+        await site.start()
         self.runners.append(runner)
+        return listener, site
 
 
 @step_calls.register(f"GET {STEPS_PATH}")
--- /dev/null
+++ b/packages/fulmarpulley-node/tests/test_connections.py
@@ -0,0 +1,46 @@
+"""Guard the connections that a node opens and takes."""
+
+import socket
+import unittest
+
+from fulmarpulley_node.platform.connections import refuse_new_connections
+
+LOOPBACK = "127.0.0.1"
+WAIT_S = 0.3
+
+
+class RefuseNewConnectionsTest(unittest.TestCase):
+    """Guards against a listening socket whose close resets requests already sent."""
+
+    def setUp(self) -> None:
+        self.listener = socket.create_server((LOOPBACK, 0))
+        self.listener.settimeout(WAIT_S)
+        self.addCleanup(self.listener.close)
+        self.address = self.listener.getsockname()
+
+    def connect(self) -> socket.socket:
+        opened = socket.create_connection(self.address, WAIT_S)
+        self.addCleanup(opened.close)
+        return opened
+
+    def test_connection_made_before_is_taken_with_its_request(self) -> None:
+        caller = self.connect()
+        caller.sendall(b"request")
+        refuse_new_connections(self.listener)
+        taken, _ = self.listener.accept()
+        self.addCleanup(taken.close)
+        self.assertEqual(taken.recv(16), b"request")
+
+    def test_connection_taken_before_goes_on(self) -> None:
+        caller = self.connect()
+        taken, _ = self.listener.accept()
+        self.addCleanup(taken.close)
+        refuse_new_connections(self.listener)
+        caller.sendall(b"request")
+        self.assertEqual(taken.recv(16), b"request")
+
+    def test_connection_made_later_is_not_opened(self) -> None:
+        refuse_new_connections(self.listener)
+        # The caller sees no connection, so that it sends nothing that could be lost.
+        with self.assertRaises(TimeoutError):
+            self.connect()
