--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/outbox.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/outbox.py
@@ -38,7 +38,8 @@
         self.partitions = partitions
         self.partition = partition
         self.call_bytes = int(partitions.settings.log.call_bytes * BATCH_SHARE)
-        self._waiting: Batch = []
+        # In the order in which their items ended.
+        self._waiting: dict[ResultEntry, None] = {}
         self._arrived = asyncio.Event()
         self._written = asyncio.Event()
         self._written.set()
@@ -46,9 +47,7 @@
 
     def put(self, entry: ResultEntry) -> None:
         """Queue a result; one that waits already is written as it is by then."""
-        if entry in self._waiting:
-            return
-        self._waiting.append(entry)
+        self._waiting.setdefault(entry)
         self._arrived.set()
         self._written.clear()
 
@@ -100,7 +99,8 @@
         size = 0
         batch: Batch = []
         while self._waiting and size < self.call_bytes:
-            batch.append(self._waiting.pop(0))
+            batch.append(next(iter(self._waiting)))
+            del self._waiting[batch[-1]]
             size += len(batch[-1].result.text)
         return batch
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
@@ -347,6 +347,8 @@
     async def _list_with_score(self, run: ItemRun, attempts: int) -> None:
         rank = self._ranks(run.step)[ItemId(run.item.item_id)]
         score = await self.rewards.score(run, rank, attempts)
+        # This task ends by itself; nobody has to cancel it any more.
+        run.scoring = None
         entry = run.generated
         if run.ended or entry is None:
             return
--- a/testing/tests/test_platform_rewards.py
+++ b/testing/tests/test_platform_rewards.py
@@ -113,6 +113,21 @@
         for result in wait_results(self.nodes[0], "s1", 2):
             self.assert_scored(result)
 
+    def test_text_that_ends_while_its_own_route_is_missing_has_a_score(self) -> None:
+        whole = configuration(0)["Routes"]
+        without = [route for route in whole if route["Name"] != "r-lot"]
+        for engine in self.engines:
+            engine.event_s = 0.02
+        self.submit(self.nodes[0], "s1", 60)
+        wait_results(self.nodes[0], "s1", 8)
+        # Items end until the owner gives those of the route up.
+        self.system.configure(Routes=without)
+        found = wait_results(self.nodes[0], "s1", 60)
+        for result in found:
+            if result["State"] == "completed":
+                self.assert_scored(result)
+        self.assertTrue(any(result["State"] == "dead" for result in found))
+
     def test_ended_step_makes_no_more_calls(self) -> None:
         for desk in self.desks:
             desk.fail_status = 404
