--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
@@ -155,7 +155,8 @@
     upstream takes no new attempt. `expected_tokens` is what the own attempts have
     yet to process, `foreign` the number of other attempts at time `foreign_at`,
     and `history` the number of own attempts from a time on. A swap of weights may
-    pause the upstream until `swap_until`. It takes no new work since `closed_at`.
+    pause the upstream until `swap_until`. Its attempts were seen to be slow a while
+    before `slow_until`. It takes no new work since `closed_at`.
     """
 
     entry: UpstreamEntry
@@ -170,6 +171,7 @@
     foreign_at: float = 0.0
     starts: int = 0
     swap_until: float = -math.inf
+    slow_until: float = -math.inf
     closed_at: float | None = None
     loading: set[ModelName] = set()
     history: deque[tuple[float, int]] = msgspec.field(default_factory=deque)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/stragglers.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/stragglers.py
@@ -26,6 +26,9 @@
 HEDGE_MIN_GAIN_S = 0.25
 # Attempts below this multiple of the usual time per token need no closer look.
 MILD_DELAY = 1.5
+# An upstream whose attempts are all above it is slow. It is tried again after a while,
+# since without attempts nothing is learnt of it.
+SLOW_MEMORY_S = 4.0
 # Hedges that may start at once, as a multiple of the budget's part of all slots.
 HEDGE_BURST_STEPS = 2.0
 MIN_HEDGE_BURST = 2.0
@@ -128,6 +131,7 @@
         self.arm(now)
         for attempt in self._ledger.attempts.values():
             _note_pace(attempt, now)
+        self._note_slow(now)
         if self.budget.wait(now) > 0 or not self._has_free_upstream():
             return
         found = sorted(self._candidates(now), key=lambda each: -each.gain)
@@ -138,6 +142,20 @@
             if self.start_hedge(item, {upstream}):
                 self.budget.take(now)
 
+    def _note_slow(self, now: float) -> None:
+        usual = self._lengths.pace_s
+        if not usual.count:
+            return
+        for upstream in self._ledger.upstreams.values():
+            paces = [
+                pace
+                for attempt in upstream.attempts.values()
+                if (pace := _recent_pace(attempt, now)) is not None
+            ]
+            if paces:
+                slow = min(paces) > MILD_DELAY * usual.value
+                upstream.slow_until = now + SLOW_MEMORY_S if slow else now
+
     def _has_free_upstream(self) -> bool:
         return any(upstream.is_free() for upstream in self._ledger.upstreams.values())
 
@@ -175,8 +193,12 @@
     since = attempt.silent_since(now)
     produced = attempt.tokens - attempt.resume_from
     pace = (since - attempt.started) / produced if produced else usual
-    recent = attempt.pace.token_s(since, attempt.tokens) if attempt.pace else None
-    return recent or pace, now - since
+    return _recent_pace(attempt, now) or pace, now - since
+
+
+def _recent_pace(attempt: Attempt, now: float) -> float | None:
+    since = attempt.silent_since(now)
+    return attempt.pace.token_s(since, attempt.tokens) if attempt.pace else None
 
 
 def _note_pace(attempt: Attempt, now: float) -> None:
