Hedge an item again whose hedge is slow as well

Ruled out: the budget (26 hedges in 14 s, 18 may start at once) and free slots.

Change: an item may have a second hedge, once the first one has sent tokens and is slow. A silent hedge is cut as a stalled attempt as before. The event item_moved names each hedge and each attempt that resumes, so that a log tells why an item was late.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/stragglers.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/stragglers.py
@@ -1,7 +1,7 @@
 """Predict lengths of answers and hedge the last attempts of a step."""
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from typing import NamedTuple
 
 import msgspec
@@ -24,6 +24,9 @@
 # much, since it takes a place at another upstream.
 HEDGE_GAIN = 2.0
 HEDGE_MIN_GAIN_S = 0.25
+# A hedge may meet a slow upstream as well, of which nothing was known; a second one
+# seldom does.
+MAX_ATTEMPTS = 3
 # Attempts below this multiple of the usual time per token need no closer look.
 MILD_DELAY = 1.5
 # An upstream whose attempts are all above it is slow. It is tried again after a while,
@@ -85,10 +88,10 @@
 
 
 class Candidate(NamedTuple):
-    """Hold an attempt that a hedge would help, and the seconds it would save."""
+    """Hold an item that a hedge would help, and the seconds it would save."""
 
     gain: float
-    attempt: Attempt
+    item: Item
 
 
 StartHedge = Callable[[Item, set[Upstream]], bool]
@@ -138,8 +141,8 @@
         for candidate in found:
             if self.budget.wait(now) > 0:
                 return
-            item, upstream = candidate.attempt.item, candidate.attempt.upstream
-            if self.start_hedge(item, {upstream}):
+            item = candidate.item
+            if self.start_hedge(item, {each.upstream for each in item.attempts}):
                 self.budget.take(now)
 
     def _note_slow(self, now: float) -> None:
@@ -164,26 +167,39 @@
         if not usual.count:
             return
         for attempt in self._ledger.attempts.values():
-            stay_pace, silence = _progress(attempt, usual.value, now)
+            item = attempt.item
+            if attempt is not item.attempts[0]:
+                continue
+            paces = [_progress(each, usual.value, now) for each in item.attempts]
             # Most attempts keep pace, and are left out before anything costly.
-            if stay_pace <= MILD_DELAY * usual.value and silence < HEDGE_MIN_GAIN_S:
+            if any(
+                pace <= MILD_DELAY * usual.value and silence < HEDGE_MIN_GAIN_S
+                for pace, silence in paces
+            ):
                 continue
-            if self._may_hedge(attempt.item):
-                gain = self._gain(attempt, stay_pace, silence)
+            if self._may_hedge(item):
+                gain = self._gain(item, paces)
                 if gain >= HEDGE_MIN_GAIN_S:
-                    yield Candidate(gain, attempt)
+                    yield Candidate(gain, item)
 
     def _may_hedge(self, item: Item) -> bool:
-        if len(item.attempts) != 1 or not item.work.repeatable:
+        if len(item.attempts) >= MAX_ATTEMPTS or not item.work.repeatable:
+            return False
+        # A hedge that is silent is cut as a stalled one; only a slow one gets another.
+        if any(hedge.tokens <= hedge.resume_from for hedge in item.attempts[1:]):
             return False
         if not item.is_sample:
             return self.document.hedges.desk and not self._queue.desk_waiting
         return not self._queue.has_waiting(item.work.tenant, item.work.step)
 
-    def _gain(self, attempt: Attempt, pace: float, silence: float) -> float:
-        left = self._lengths.predict(attempt.item) - attempt.tokens
+    def _gain(self, item: Item, paces: Sequence[tuple[float, float]]) -> float:
+        predicted = self._lengths.predict(item)
         # A silence is expected to last as long again as it has lasted.
-        stay = left * pace + silence
+        stay = min(
+            (predicted - attempt.tokens) * pace + silence
+            for attempt, (pace, silence) in zip(item.attempts, paces, strict=True)
+        )
+        left = predicted - item.received
         move = self._lengths.first_token_s.value + left * self._lengths.pace_s.value
         return stay - move if stay > HEDGE_GAIN * move else 0.0
 
--- a/packages/fulmarpulley-core/tests/pool/test_stragglers.py
+++ b/packages/fulmarpulley-core/tests/pool/test_stragglers.py
@@ -90,6 +90,19 @@
         self.assertEqual(len(hedges(driver)), 1)
         self.assertLessEqual(hedges(driver)[0].resume_from, 68)
 
+    def test_hedge_that_is_slow_as_well_is_hedged_again(self) -> None:
+        # Guards against a long item whose only hedge met another slow upstream.
+        driver = tail([sample("a", max_tokens=200, length_hint=200)])
+        tokens: dict[AttemptId, int] = {}
+        for _ in range(20):
+            run(driver, 0.5)
+            for start in starts(driver.log):
+                known = tokens.get(start.attempt_id, max(5, start.resume_from))
+                tokens[start.attempt_id] = known + 1
+                driver.progress(start.attempt_id, known + 1)
+        names = [start.upstream for start in starts(driver.log)]
+        self.assertEqual(sorted(names), ["u1", "u2", "u3"])
+
     def test_steady_attempt_is_not_hedged(self) -> None:
         driver = tail([sample("a")])
         for tokens in range(6, 10):
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/attempts.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/attempts.py
@@ -56,6 +56,15 @@
             events=run.saved.events[:resume],
             versions=run.saved.versions[:resume],
         )
+        if action.hedge or resume:
+            log_event(
+                "item_moved",
+                step=run.step_id,
+                item=run.item.item_id,
+                upstream=action.upstream,
+                hedge=action.hedge,
+                events=resume,
+            )
         self.running[action.attempt_id] = attempt
         task = self.tasks.spawn(self._run(attempt, pool, event_tokens))
         self._tasks[action.attempt_id] = task
