Tell on the log how old announced orders are

Cause: a new owner may order an engine a lease and 0.75 s after the last announcement of another owner, counted from its own reading of it. Steps that demand a newer version waited, came late, and put their trainers behind.

Change: the owner of each partition appends a mark to the next one twice a second, with the time since its earlier marks were acknowledged. Announcements before those are at least that old when the mark is read. Without marks the wait is as long as before.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/order_history.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/order_history.py
@@ -4,11 +4,15 @@
 its own fence tell a new owner when the last order of another one can have been given;
 announcements after its fence are void, and their writers see the fence when they read
 the log back. Times are those at which this node read the announcements: these are
-never too early, and need no clock that two nodes share. Each engine counts by itself,
-so that those without a recent order of another owner need not wait.
+never too early, and need no clock that two nodes share. A node that has not followed
+the partition reads all of them late, so others tell on the log how old its records are
+at least. Each engine counts by itself, so that those without a recent order of another
+owner need not wait.
 """
 
-from fulmarpulley_schema.generated.steps import OrderIntent, OwnerFence
+import msgspec
+
+from fulmarpulley_schema.generated.steps import OrderIntent, OwnerFence, RecordAges
 
 from ..ids import UpstreamId
 
@@ -20,36 +24,49 @@
 FORGET_S = 120.0
 
 
-class OrderHistory:
-    """Hold the newest tenure, and when orders of it and of others were announced.
+class Announced(msgspec.Struct):
+    """Hold the newest announcement for an engine and a time that it is not after."""
 
-    Both are seconds by upstream.
-    """
+    at_s: float
+    offset: int
+
+
+class OrderHistory:
+    """Hold the newest tenure, and when orders of it and of others were announced."""
 
     def __init__(self) -> None:
         self.tenure = ""
-        # Seconds at which the record that is applied next was read.
+        # Seconds at which the record that is applied next was read, and its offset.
         self.now_s = 0.0
-        self._own_s: dict[UpstreamId, float] = {}
-        self._others_s: dict[UpstreamId, float] = {}
+        self.offset = 0
+        self.own: dict[UpstreamId, Announced] = {}
+        self.others: dict[UpstreamId, Announced] = {}
 
     def take_over(self, record: OwnerFence) -> None:
         """Let a new tenure begin; orders of earlier ones are void from now on."""
         if record.tenure == self.tenure:
             return
         self.tenure = record.tenure
-        # The times of one engine only grow.
-        self._others_s = {
-            upstream: at
-            for upstream, at in (self._others_s | self._own_s).items()
-            if at > self.now_s - FORGET_S
+        # The last announcement for an engine is the one that counts.
+        self.others = {
+            upstream: announced
+            for upstream, announced in (self.others | self.own).items()
+            if announced.at_s > self.now_s - FORGET_S
         }
-        self._own_s = {}
+        self.own = {}
 
     def intend(self, record: OrderIntent) -> None:
         """Note an order, unless a newer tenure has begun."""
         if record.tenure == self.tenure:
-            self._own_s[UpstreamId(record.upstream)] = self.now_s
+            self.own[UpstreamId(record.upstream)] = Announced(self.now_s, self.offset)
+
+    def note_ages(self, record: RecordAges) -> None:
+        """Take announcements as older than their reading shows."""
+        for age in record.ages:
+            latest_s = self.now_s - age.age_ms / 1000
+            for announced in (*self.own.values(), *self.others.values()):
+                if announced.offset < age.before:
+                    announced.at_s = min(announced.at_s, latest_s)
 
     def allowed_from_s(
         self, tenure: str, upstream: UpstreamId, lease_s: float
@@ -60,5 +77,14 @@
         """
         if tenure != self.tenure:
             return None
-        last_s = self._others_s.get(upstream, float("-inf"))
-        return last_s + lease_s + PERMIT_S + DELIVERY_S
+        last = self.others.get(upstream)
+        last_s = float("-inf") if last is None else last.at_s
+        return last_s + wait_s(lease_s)
+
+
+def wait_s(lease_s: float) -> float:
+    """Return how long after an announcement another owner may order.
+
+    :param lease_s: time that lies between the orders of two owners
+    """
+    return lease_s + PERMIT_S + DELIVERY_S
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_fold.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_fold.py
@@ -17,6 +17,7 @@
     ItemSpec,
     OrderIntent,
     OwnerFence,
+    RecordAges,
     StepAccepted,
     StepEnded,
     TextRef,
@@ -92,6 +93,7 @@
         self._handlers: dict[type, Callable[..., None]] = {
             OwnerFence: self.orders.take_over,
             OrderIntent: self.orders.intend,
+            RecordAges: self.orders.note_ages,
             StepAccepted: self._accept,
             ItemResults: self._list,
             ItemProgress: self._save,
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_records.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_records.py
@@ -15,6 +15,7 @@
     ItemsGenerated,
     OrderIntent,
     OwnerFence,
+    RecordAges,
     StepAccepted,
     StepEnded,
 )
@@ -27,6 +28,7 @@
     | StepEnded
     | OwnerFence
     | OrderIntent
+    | RecordAges
 )
 
 
@@ -40,6 +42,7 @@
     OWNER_FENCE = 5
     ORDER_INTENT = 6
     ITEMS_GENERATED = 7
+    RECORD_AGES = 8
     PART = 16
     LAST_PART = 17
 
@@ -52,6 +55,7 @@
     RecordKind.OWNER_FENCE: OwnerFence,
     RecordKind.ORDER_INTENT: OrderIntent,
     RecordKind.ITEMS_GENERATED: ItemsGenerated,
+    RecordKind.RECORD_AGES: RecordAges,
 }
 _KIND_OF = {kind: number for number, kind in KINDS.items()}
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/fulmarpulley-core/tests/rollout/test_order_history.py
+++ b/packages/fulmarpulley-core/tests/rollout/test_order_history.py
@@ -8,7 +8,12 @@
     PERMIT_S,
     OrderHistory,
 )
-from fulmarpulley_schema.generated.steps import OrderIntent, OwnerFence
+from fulmarpulley_schema.generated.steps import (
+    OrderIntent,
+    OwnerFence,
+    RecordAge,
+    RecordAges,
+)
 
 LEASE_S = 3.0
 PAUSE_S = LEASE_S + PERMIT_S + DELIVERY_S
@@ -23,8 +28,14 @@
 
     def intent(self, tenure: str, read_at_s: float, upstream: str = "u") -> None:
         self.history.now_s = read_at_s
+        self.history.offset += 1
         self.history.intend(OrderIntent(tenure=tenure, upstream=upstream))
 
+    def ages(self, read_at_s: float, *ages: tuple[int, int]) -> None:
+        self.history.now_s = read_at_s
+        found = [RecordAge(before=before, age_ms=age_ms) for before, age_ms in ages]
+        self.history.note_ages(RecordAges(ages=found))
+
     def allowed(self, tenure: str, upstream: str = "u") -> float | None:
         return self.history.allowed_from_s(tenure, UpstreamId(upstream), LEASE_S)
 
@@ -61,7 +72,7 @@
             self.intent("old", float(number), f"u{number}")
         self.history.now_s = 99.0 + FORGET_S
         self.fence("new")
-        self.assertEqual(self.history._others_s, {})
+        self.assertEqual(self.history.others, {})
 
     def test_allowed_from_without_foreign_orders_is_long_past(self) -> None:
         # Guards against a fixed pause after each takeover, which cost a step 4.5 s.
@@ -89,3 +100,30 @@
         self.intent("new", 50.0)
         self.fence("new")
         self.assertEqual(self.allowed("new"), -math.inf)
+
+    def test_allowed_from_counts_the_age_that_others_tell(self) -> None:
+        # Guards against a new owner that reads a log for the first time and orders
+        # nothing for a whole lease: steps on the large site waited 3 s longer.
+        self.fence("old")
+        self.intent("old", 20.0, "v")
+        self.intent("old", 20.0, "u")
+        self.ages(20.0, (2, 2500), (3, 1000))
+        self.fence("new")
+        self.assertEqual(self.allowed("new", "v"), 17.5 + PAUSE_S)
+        self.assertEqual(self.allowed("new", "u"), 19.0 + PAUSE_S)
+
+    def test_ages_do_not_concern_announcements_after_them(self) -> None:
+        # Guards against an order that is taken for an older one to its engine.
+        self.fence("old")
+        self.intent("old", 20.0)
+        self.intent("old", 20.0)
+        self.ages(20.0, (2, 2500))
+        self.fence("new")
+        self.assertEqual(self.allowed("new"), 20.0 + PAUSE_S)
+
+    def test_ages_that_are_read_late_make_nothing_younger(self) -> None:
+        self.fence("old")
+        self.intent("old", 10.0)
+        self.ages(20.0, (9, 1000))
+        self.fence("new")
+        self.assertEqual(self.allowed("new"), 10.0 + PAUSE_S)
--- /dev/null
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/age_marks.py
@@ -0,0 +1,79 @@
+"""Tell on the log how old the records of a partition are at least."""
+
+import asyncio
+from collections import deque
+
+from result import Ok
+
+from fulmarpulley_core.ids import Partition
+from fulmarpulley_core.rollout.order_history import wait_s
+from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
+from fulmarpulley_schema.generated.steps import RecordAge, RecordAges
+
+from ..tasks import TaskGroup
+from .clock import elapsed_s
+from .directory import Directory
+from .partitions import Partitions, partition_of
+
+# The wait of a new owner is longer than needed by up to this time.
+MARK_S = 0.5
+
+
+class AgeMarks:
+    """Mark the partition after one that this node owns.
+
+    A new owner that reads a partition for the first time sees that orders were
+    announced, not when. This node appends to the log and knows since when each of its
+    own records is there; what lies before them is older. The owner of the partition
+    cannot do this, since the marks matter once it is gone.
+    """
+
+    def __init__(
+        self,
+        settings: RolloutSettings,
+        directory: Directory,
+        partitions: Partitions,
+        owned: Partition,
+    ) -> None:
+        self.directory = directory
+        self.partitions = partitions
+        self.partition = Partition((owned + 1) % partitions.count)
+        # Marks are of no use once they are older than any wait.
+        longest_s = wait_s(settings.bounds.lease_ms / 1000)
+        self.acknowledged: deque[tuple[int, float]] = deque(
+            maxlen=int(longest_s / MARK_S) + 1
+        )
+        self.tasks = TaskGroup()
+
+    def start(self) -> None:
+        """Start to mark the partition."""
+        self.tasks.spawn(self._run())
+
+    async def stop(self) -> None:
+        """Stop to mark the partition."""
+        await self.tasks.stop()
+
+    async def _run(self) -> None:
+        while True:
+            if self._has_orders():
+                await self.mark()
+            await asyncio.sleep(MARK_S)
+
+    async def mark(self) -> None:
+        """Append a mark, and remember when the log held it for certain."""
+        now = elapsed_s()
+        ages = [
+            RecordAge(before=offset, age_ms=int((now - at) * 1000))
+            for offset, at in self.acknowledged
+        ]
+        done = await self.partitions.write(self.partition, [RecordAges(ages=ages)])
+        if isinstance(done, Ok):
+            self.acknowledged.append((done.ok_value, elapsed_s()))
+
+    def _has_orders(self) -> bool:
+        routes = self.directory.routes
+        return any(
+            service.engine is not None
+            and partition_of(service.name, self.partitions.count) == self.partition
+            for service in (routes.topology.services.values() if routes else ())
+        )
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/follower.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/follower.py
@@ -168,6 +168,7 @@
             log_event("record_unreadable", partition=self.partition, offset=offset)
         if record is None:
             return False
+        self.fold.orders.offset = offset
         self.fold.apply(record)
         return True
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/partitions.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/partitions.py
@@ -26,11 +26,12 @@
         super().__init__()
         self.settings = settings
         self.log = log
+        self.count = settings.log.partitions
         self.texts = Texts(settings, log)
         self.tasks = TaskGroup()
         self.followers = [
             PartitionFollower(settings, log, Partition(number), self.tasks)
-            for number in range(settings.log.partitions)
+            for number in range(self.count)
         ]
 
     async def start(self) -> None:
@@ -47,14 +48,20 @@
     async def append(
         self, partition: Partition, records: Iterable[StepRecord]
     ) -> Result[int, StoreFailure]:
-        """Append records in one call."""
-        limit = self.settings.log.record_bytes
-        data = [part for record in records for part in split(encode(record), limit)]
-        done = await self.log.append(STEPS_TOPIC, partition, data)
+        """Append records in one call and follow the partition for a while."""
+        done = await self.write(partition, records)
         if isinstance(done, Ok):
             self.followers[partition].want()
         return done
 
+    async def write(
+        self, partition: Partition, records: Iterable[StepRecord]
+    ) -> Result[int, StoreFailure]:
+        """Append records in one call."""
+        limit = self.settings.log.record_bytes
+        data = [part for record in records for part in split(encode(record), limit)]
+        return await self.log.append(STEPS_TOPIC, partition, data)
+
     async def find(
         self, step_id: StepId, likely: list[PartitionFollower], timeout_s: float
     ) -> Result[tuple[PartitionFollower, Step] | None, StoreFailure]:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_homes.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_homes.py
@@ -5,6 +5,7 @@
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 
 from ..tasks import TaskGroup
+from .age_marks import AgeMarks
 from .directory import Directory
 from .interfaces import UpstreamCalls
 from .metrics import RolloutMetrics
@@ -36,6 +37,7 @@
         self.metrics = metrics
         self.tasks = TaskGroup()
         self.homes: dict[Tenure, StepHome] = {}
+        self.marks: dict[Tenure, AgeMarks] = {}
         ownership.gained = self.open
         ownership.lost = self.close
 
@@ -53,12 +55,18 @@
         )
         self.homes[tenure] = home
         home.start()
+        marks = AgeMarks(
+            self.settings, self.directory, self.partitions, tenure.partition
+        )
+        self.marks[tenure] = marks
+        marks.start()
 
     def close(self, tenure: Tenure) -> None:
         """Stop to run the items of a partition."""
         home = self.homes.pop(tenure, None)
         if home is not None:
             self.tasks.spawn(home.stop())
+            self.tasks.spawn(self.marks.pop(tenure).stop())
 
     async def save(self) -> None:
         """Save the unfinished items of all partitions."""
--- a/testing/src/fulmarpulley_testing/platform_system.py
+++ b/testing/src/fulmarpulley_testing/platform_system.py
@@ -205,9 +205,11 @@
         value = {"Model": MODEL, "Version": version}
         self.run(self.store.put(OPERATOR_TOPIC, f"version/{MODEL}", value))
 
-    def add_node(self, name: str, wait: bool = True) -> NodeProcess:
+    def add_node(
+        self, name: str, wait: bool = True, lease_ms: float = 100.0
+    ) -> NodeProcess:
         """Start a node."""
-        node = NodeProcess(name, self.folder, self.store_port)
+        node = NodeProcess(name, self.folder, self.store_port, lease_ms)
         self.nodes.append(node)
         node.start()
         if wait:
--- a/testing/tests/platform_case.py
+++ b/testing/tests/platform_case.py
@@ -18,13 +18,17 @@
 
 
 class PlatformCase(unittest.TestCase):
+    lease_ms = 100.0
+
     def setUp(self) -> None:
         folder = self.enterContext(tempfile.TemporaryDirectory())
         self.system = self.enterContext(PlatformSystem(Path(folder)))
         self.engines = [self.system.add_worker(f"e{n}") for n in range(2)]
         self.desks = [self.system.add_worker(f"d{n}", DESK) for n in range(2)]
         self.system.configure()
-        self.nodes = [self.system.add_node(f"n{n}") for n in range(2)]
+        self.nodes = [
+            self.system.add_node(f"n{n}", lease_ms=self.lease_ms) for n in range(2)
+        ]
         wait_for(lambda: self.system.owner() is not None, "an owner")
 
     def owner(self) -> NodeProcess:
--- a/testing/tests/test_platform_owner.py
+++ b/testing/tests/test_platform_owner.py
@@ -1,6 +1,7 @@
 """Guard steps on the platform against failures of their owner."""
 
 import signal
+import time
 
 from platform_case import PlatformCase
 
@@ -107,3 +108,32 @@
         wait_for(lambda: bool(self.system.all_runs("s2-0")), "a run")
         self.system.store.cut_off.add(member)
         self.assert_whole(wait_results(reader, "s2", 2), 60)
+
+
+class NewOwnerTest(PlatformCase):
+    """Guards against new owners that give no orders for a whole lease."""
+
+    lease_ms = 3000.0
+
+    def test_orders_of_long_ago_do_not_hold_the_next_owner_up(self) -> None:
+        # The next owner reads the partition for the first time when it takes it over.
+        self.system.name_version(2)
+        wait_for(lambda: all(e.versions["m0"] == 2 for e in self.engines), "loads")
+        settle(5.0)
+        self.owner().end()
+        killed = time.monotonic()
+        self.system.name_version(3)
+        wait_for(lambda: all(len(e.orders) == 2 for e in self.engines), "orders")
+        # Without the least ages on the log, the lease of 3 s counts from the takeover,
+        # which comes 0.9 s after the kill.
+        self.assertLess(time.monotonic() - killed, 3.9)
+
+    def test_orders_of_the_next_owner_keep_the_lease(self) -> None:
+        self.system.name_version(2)
+        wait_for(lambda: all(e.versions["m0"] == 2 for e in self.engines), "loads")
+        self.owner().end()
+        self.system.name_version(3)
+        wait_for(lambda: all(len(e.orders) == 2 for e in self.engines), "orders")
+        for engine in self.engines:
+            first, second = engine.orders
+            self.assertGreater(second.at - first.at, self.lease_ms / 1000)
