Ask a store that gives no answers again each half second

A read that is sent during an outage is never answered; it held its follower for up to 2.5 s, also beyond the end of the outage.

Ruled out: retries that are far apart (0.1 s), the writing of results, and calls that the store refused. A shorter time-out alone found nothing on a store that answers in 0.8 s, and with a full one each third time a read came 1.0 s after the store's return.

Change: a read or a join without an answer for 0.5 s is sent again, three at once at most, and the first answer counts. A silent store is asked without a long poll.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/store.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/store.py
@@ -27,6 +27,11 @@
 T = TypeVar("T")
 # The store answers within some milliseconds; when it is slow, within half a second.
 CALL_TIMEOUT_S = 1.5
+# A call that was sent while the store is away is never answered. Calls that may be
+# repeated are therefore sent again after this time, and the first answer counts; the
+# earlier ones go on, in case that the store is only slow.
+PROBE_S = 0.5
+PROBES_AT_ONCE = 3
 LENGTH_BYTES = 4
 POSITION_BYTES = 8
 # A listing that changes while it is read ends after this many pages.
@@ -53,6 +58,8 @@
     def __init__(self, settings: RolloutSettings, metrics: RolloutMetrics) -> None:
         self.base = f"http://{settings.log.address}"
         self.metrics = metrics
+        # Calls in a row that ended without an answer.
+        self.unanswered = 0
         self._session: aiohttp.ClientSession | None = None
 
     async def append(
@@ -79,13 +86,15 @@
         most_bytes: int = 0,
     ) -> Result[LogPage, StoreFailure]:
         """Read from an offset on, waiting for a record."""
+        if self.unanswered:
+            wait_s = 0.0
         wait_ms = int(wait_s * 1000)
         path = f"/-/log-read?Topic={topic}&part={partition}&From={start}"
         if wait_ms:
             path += f"&WaitMs={wait_ms}"
         if most_bytes:
             path += f"&MaxKb={-(-most_bytes // 1024)}"
-        done = await self._call("read", "GET", path, wait_s=wait_s)
+        done = await self._ask("read", "GET", path, wait_s=wait_s)
         if isinstance(done, Err):
             return done
         answer = done.ok_value
@@ -107,7 +116,7 @@
         path = f"/-/log-newest?Topic={topic}&part=0"
         after = ""
         for _ in range(MAX_PAGES):
-            done = await self._call("newest", "GET", path + after)
+            done = await self._ask("newest", "GET", path + after)
             if isinstance(done, Err):
                 return done
             page = self._decode("newest", done.ok_value, NewestReply)
@@ -129,7 +138,7 @@
         """Join a group or stay in it."""
         request = JoinRequest(group, member, [topic], int(ttl_s * 1000), generation)
         body = msgspec.json.encode(request)
-        done = await self._call("join", "POST", "/-/log-join", body, json=True)
+        done = await self._ask("join", "POST", "/-/log-join", body, json=True)
         if isinstance(done, Err):
             return done
         decoded = self._decode("join", done.ok_value, JoinReply)
@@ -151,7 +160,7 @@
         if self._session is not None:
             await self._session.close()
 
-    async def _call(
+    async def _ask(
         self,
         name: str,
         method: str,
@@ -160,13 +169,43 @@
         wait_s: float = 0.0,
         json: bool = False,
     ) -> Result[Answer, StoreFailure]:
-        done = await self._send(method, path, body, wait_s, json)
+        """Make a call that may be repeated."""
+        timeout_s = CALL_TIMEOUT_S + wait_s
+        if not self.unanswered:
+            return await self._call(name, method, path, body, timeout_s, json)
+        calls: set[asyncio.Task[Result[Answer, StoreFailure]]] = set()
+        try:
+            while True:
+                if len(calls) < PROBES_AT_ONCE:
+                    call = self._call(name, method, path, body, timeout_s, json)
+                    calls.add(asyncio.create_task(call))
+                done, _ = await asyncio.wait(
+                    calls, timeout=PROBE_S, return_when=asyncio.FIRST_COMPLETED
+                )
+                if done:
+                    return done.pop().result()
+        finally:
+            for task in calls:
+                task.cancel()
+
+    async def _call(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+        json: bool = False,
+    ) -> Result[Answer, StoreFailure]:
+        done = await self._send(method, path, body, timeout_s, json)
+        answered = isinstance(done, Ok) or done.err_value is StoreFailure.REFUSED
+        self.unanswered = 0 if answered else self.unanswered + 1
         outcome = done.err_value.value if isinstance(done, Err) else "ok"
         self.metrics.store_calls.inc(labels(call=name, outcome=outcome))
         return done
 
     async def _send(
-        self, method: str, path: str, body: bytes | None, wait_s: float, json: bool
+        self, method: str, path: str, body: bytes | None, timeout_s: float, json: bool
     ) -> Result[Answer, StoreFailure]:
         if self._session is None:
             self._session = new_session()
@@ -174,7 +213,7 @@
         headers = {"Content-Type": kind} if body is not None else {}
         try:
             async with (
-                asyncio.timeout(CALL_TIMEOUT_S + wait_s),
+                asyncio.timeout(timeout_s),
                 self._session.request(
                     method,
                     self.base + path,
