Write results again once a read shows that the store is back

Change: after an append that failed, the outbox waits for a read, which is answered soon after the outage, before it appends again. Fewer appends of unknown effect are made.

Test: OutageTest in test_outbox, fails without the change (two appends in an outage).

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/outbox.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/outbox.py
@@ -19,6 +19,8 @@
 # Results that end within this time are written together.
 LINGER_S = 0.01
 RETRY_S = 0.1
+# A store that takes writes only, or reads only, is written to once in this time.
+SYNC_TIMEOUT_S = 2.0
 # Keeps one append below the log's limit for a call, whatever the items' sizes.
 BATCH_SHARE = 0.5
 # Shorter texts stand in the record itself: a reference would take as many bytes.
@@ -113,6 +115,9 @@
             if self._is_written(await write(), batch):
                 return
             await asyncio.sleep(RETRY_S)
+            # An append that is sent while the store is away waits for its answer
+            # beyond the end of the outage; a read is answered soon after it.
+            await self.partitions.followers[self.partition].sync(SYNC_TIMEOUT_S)
 
     async def _write_texts(self, batch: Batch) -> StoreFailure | None:
         """Append the longer texts and leave references in their place."""
--- a/packages/fulmarpulley-node/tests/test_outbox.py
+++ b/packages/fulmarpulley-node/tests/test_outbox.py
@@ -1,5 +1,6 @@
 """Guard what an owner writes for the next one."""
 
+import asyncio
 import unittest
 from collections.abc import Iterable, Sequence
 from types import SimpleNamespace
@@ -9,11 +10,18 @@
 from fulmarpulley_core.ids import Partition, StepId
 from fulmarpulley_core.rollout.step_records import StepRecord
 from fulmarpulley_node.rollout.interfaces import StoreFailure
-from fulmarpulley_node.rollout.item_runs import Progress
+from fulmarpulley_node.rollout.item_runs import Progress, ResultEntry
 from fulmarpulley_node.rollout.outbox import Outbox
-from fulmarpulley_schema.generated.steps import ItemProgress, TextRef
+from fulmarpulley_schema.generated.steps import (
+    ItemProgress,
+    ItemResult,
+    ItemResults,
+    ItemState,
+    TextRef,
+)
 
 CALL_BYTES = 2000
+APPEND_TIMEOUT_S = 1.0
 
 
 class Texts:
@@ -32,9 +40,13 @@
 
 
 class Partitions:
-    """Keeps the records that were appended."""
+    """Keeps the records that were appended; what is sent while it is away is lost."""
 
     def __init__(self) -> None:
+        self.back = asyncio.Event()
+        self.back.set()
+        self.followers = {Partition(0): self}
+        self.appends = 0
         self.texts = Texts()
         self.records: list[StepRecord] = []
         self.settings = SimpleNamespace(log=SimpleNamespace(call_bytes=CALL_BYTES))
@@ -42,9 +54,20 @@
     async def append(
         self, partition: Partition, records: Iterable[StepRecord]
     ) -> Result[int, StoreFailure]:
+        self.appends += 1
+        if not self.back.is_set():
+            await asyncio.sleep(APPEND_TIMEOUT_S)
+            return Err(StoreFailure.UNKNOWN)
         self.records += records
         return Ok(0)
 
+    async def sync(self, timeout_s: float) -> bool:
+        try:
+            await asyncio.wait_for(self.back.wait(), timeout_s)
+        except TimeoutError:
+            return False
+        return True
+
 
 def progress(number: int, size: int) -> Progress:
     return Progress(
@@ -73,3 +96,23 @@
         small = progress(1, 10)
         saved = await outbox.save([progress(0, 3 * CALL_BYTES), small])
         self.assertEqual(saved, [small])
+
+
+class OutageTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against results that are listed a time-out after the end of an outage."""
+
+    async def test_results_are_written_at_once_when_the_store_is_back(self) -> None:
+        partitions = Partitions()
+        partitions.back.clear()
+        outbox = Outbox(partitions, Partition(0))  # type: ignore[arg-type]
+        writing = asyncio.create_task(outbox.run())
+        result = ItemResult(item_id="i", state=ItemState.COMPLETED, text=b"t")
+        outbox.put(ResultEntry(StepId("s"), result))
+        await asyncio.sleep(1.8 * APPEND_TIMEOUT_S)
+        self.assertEqual(partitions.appends, 1)
+        partitions.back.set()
+        await asyncio.wait_for(outbox.flush(APPEND_TIMEOUT_S), APPEND_TIMEOUT_S / 2)
+        (record,) = partitions.records
+        assert isinstance(record, ItemResults)
+        self.assertEqual([r.item_id for r in record.results], ["i"])
+        writing.cancel()
