Give orders that are allowed at once before those that have to wait

A new owner gave two orders, which waited for their turn for up to 3.75 s. Meanwhile they held both places, and their engines took no new work, since the pool took them as loading.

Ruled out: the number of loads at once, since more of them slow each other down; the ages of announcements, which had let the engines free that the new owner then left out.

Change: an order that has to wait is given back to the pool with its time. The pool gives another one in its place, and work to the engine.

Tests: test_order_that_has_to_wait_lets_others_go_first, which fails if a wait counts as a failure; test_permit_within_the_lease_of_another_owner_is_refused.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
@@ -154,10 +154,14 @@
 
 
 class OrderFinished(msgspec.Struct, frozen=True):
-    """Report the end of a load order."""
+    """Report the end of a load order.
+
+    One that was not given, since it may not be yet, is due again after some seconds.
+    """
 
     order_id: OrderId
     ok: bool
+    retry_after: float | None = None
 
 
 class DocumentChanged(msgspec.Struct, frozen=True):
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/weights.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/weights.py
@@ -103,6 +103,9 @@
         if upstream is not None:
             upstream.swap_until = min(upstream.swap_until, now)
             upstream.loading.discard(load.order.model)
+        if event.retry_after is not None:
+            self._defer(load, now + event.retry_after)
+            return
         if not event.ok:
             self._fail(load, now)
             return
@@ -305,8 +308,18 @@
         delay = min(RETRY_MAX_S, RETRY_BASE_S * 2.0 ** min(target.failures, 8))
         target.failures += 1
         target.failed_source = order.source
-        target.not_before = now + delay * self._jitter.between(*RETRY_SPREAD)
-        self._timers.at(target.not_before, self._plan_later)
+        self._wait_until(target, now + delay * self._jitter.between(*RETRY_SPREAD))
+
+    def _defer(self, load: Load, until: float) -> None:
+        """Give an order later, and another one in its place meanwhile."""
+        order = load.order
+        del self._loads[order.order_id]
+        key = (order.upstream, order.model)
+        self._wait_until(self._targets.setdefault(key, Target()), until)
+
+    def _wait_until(self, target: Target, until: float) -> None:
+        target.not_before = until
+        self._timers.at(until, self._plan_later)
         self.replan()
 
     def _plan_later(self, now: float) -> None:
--- a/packages/fulmarpulley-core/tests/pool/test_weights.py
+++ b/packages/fulmarpulley-core/tests/pool/test_weights.py
@@ -95,6 +95,24 @@
         self.assertEqual(orders(driver.log)["u1"].version, 2)
         self.assertNotEqual(orders(driver.log)["u1"], order)
 
+    def test_order_that_has_to_wait_lets_others_go_first(self) -> None:
+        # Guards against a new owner that waits for a lease with the orders that it may
+        # give at once, and keeps work off the engines that they name meanwhile.
+        driver = driver_at(1, ["u1", "u2"], swaps_at_once=1)
+        (first,) = announce(driver, 2).values()
+        later = driver.send(m.OrderFinished(first.order_id, False, retry_after=3.0))
+        (second,) = orders(later).values()
+        self.assertNotEqual(second.upstream, first.upstream)
+        self.assertFalse(
+            driver.pool.parts.ledger.upstreams[first.upstream].is_loading(MODEL)
+        )
+        self.assertEqual(load(driver, second), {})
+        run(driver, 2.9)
+        self.assertEqual(len(orders(driver.log)), 2)
+        before = len(driver.log)
+        run(driver, 0.2)
+        self.assertEqual(list(orders(driver.log[before:])), [first.upstream])
+
     def test_failed_source_is_not_named_again(self) -> None:
         driver = driver_at(1, ["u1", "u2"])
         second = load(driver, announce(driver, 2)["u1"])["u2"]
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/orders.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/orders.py
@@ -2,6 +2,7 @@
 
 import time
 
+import msgspec
 from result import Ok
 
 from fulmarpulley_core.ids import Version
@@ -13,6 +14,16 @@
 from .ownership import Ownership, Tenure
 
 
+class OrderOutcome(msgspec.Struct, frozen=True):
+    """Hold the version that an engine loaded, or when to give the order again."""
+
+    loaded: Version | None = None
+    retry_after: float | None = None
+
+
+FAILED = OrderOutcome()
+
+
 class Orders:
     """Give the orders of one tenure."""
 
@@ -28,17 +39,24 @@
         self.ownership = ownership
         self.tenure = tenure
 
-    async def give(self, order: Order) -> Version | None:
-        """Give an order and return the version that the engine loaded, if it did."""
+    async def give(self, order: Order) -> OrderOutcome:
+        """Give an order and wait until the engine has loaded the version.
+
+        An order that has to wait for its turn is left to the pool, which gives another
+        one meanwhile and lets the engine take work.
+        """
         fence = await self.ownership.fence(self.tenure)
         upstream = order.upstream
-        if fence is None or not await self.ownership.await_turn(self.tenure, upstream):
-            return None
+        if fence is None:
+            return FAILED
+        turn_in_s = await self.ownership.turn_in_s(self.tenure, upstream)
         entry = self.directory.upstream(upstream)
-        if entry is None:
-            return None
+        if turn_in_s is None or entry is None:
+            return FAILED
+        if turn_in_s > 0:
+            return OrderOutcome(retry_after=turn_in_s)
         began = time.monotonic()
-        # A newer version may have been named while the order waited for its turn.
+        # A newer version may have been named meanwhile.
         newest = self.directory.versions.get(order.model, order.version)
         version = max(order.version, newest)
         load = LoadOrder(
@@ -57,4 +75,4 @@
             outcome="ok" if isinstance(done, Ok) else done.err_value,
             seconds=time.monotonic() - began,
         )
-        return version if isinstance(done, Ok) else None
+        return OrderOutcome(loaded=version) if isinstance(done, Ok) else FAILED
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/ownership.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/ownership.py
@@ -88,8 +88,8 @@
             await asyncio.sleep(RETRY_S)
         return None
 
-    async def await_turn(self, tenure: Tenure, upstream: UpstreamId) -> bool:
-        """Wait until no order of another owner can be recent; False if never."""
+    async def turn_in_s(self, tenure: Tenure, upstream: UpstreamId) -> float | None:
+        """Return after how long no order of another owner is recent; None if never."""
         follower = self.partitions.followers[tenure.partition]
         lease_s = self.settings.bounds.lease_ms / 1000
         while not tenure.ended:
@@ -98,25 +98,22 @@
                 continue
             orders = follower.fold.orders
             allowed_s = orders.allowed_from_s(tenure.name, upstream, lease_s)
-            if allowed_s is None:
-                log_event("order_void", partition=tenure.partition, fence=tenure.fence)
-                if tenure.superseded_at is None:
-                    tenure.superseded_at = time.monotonic()
-                return False
-            wait_s = allowed_s - elapsed_s()
-            if wait_s <= 0:
-                return True
-            await asyncio.sleep(min(wait_s, RETRY_S))
-        return False
+            if allowed_s is not None:
+                return max(0.0, allowed_s - elapsed_s())
+            log_event("order_void", partition=tenure.partition, fence=tenure.fence)
+            if tenure.superseded_at is None:
+                tenure.superseded_at = time.monotonic()
+            return None
+        return None
 
     async def permit_order(
         self, tenure: Tenure, upstream: UpstreamId, fence: FenceNumber
     ) -> bool:
-        """Announce an order that may be given at once; False if it never may.
+        """Announce an order that may be given at once; False if it may not.
 
         :param fence: number that the order carries; it is void once it was renewed
         """
-        while tenure.fence == fence and await self.await_turn(tenure, upstream):
+        while tenure.fence == fence and await self.turn_in_s(tenure, upstream) == 0.0:
             if await self._announce(tenure, upstream):
                 return tenure.fence == fence
         return False
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
@@ -50,7 +50,7 @@
 from .interfaces import CallEnd, UpstreamCalls
 from .item_runs import ItemRun, ResultEntry, work_id_of
 from .metrics import RolloutMetrics
-from .orders import Orders
+from .orders import FAILED, Orders
 from .outbox import Outbox
 from .ownership import Ownership, Tenure
 from .partitions import Partitions, partition_of
@@ -416,7 +416,8 @@
 
     async def _order(self, name: ServiceName, order: Order) -> None:
         pool = self.pools[name]
-        loaded = await self.orders.give(order) if self._gives_orders(name) else None
-        if loaded is not None:
-            pool.post(VersionReport(order.upstream, order.model, loaded))
-        pool.post(OrderFinished(order.order_id, loaded is not None))
+        done = await self.orders.give(order) if self._gives_orders(name) else FAILED
+        if done.loaded is not None:
+            pool.post(VersionReport(order.upstream, order.model, done.loaded))
+        ok = done.loaded is not None
+        pool.post(OrderFinished(order.order_id, ok, done.retry_after))
--- a/packages/fulmarpulley-node/tests/test_ownership.py
+++ b/packages/fulmarpulley-node/tests/test_ownership.py
@@ -8,7 +8,8 @@
 from rollout_settings import settings
 
 from fulmarpulley_core.ids import FenceNumber, Partition, UpstreamId
-from fulmarpulley_core.rollout.order_history import OrderHistory
+from fulmarpulley_core.rollout.order_history import OrderHistory, wait_s
+from fulmarpulley_node.rollout.clock import elapsed_s
 from fulmarpulley_node.rollout.ownership import Ownership, Tenure
 from fulmarpulley_schema.generated.steps import OrderIntent, OwnerFence
 
@@ -66,3 +67,17 @@
         self.partitions.appending = self.renew
         permitted = self.ownership.permit_order(self.tenure, UPSTREAM, FenceNumber(5))
         self.assertFalse(await permitted)
+
+    async def test_permit_within_the_lease_of_another_owner_is_refused(self) -> None:
+        # The pool gives the order again when its turn comes.
+        now_s = elapsed_s()
+        self.partitions.orders.now_s = now_s
+        self.partitions.orders.intend(OrderIntent(tenure="first", upstream=UPSTREAM))
+        self.tenure.name = "second"
+        self.take_over("second")
+        permitted = self.ownership.permit_order(self.tenure, UPSTREAM, FenceNumber(5))
+        self.assertFalse(await permitted)
+        turn_in_s = await self.ownership.turn_in_s(self.tenure, UPSTREAM)
+        assert turn_in_s is not None
+        lease_s = self.ownership.settings.bounds.lease_ms / 1000
+        self.assertAlmostEqual(turn_in_s, wait_s(lease_s), delta=1.0)
