Mark the age of records less often while appends are slow

Ruled out: other appends of the owner, which are written in batches while one is on its way, apart from announcements of orders.

Change: a mark is followed by a pause of 20 times what it took, half a second at least.

Test: test_marks_are_rare_while_appends_are_slow.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/age_marks.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/age_marks.py
@@ -17,6 +17,9 @@
 
 # The wait of a new owner is longer than needed by up to this time.
 MARK_S = 0.5
+# The log writes the appends to a partition one after the other. When it is slow, marks
+# must not take more than this part of its time from the results.
+MOST_SHARE = 0.05
 
 
 class AgeMarks:
@@ -55,9 +58,10 @@
 
     async def _run(self) -> None:
         while True:
+            began = elapsed_s()
             if self._has_orders():
                 await self.mark()
-            await asyncio.sleep(MARK_S)
+            await asyncio.sleep(pause_s(elapsed_s() - began))
 
     async def mark(self) -> None:
         """Append a mark, and remember when the log held it for certain."""
@@ -77,3 +81,8 @@
             and partition_of(service.name, self.partitions.count) == self.partition
             for service in (routes.topology.services.values() if routes else ())
         )
+
+
+def pause_s(taken_s: float) -> float:
+    """Return how long to wait after a mark that took some seconds."""
+    return max(MARK_S, taken_s / MOST_SHARE)
--- a/packages/fulmarpulley-node/tests/test_age_marks.py
+++ b/packages/fulmarpulley-node/tests/test_age_marks.py
@@ -9,7 +9,7 @@
 
 from fulmarpulley_core.ids import Partition
 from fulmarpulley_node.rollout import age_marks
-from fulmarpulley_node.rollout.age_marks import AgeMarks
+from fulmarpulley_node.rollout.age_marks import MARK_S, AgeMarks, pause_s
 from fulmarpulley_node.rollout.interfaces import StoreFailure
 from fulmarpulley_schema.generated.steps import RecordAges
 
@@ -80,3 +80,9 @@
     async def test_partition_is_the_one_after_the_owned_one(self) -> None:
         await self.marks.mark()
         self.assertEqual(self.partitions.marks[0][0], Partition(0))
+
+    def test_marks_are_rare_while_appends_are_slow(self) -> None:
+        # Guards against marks that hold results up on a store that is 50 times slower:
+        # two a second would take two fifths of the time of their partition.
+        self.assertEqual(pause_s(0.01), MARK_S)
+        self.assertGreaterEqual(pause_s(0.2), 4.0)
