Stop a node also where sockets take no filter

Found on the second read: an error of the socket option would have ended the stop of a node with its requests open.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
@@ -97,7 +97,11 @@
         loop = asyncio.get_running_loop()
         self.closing = True
         if self.callers_socket is not None and self.callers_site is not None:
-            refuse_new_connections(self.callers_socket)
+            try:
+                refuse_new_connections(self.callers_socket)
+            except OSError as fault:
+                # Without the filter, connections that begin right now may be reset.
+                log_event("connections_not_refused", error=str(fault))
             await asyncio.sleep(HANDSHAKE_S)
             await self.callers_site.stop()
         self.last_request = max(self.last_request, loop.time())
