--- a/testing/src/fulmarpulley_testing/platform_faults.py
+++ b/testing/src/fulmarpulley_testing/platform_faults.py
@@ -15,7 +15,7 @@
 from .platform_history import Window, WindowKind
 from .platform_store import StoreMode
 from .platform_system import DESK, ENGINES, NodeProcess
-from .platform_worker import PlatformWorker
+from .platform_worker import CutAnswer, PlatformWorker
 from .processes import wait_for
 
 if TYPE_CHECKING:
@@ -29,6 +29,7 @@
 STORE_DELAY_S = 0.3
 LINK_DELAY_S = 0.1
 LATE_ORDERS_S = 2.0
+FIRST_EVENT_S = 2.5
 CLOCK_SHIFT_S = 2.0
 # A worker that drains goes on for this time after its entry says so.
 DRAIN_S = 4.0
@@ -327,6 +328,36 @@
             worker.break_after, worker.wrong_id = None, False
 
 
+@platform_faults.register("worker_cuts_answers")
+def cut_answers(context: FaultContext) -> None:
+    """Let a worker run requests and break its answers off."""
+    with context.worker() as worker:
+        if worker is not None:
+            worker.cut_answer = context.random.choice(list(CutAnswer))
+            context.last()
+            worker.cut_answer = None
+
+
+@platform_faults.register("worker_says_nothing_new")
+def stream_comments(context: FaultContext) -> None:
+    """Let the streams of a worker begin with comments that do not end."""
+    with context.worker() as worker:
+        if worker is not None:
+            worker.comments_only = True
+            context.last()
+            worker.comments_only = False
+
+
+@platform_faults.register("worker_begins_late")
+def delay_first_events(context: FaultContext) -> None:
+    """Let the streams of a worker begin later than a silence may last."""
+    with context.worker() as worker:
+        if worker is not None:
+            worker.first_event_s = FIRST_EVENT_S
+            context.last()
+            worker.first_event_s = 0.0
+
+
 @platform_faults.register("worker_orders_late")
 def delay_orders(context: FaultContext) -> None:
     """Let a worker leave orders unanswered and carry them out later."""
