Work out once a plan which versions waiting work demands

A plan gives several orders, and each one looked through all waiting work again, which does not change meanwhile. The search for the upstream of a model is a method of its own now instead of a loop within a loop. The orders are the same.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/weights.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/weights.py
@@ -28,6 +28,8 @@
 CONFIRM_S = 5.0
 RECHECK_S = 2.0
 
+Crossing = set[tuple[str, ModelName]]
+
 
 class Load(msgspec.Struct, eq=False):
     """Hold an order that was given and is not confirmed by a report."""
@@ -130,17 +132,19 @@
         if room <= 0 or not self._freshness.newest:
             return
         # Models whose first copy is on its way to a region, found in this pass.
-        crossing: set[tuple[str, ModelName]] = set()
-        while room > 0 and self._order_next(crossing, now):
+        crossing: Crossing = set()
+        wanted = self._wanted_versions()
+        while room > 0 and self._order_next(wanted, crossing, now):
             room -= 1
 
-    def _order_next(self, crossing: set[tuple[str, ModelName]], now: float) -> bool:
+    def _order_next(
+        self, wanted: Mapping[ModelName, Version], crossing: Crossing, now: float
+    ) -> bool:
         """Give the next order.
 
         Models go first whose work no upstream can run, then those of which the fewest
         serve the newest version.
         """
-        wanted = self._wanted_versions()
         models = sorted(
             self._models(),
             key=lambda model: (
@@ -149,18 +153,26 @@
             ),
         )
         upstreams = self._by_work()
-        for model in models:
-            if self._loads_enough(model):
+        return any(
+            self._order_model(model, upstreams, crossing, now)
+            for model in models
+            if not self._loads_enough(model)
+        )
+
+    def _order_model(
+        self,
+        model: ModelName,
+        upstreams: Iterable[Upstream],
+        crossing: Crossing,
+        now: float,
+    ) -> bool:
+        for upstream in _stalest_first(upstreams, model):
+            place = (upstream.entry.region, model)
+            if place in crossing or not self._is_due(upstream, model, now):
                 continue
-            for upstream in _stalest_first(upstreams, model):
-                region = upstream.entry.region
-                if (region, model) in crossing:
-                    continue
-                if not self._is_due(upstream, model, now):
-                    continue
-                if self._order(upstream, model, now):
-                    return True
-                crossing.add((region, model))
+            if self._order(upstream, model, now):
+                return True
+            crossing.add(place)
         return False
 
     def _loads_enough(self, model: ModelName) -> bool:
