--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
@@ -192,8 +192,8 @@
     def _start_hedge(self, item: Item, excluded: set[Upstream]) -> bool:
         upstreams = self.parts.ledger.upstreams.values()
         now = self.parts.now
-        free = [u for u in upstreams if u.is_free() and u not in excluded]
-        upstream = self._choose(item, [u for u in free if u.slow_until <= now])
+        free = [u for u in upstreams if u.is_free() and u.keeps_pace(now)]
+        upstream = self._choose(item, [u for u in free if u not in excluded])
         if upstream is None:
             return False
         self.outcomes.started(self.parts.start(item, upstream, hedge=True))
@@ -213,5 +213,5 @@
             able = [u for u in self.usable() if may_run(item, u, oldest)]
             if not all(u.health.state is HealthState.PROBING for u in able):
                 fit = [u for u in fit if u.health.state is not HealthState.PROBING]
-        fit = [u for u in fit if u.slow_until <= parts.now] or fit
+        fit = [u for u in fit if u.keeps_pace(parts.now)] or fit
         return parts.routing.choose(item, fit, self, parts.now) if fit else None
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
@@ -194,6 +194,10 @@
         """Tell whether one more attempt may start."""
         return len(self.attempts) < self.slots
 
+    def keeps_pace(self, now: float) -> bool:
+        """Tell whether its attempts were not seen to be slow lately."""
+        return self.slow_until <= now
+
     def is_loading(self, model: ModelName) -> bool:
         """Tell whether an order to load a version of the model is in progress."""
         return model in self.loading
