Let the home of a partition run its marks, and find engine services in one place

The marks had a task group, a start and a stop of their own, and StepHomes kept them in a second dict beside the homes, although both live as long as a tenure. The home spawns them like its other loops now and ends them first when it stops, as before.

AgeMarks and StepHome each looked for the services with engines of a partition; both call Partitions.engine_services, which uses Partitions.of_service. Partitions.count goes.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/age_marks.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/age_marks.py
@@ -10,10 +10,9 @@
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 from fulmarpulley_schema.generated.steps import RecordAge, RecordAges
 
-from ..tasks import TaskGroup
 from .clock import elapsed_s
 from .directory import Directory
-from .partitions import Partitions, partition_of
+from .partitions import Partitions
 
 # The wait of a new owner is longer than needed by up to this time.
 MARK_S = 0.5
@@ -40,23 +39,15 @@
     ) -> None:
         self.directory = directory
         self.partitions = partitions
-        self.partition = Partition((owned + 1) % partitions.count)
+        self.partition = Partition((owned + 1) % len(partitions.followers))
         # Marks are of no use once they are older than any wait.
         longest_s = wait_s(settings.bounds.lease_ms / 1000)
         self.acknowledged: deque[tuple[int, float]] = deque(
             maxlen=int(longest_s / MARK_S) + 1
         )
-        self.tasks = TaskGroup()
 
-    def start(self) -> None:
-        """Start to mark the partition."""
-        self.tasks.spawn(self._run())
-
-    async def stop(self) -> None:
-        """Stop to mark the partition."""
-        await self.tasks.stop()
-
-    async def _run(self) -> None:
+    async def run(self) -> None:
+        """Mark the partition until cancelled."""
         while True:
             began = elapsed_s()
             if self._has_orders():
@@ -76,11 +67,7 @@
 
     def _has_orders(self) -> bool:
         routes = self.directory.routes
-        return any(
-            service.engine is not None
-            and partition_of(service.name, self.partitions.count) == self.partition
-            for service in (routes.topology.services.values() if routes else ())
-        )
+        return any(self.partitions.engine_services(routes, self.partition))
 
 
 def pause_s(taken_s: float) -> float:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/partitions.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/partitions.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from aiomisc import Service
 from result import Err, Ok, Result
@@ -11,6 +11,7 @@
 from fulmarpulley_core.placement import text_hash
 from fulmarpulley_core.rollout.step_fold import Step
 from fulmarpulley_core.rollout.step_records import StepRecord, encode, split
+from fulmarpulley_core.rollout.topology import RouteTable
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 
 from ..tasks import TaskGroup
@@ -26,12 +27,11 @@
         super().__init__()
         self.settings = settings
         self.log = log
-        self.count = settings.log.partitions
         self.texts = Texts(settings, log)
         self.tasks = TaskGroup()
         self.followers = [
             PartitionFollower(settings, log, Partition(number), self.tasks)
-            for number in range(self.count)
+            for number in range(settings.log.partitions)
         ]
 
     async def start(self) -> None:
@@ -45,6 +45,15 @@
         """Return the partition that keeps the steps of a service."""
         return self.followers[partition_of(service, len(self.followers))]
 
+    def engine_services(
+        self, routes: RouteTable | None, partition: Partition
+    ) -> Iterator[ServiceName]:
+        """Yield the services whose engines get orders from the owner of a partition."""
+        for service in routes.topology.services.values() if routes else ():
+            kept = self.of_service(service.name).partition == partition
+            if service.engine is not None and kept:
+                yield service.name
+
     async def append(
         self, partition: Partition, records: Iterable[StepRecord]
     ) -> Result[int, StoreFailure]:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
@@ -44,6 +44,7 @@
 
 from ..observe.events import log_event
 from ..tasks import TaskGroup
+from .age_marks import AgeMarks
 from .attempts import Attempts
 from .clock import unix_ms
 from .directory import Directory
@@ -53,7 +54,7 @@
 from .orders import FAILED, Orders
 from .outbox import Outbox
 from .ownership import Ownership, Tenure
-from .partitions import Partitions, partition_of
+from .partitions import Partitions
 from .pool_driver import PoolDriver
 from .rewards import Rewards
 from .service_pools import ServicePools
@@ -91,7 +92,7 @@
         self.tenure = tenure
         self.metrics = metrics
         self.follower = partitions.followers[tenure.partition]
-        self.texts = partitions.texts
+        self.partitions = partitions
         self.outbox = Outbox(partitions, tenure.partition)
         self.tasks = TaskGroup()
         pool_settings = PoolSettings(
@@ -109,6 +110,8 @@
         self.attempts = Attempts(directory, calls, metrics, self.tasks)
         self.attempts.failed = self._attempt_failed
         self.orders = Orders(directory, calls, ownership, tenure)
+        self.marks = AgeMarks(settings, directory, partitions, tenure.partition)
+        self.marking: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Start to run items."""
@@ -118,11 +121,14 @@
         self.tasks.spawn(self._run())
         self.tasks.spawn(self.outbox.run())
         self.tasks.spawn(self._save_regularly())
+        self.marking = self.tasks.spawn(self.marks.run())
 
     async def stop(self) -> None:
         """Cut all attempts; the next owner resumes what was saved."""
         self.directory.listeners.remove(self.directory_changed)
         self.follower.own(False)
+        if self.marking is not None:
+            self.marking.cancel()
         self.pools.close()
         self.attempts.cancel_all()
         for run in self.runs.values():
@@ -151,14 +157,12 @@
 
     def _open_pools(self) -> None:
         # Engines load named versions also while no step is open.
-        routes = self.directory.routes
-        for service in routes.topology.services.values() if routes else ():
-            if service.engine is not None and self._gives_orders(service.name):
-                self.pools.open(service.name)
+        routes, partition = self.directory.routes, self.tenure.partition
+        for name in self.partitions.engine_services(routes, partition):
+            self.pools.open(name)
 
     def _gives_orders(self, name: ServiceName) -> bool:
-        home = partition_of(name, self.settings.log.partitions)
-        return home == self.tenure.partition
+        return self.partitions.of_service(name) is self.follower
 
     async def _run(self) -> None:
         while not await self.follower.sync(SYNC_TIMEOUT_S):
@@ -175,7 +179,7 @@
             for step in self.follower.fold.open_steps()
             for item_id, refs in step.saved.items()
         }
-        texts, partition = self.texts, self.tenure.partition
+        texts, partition = self.partitions.texts, self.tenure.partition
         done = await asyncio.gather(
             *(texts.read_events(partition, refs.refs) for refs in saved.values())
         )
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_homes.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_homes.py
@@ -5,7 +5,6 @@
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 
 from ..tasks import TaskGroup
-from .age_marks import AgeMarks
 from .directory import Directory
 from .interfaces import UpstreamCalls
 from .metrics import RolloutMetrics
@@ -37,7 +36,6 @@
         self.metrics = metrics
         self.tasks = TaskGroup()
         self.homes: dict[Tenure, StepHome] = {}
-        self.marks: dict[Tenure, AgeMarks] = {}
         ownership.gained = self.open
         ownership.lost = self.close
 
@@ -55,18 +53,12 @@
         )
         self.homes[tenure] = home
         home.start()
-        marks = AgeMarks(
-            self.settings, self.directory, self.partitions, tenure.partition
-        )
-        self.marks[tenure] = marks
-        marks.start()
 
     def close(self, tenure: Tenure) -> None:
         """Stop to run the items of a partition."""
         home = self.homes.pop(tenure, None)
         if home is not None:
             self.tasks.spawn(home.stop())
-            self.tasks.spawn(self.marks.pop(tenure).stop())
 
     async def save(self) -> None:
         """Save the unfinished items of all partitions."""
--- a/packages/fulmarpulley-node/tests/test_age_marks.py
+++ b/packages/fulmarpulley-node/tests/test_age_marks.py
@@ -19,10 +19,9 @@
 class Partitions:
     """Takes appends of 0.25 s; one that fails may have taken effect."""
 
-    count = 4
-
     def __init__(self, clock: list[float]) -> None:
         self.clock = clock
+        self.followers = [None] * 4
         self.marks: list[tuple[Partition, RecordAges]] = []
         self.failing = False
         self.end = 10
