--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
@@ -193,10 +193,12 @@
     expected = resume_after + 1
     async for chunk in response.content.iter_any():
         for event in parser.feed(chunk):
-            if event.number != expected or expected > most_events:
+            reason = ""
+            if expected > most_events:
+                reason = f"more than {most_events} events came"
+            elif event.number != expected:
                 reason = f"event {event.number} came instead of {expected}"
-                if expected > most_events:
-                    reason = f"more than {most_events} events came"
+            if reason:
                 response.close()
                 return Err(CallEnd(Failure.BROKEN, reason))
             version = event.version if event.version is not None else version
