--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
@@ -14,6 +14,10 @@
 from fulmarpulley_core.rollout.upstreams import ListedUpstream
 from fulmarpulley_schema.generated.steps import ItemSpec
 
+# The status of an upstream that counts against an item; other errors come from an
+# upstream in trouble and say nothing about the run.
+SERVER_ERROR = 500
+
 
 class StoreFailure(StrEnum):
     """Name why a call to the log failed; only after UNKNOWN it may have an effect."""
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/rewards.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/rewards.py
@@ -17,11 +17,10 @@
 from ..observe.events import log_event
 from .directory import Directory
 from .forwarder import Forwarder, Refusal
-from .interfaces import CallerRequest, UpstreamAnswer, UpstreamCalls
+from .interfaces import SERVER_ERROR, CallerRequest, UpstreamAnswer, UpstreamCalls
 from .item_runs import ItemRun
 from .metrics import RolloutMetrics
 
-SERVER_ERROR = 500
 SUCCESS = range(200, 300)
 
 
@@ -112,7 +111,6 @@
         return RewardOutcome.LOST, ""
     if answer.status in SUCCESS and answer.signature:
         return RewardOutcome.SCORED, answer.signature
-    # Other errors come from an upstream in trouble and say nothing about the call.
     if answer.status == SERVER_ERROR:
         return RewardOutcome.FAILED, ""
     return RewardOutcome.LOST, ""
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
@@ -48,7 +48,7 @@
 from .attempts import Attempts
 from .clock import unix_ms
 from .directory import Directory
-from .interfaces import CallEnd, UpstreamCalls
+from .interfaces import SERVER_ERROR, CallEnd, UpstreamCalls
 from .item_runs import ItemRun, ResultEntry, work_id_of
 from .metrics import RolloutMetrics
 from .orders import FAILED, Orders
@@ -68,7 +68,6 @@
 # outages of the store.
 FLUSH_S = 10.0
 SYNC_TIMEOUT_S = 2.0
-SERVER_ERROR = 500
 UNPROCESSABLE = 422
 
 
