Log the rate limits that upstreams state

Change: read the limit of each response, log its changes and count the responses; a response without a limit ends it only if its request was sent after the limit was stated. Nothing acts on it yet.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
@@ -14,6 +14,7 @@
 from ..rollout.metrics import RolloutMetrics
 from ..rollout.ownership import Ownership
 from ..rollout.partitions import Partitions
+from ..rollout.rate_limits import RateLimits
 from ..rollout.rewards import RewardScorer
 from ..rollout.step_frontend import StepFrontend
 from ..rollout.step_homes import StepHomes
@@ -36,7 +37,8 @@
         self.settings = settings
         self.metrics = RolloutMetrics()
         self.store = StoreClient(settings, self.metrics)
-        self.workers = WorkerClient(settings)
+        self.limits = RateLimits(self.metrics)
+        self.workers = WorkerClient(settings, self.limits)
         self.directory = Directory()
         self.topic_watcher = TopicWatcher(self.store, self.directory)
         self.partitions = Partitions(settings, self.store)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
@@ -1,6 +1,7 @@
 """Call the platform's workers."""
 
 import asyncio
+import math
 
 import aiohttp
 import msgspec
@@ -13,6 +14,7 @@
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 from fulmarpulley_schema.generated.steps import ItemSpec
 
+from ..observe.events import log_event
 from ..rollout.interfaces import (
     CallerRequest,
     EventSink,
@@ -20,6 +22,7 @@
     UpstreamCallFailure,
     UpstreamResponse,
 )
+from ..rollout.rate_limits import RateLimits
 from .connections import new_session
 from .generation_stream import EventParser
 from .headers import end_to_end_headers
@@ -34,14 +37,16 @@
 DEFAULT_MAX_EVENTS = 1_000_000
 ACCEPTED = 202
 MISDIRECTED = 421
+MAX_LOGGED_LIMIT_LENGTH = 40
 SWITCH_MODE_RETAIN = "retain"
 
 
 class WorkerClient:
     """Own the connections to all workers."""
 
-    def __init__(self, settings: RolloutSettings) -> None:
+    def __init__(self, settings: RolloutSettings, limits: RateLimits) -> None:
         self.node_id = settings.node_id
+        self.limits = limits
         self._open_session: aiohttp.ClientSession | None = None
 
     async def forward(
@@ -54,6 +59,7 @@
             remaining_s = request.deadline - asyncio.get_running_loop().time()
             headers["Deadline-Ms"] = str(max(1, int(remaining_s * 1000)))
         url = URL(f"http://{upstream.address}{request.target}", encoded=True)
+        sent_at = asyncio.get_running_loop().time()
         try:
             async with (
                 asyncio.timeout(max(0.0, timeout_s)),
@@ -65,6 +71,7 @@
                     allow_redirects=False,
                 ) as response,
             ):
+                self._record_limit(upstream, response, request.request_id, sent_at)
                 body = await response.read()
                 failure = _check_response(response, request.request_id)
                 if failure is not None:
@@ -99,10 +106,12 @@
         if resume_after:
             headers["Last-Event-Id"] = str(resume_after)
         url = URL(f"http://{upstream.address}{item.path}", encoded=True)
+        sent_at = asyncio.get_running_loop().time()
         try:
             async with self._session.post(
                 url, headers=headers, data=item.body, allow_redirects=False
             ) as response:
+                self._record_limit(upstream, response, item.item_id, sent_at)
                 failure = _check_response(response, item.item_id) or _check_stream(
                     response, min_version
                 )
@@ -146,6 +155,32 @@
             self._open_session = new_session()
         return self._open_session
 
+    def _record_limit(
+        self,
+        upstream: ListedUpstream,
+        response: aiohttp.ClientResponse,
+        request_id: str,
+        sent_at: float,
+    ) -> None:
+        """Record the rate limit in the head of a response."""
+        if response.status == MISDIRECTED:
+            return
+        text = response.headers.get("Server-Limit")
+        if text is None:
+            is_own = response.headers.get("Request-Id") == request_id
+            if is_own and "Not-Executed" not in response.headers:
+                self.limits.record_response(upstream, None, sent_at)
+            return
+        requests_per_s = _parse_limit(text)
+        if requests_per_s is None:
+            log_event(
+                "upstream_limit_unreadable",
+                upstream=upstream.upstream_id,
+                value=text[:MAX_LOGGED_LIMIT_LENGTH],
+            )
+            return
+        self.limits.record_response(upstream, requests_per_s, sent_at)
+
     async def _read_report(self, upstream: ListedUpstream) -> ReportReply:
         url = f"http://{upstream.address}/-/report"
         headers = {"Expected-Instance": upstream.upstream_id}
@@ -234,6 +269,16 @@
     return None
 
 
+def _parse_limit(text: str) -> float | None:
+    """Return the requests per second, or None if the text is not such a number."""
+    try:
+        requests_per_s = float(text)
+    except ValueError:
+        return None
+    is_rate = math.isfinite(requests_per_s) and requests_per_s >= 0
+    return requests_per_s if is_rate else None
+
+
 def _has_length(response: aiohttp.ClientResponse) -> bool:
     chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
     bodiless = response.method == "HEAD" or response.status in (204, 304)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
@@ -27,6 +27,9 @@
         self.attempts = self.counter("attempts", "Attempts by service and outcome")
         self.steps = self.counter("steps", "Submissions by outcome")
         self.store_calls = self.counter("store_calls", "Calls to the log by outcome")
+        self.limited_responses = self.counter(
+            "limited_responses", "Responses of upstreams that state a rate limit"
+        )
         self.log_lines = self.counter("log_lines_dropped", "Log lines not written")
 
     def count_dropped_lines(self, event: str, count: int) -> None:
--- a/packages/fulmarpulley-node/tests/test_endless_answers.py
+++ b/packages/fulmarpulley-node/tests/test_endless_answers.py
@@ -27,6 +27,7 @@
     UpstreamResponse,
 )
 from fulmarpulley_node.rollout.metrics import RolloutMetrics
+from fulmarpulley_node.rollout.rate_limits import RateLimits
 from fulmarpulley_schema.generated.steps import ItemSpec
 
 # Long enough that the caller's deadline is not what ends a response.
@@ -143,7 +144,7 @@
     async def forward(
         self, address: str
     ) -> Result[UpstreamResponse, UpstreamCallFailure]:
-        client = WorkerClient(rollout_settings())
+        client = WorkerClient(rollout_settings(), RateLimits(RolloutMetrics()))
         request = CallerRequest(
             request_id="r1",
             method="POST",
@@ -159,7 +160,7 @@
             await client.close()
 
     async def generate(self, address: str) -> Result[None, UpstreamCallFailure]:
-        client = WorkerClient(rollout_settings())
+        client = WorkerClient(rollout_settings(), RateLimits(RolloutMetrics()))
         item = ItemSpec(
             item_id="r1", path="/p", headers={}, body=b"", prompt_tokens=1, max_tokens=9
         )
--- a/packages/fulmarpulley-node/tests/test_wire_names.py
+++ b/packages/fulmarpulley-node/tests/test_wire_names.py
@@ -14,6 +14,7 @@
     "Last-Event-Id",
     "Not-Executed",
     "Prompt-Prefix",
+    "Server-Limit",
     "Server-Stamp",
     "Token-Counts",
     "Wait-Ms",
