--- a/testing/src/fulmarpulley_testing/platform_worker.py
+++ b/testing/src/fulmarpulley_testing/platform_worker.py
@@ -74,6 +74,12 @@
         # While this is set, streams that have sent no event yet send comments only.
         self.comments_only = False
         self.first_event_delay_s = 0.0
+        # Requests per second that responses state as the limit of the worker.
+        self.rate_limit: float | None = None
+        # When a response first stated the current limit.
+        self.limit_stated_at: float | None = None
+        # Times of all requests, including refused ones.
+        self.arrivals: list[float] = []
         self.runs: list[Run] = []
         self.orders: list[Order] = []
         self.accepted_orders = 0
@@ -151,10 +157,12 @@
         headers = request.headers
         if headers.get("Expected-Instance") != self.name:
             return web.Response(status=421)
+        self.arrivals.append(time.monotonic())
         model = headers.get("Model")
         running = sum(not run.ended for run in self.runs)
         if running >= self.slots or (model is not None and self.loading):
-            return web.Response(status=503, headers={"Not-Executed": "1"})
+            refused = {"Not-Executed": "1", **self._limit_headers()}
+            return web.Response(status=503, headers=refused)
         run = Run(
             worker=self.name,
             request_id=headers["Request-Id"],
@@ -253,4 +261,15 @@
     def _response_headers(self, run: Run) -> dict[str, str]:
         request_id = "another" if self.wrong_id else run.request_id
         signature = server_stamp(self.name, run.request_id)
-        return {"Request-Id": request_id, "Server-Stamp": signature}
+        return {
+            "Request-Id": request_id,
+            "Server-Stamp": signature,
+            **self._limit_headers(),
+        }
+
+    def _limit_headers(self) -> dict[str, str]:
+        if self.rate_limit is None:
+            self.limit_stated_at = None
+            return {}
+        self.limit_stated_at = self.limit_stated_at or time.monotonic()
+        return {"Server-Limit": f"{self.rate_limit:.1f}"}
--- /dev/null
+++ b/testing/tests/test_platform_limits.py
@@ -0,0 +1,101 @@
+"""Test upstreams that state a rate limit, with nodes as processes."""
+
+import itertools
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from platform_case import PlatformCase
+
+from fulmarpulley_testing.platform_limits import busiest_window, most_allowed
+from fulmarpulley_testing.platform_system import (
+    Answer,
+    NodeProcess,
+    settle,
+    submit,
+)
+from fulmarpulley_testing.platform_worker import PlatformWorker
+from fulmarpulley_testing.processes import wait_for
+
+# The bound holds from this time after a limit is first stated.
+STABILITY_S = 3.0
+CALLERS_PER_NODE = 6
+# Callers in a closed loop send at most this often each.
+CALLER_PAUSE_S = 0.2
+# More than the engines finish during the test if nothing limits them.
+ITEMS = 400
+
+
+class LimitCase(PlatformCase):
+    """Plays callers at all nodes while upstreams state limits."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.answers: list[Answer] = []
+        self.numbers = itertools.count()
+
+    @contextmanager
+    def callers(self) -> Iterator[None]:
+        stopped = threading.Event()
+        threads = [
+            threading.Thread(target=self._call_repeatedly, args=(node, stopped))
+            for node in self.nodes
+            for _ in range(CALLERS_PER_NODE)
+        ]
+        for thread in threads:
+            thread.start()
+        try:
+            yield
+        finally:
+            stopped.set()
+            for thread in threads:
+                thread.join()
+
+    def _call_repeatedly(self, node: NodeProcess, stopped: threading.Event) -> None:
+        while not stopped.wait(CALLER_PAUSE_S):
+            answer = node.call(
+                "POST",
+                "/desk/a",
+                b"text",
+                Request_Id=f"q{next(self.numbers)}",
+                Deadline_Ms="1000",
+            )
+            self.answers.append(answer)
+
+    def wait_for_limits(self, workers: list[PlatformWorker]) -> None:
+        wait_for(lambda: all(w.limit_stated_at for w in workers), "stated limits")
+
+    def assert_limits_kept(self, workers: list[PlatformWorker]) -> None:
+        for worker in workers:
+            assert worker.rate_limit is not None
+            assert worker.limit_stated_at is not None
+            since = worker.limit_stated_at + STABILITY_S
+            self.assertLessEqual(
+                busiest_window(worker.arrivals, since),
+                most_allowed(worker.rate_limit),
+            )
+
+
+class DeskLimitTest(LimitCase):
+    """Guards against nodes that exceed the limit of an upstream together."""
+
+    def test_nodes_together_keep_to_the_limits_of_all_upstreams(self) -> None:
+        for desk in self.desks:
+            desk.rate_limit = 1.5
+        with self.callers():
+            self.wait_for_limits(self.desks)
+            settle(STABILITY_S + 5.0)
+        self.assert_limits_kept(self.desks)
+
+
+class EngineLimitTest(LimitCase):
+    """Guards against items that exceed the limit of an engine."""
+
+    def test_items_keep_to_the_limits_of_engines(self) -> None:
+        for engine in self.engines:
+            engine.rate_limit = 2.0
+            engine.event_s = 0.05
+        submit(self.nodes[0], "s1", ITEMS)
+        self.wait_for_limits(self.engines)
+        settle(STABILITY_S + 5.0)
+        self.assert_limits_kept(self.engines)
