Keep to the rate limits of engines

What was seen: engines that state 2 requests a second got 64 in 4 s (test_items_keep_to_the_limits_of_engines, failed before).

Cause: an owner sends items as long as an engine has a free slot; nothing reads the limit.

Change: an attempt takes a turn in a schedule (generic cell rate algorithm, bursts of three) before it is sent. An attempt that is held back never ran; its item queues again at once, spends no retry budget, and the engine is paused until its next turn.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/attempt_tracker.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/attempt_tracker.py
@@ -56,6 +56,9 @@
             return
         self._record_tokens(attempt, event.tokens)
         self._components.ledger.release(attempt)
+        if event.failure is Failure.RATE_LIMITED:
+            self._defer(attempt, event.retry_after, now)
+            return
         self._fail(attempt, event.failure, now)
         if event.failure is Failure.REFUSED:
             self._components.health.record_refusal(
@@ -118,6 +121,13 @@
         else:
             self._components.retries.schedule(item, now)
 
+    def _defer(self, attempt: Attempt, retry_after: float | None, now: float) -> None:
+        """Queue an item again that was held back by the rate limit of an upstream."""
+        components, item = self._components, attempt.item
+        components.health.record_refusal(attempt.upstream, retry_after, now)
+        if not item.attempts:
+            components.enqueue(item)
+
     def _schedule_stall_check(self, attempt: Attempt) -> None:
         # A token resets the stalls and so shortens the timeout, hence the early check.
         now = self._components.now
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/health.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/health.py
@@ -116,7 +116,7 @@
     def record_refusal(
         self, upstream: Upstream, retry_after: float | None, now: float
     ) -> None:
-        """Pause an upstream that refuses work, without counting a failure."""
+        """Pause an upstream that takes no work now, without counting a failure."""
         pause = REFUSAL_PAUSE_S if retry_after is None else retry_after
         self._pause(upstream, min(pause, MAX_REFUSAL_PAUSE_S), now)
 
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
@@ -29,9 +29,13 @@
 
 
 class Failure(StrEnum):
-    """Name how an attempt failed, by what the upstream may have done."""
+    """Name how an attempt failed, by what the upstream may have done.
+
+    A RATE_LIMITED attempt was not sent, to keep to the upstream's rate limit.
+    """
 
     NOT_SENT = "not_sent"
+    RATE_LIMITED = "rate_limited"
     REFUSED = "refused"
     BROKEN = "broken"
     ERRORED = "errored"
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
@@ -51,6 +51,7 @@
             self.directory,
             self.partitions,
             self.workers,
+            self.limits,
             self.rewards,
             self.ownership,
             self.metrics,
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/attempts.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/attempts.py
@@ -23,6 +23,7 @@
 from .item_runs import AttemptRun, ItemRun
 from .metrics import RolloutMetrics
 from .pool_driver import PoolDriver
+from .rate_limits import RateLimits
 
 
 class ItemAttemptRunner:
@@ -32,11 +33,13 @@
         self,
         directory: Directory,
         calls: UpstreamCalls,
+        limits: RateLimits,
         metrics: RolloutMetrics,
         tasks: BackgroundTasks,
     ) -> None:
         self.directory = directory
         self.calls = calls
+        self.limits = limits
         self.metrics = metrics
         self.tasks = tasks
         self.running: dict[AttemptId, AttemptRun] = {}
@@ -107,6 +110,10 @@
             )
             self._report_failure(attempt, pool, failure, tokens_per_event)
             return
+        held_back = self.limits.take_exclusive(entry)
+        if held_back is not None:
+            self._report_failure(attempt, pool, held_back, tokens_per_event)
+            return
         result = await self.calls.generate(
             entry,
             run.step.accepted.host,
@@ -146,7 +153,10 @@
             model = ModelName(run.step.accepted.model)
             pool.post(VersionReport(attempt.upstream, model, Version(failure.version)))
         tokens = len(attempt.events) * tokens_per_event
-        pool.post(AttemptFailed(attempt.attempt_id, failure.failure, tokens))
+        failed = AttemptFailed(
+            attempt.attempt_id, failure.failure, tokens, failure.retry_after_s
+        )
+        pool.post(failed)
         self._remove(attempt.attempt_id)
         self.on_failed(run, failure)
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
@@ -131,6 +131,7 @@
     reason: str
     status: int | None = None
     version: int | None = None
+    retry_after_s: float | None = None
 
 
 class LoadOrder(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
@@ -56,6 +56,7 @@
 from .ownership import Ownership, Tenure
 from .partitions import Partitions
 from .pool_driver import PoolDriver
+from .rate_limits import RateLimits
 from .rewards import RewardScorer
 from .service_pools import ServicePools
 
@@ -80,6 +81,7 @@
         directory: Directory,
         partitions: Partitions,
         calls: UpstreamCalls,
+        limits: RateLimits,
         rewards: RewardScorer,
         ownership: Ownership,
         tenure: Tenure,
@@ -106,7 +108,7 @@
         self.recovered: dict[WorkId, SavedEvents] = {}
         self.ranks: dict[StepId, Mapping[ItemId, int]] = {}
         self.service_by_work: dict[WorkId, ServiceName] = {}
-        self.attempts = ItemAttemptRunner(directory, calls, metrics, self.tasks)
+        self.attempts = ItemAttemptRunner(directory, calls, limits, metrics, self.tasks)
         self.attempts.on_failed = self._attempt_failed
         self.orders = OrderIssuer(directory, calls, ownership, tenure)
         self.mark_writer = AgeMarkWriter(
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_homes.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_homes.py
@@ -10,6 +10,7 @@
 from .metrics import RolloutMetrics
 from .ownership import Ownership, Tenure
 from .partitions import Partitions
+from .rate_limits import RateLimits
 from .rewards import RewardScorer
 from .step_home import StepHome
 
@@ -23,6 +24,7 @@
         directory: Directory,
         partitions: Partitions,
         calls: UpstreamCalls,
+        limits: RateLimits,
         rewards: RewardScorer,
         ownership: Ownership,
         metrics: RolloutMetrics,
@@ -31,6 +33,7 @@
         self.directory = directory
         self.partitions = partitions
         self.calls = calls
+        self.limits = limits
         self.rewards = rewards
         self.ownership = ownership
         self.metrics = metrics
@@ -46,6 +49,7 @@
             self.directory,
             self.partitions,
             self.calls,
+            self.limits,
             self.rewards,
             self.ownership,
             tenure,
