Share the rate limits of upstreams between nodes

What callers saw: nothing yet; upstreams in need got more than they accept. Two upstreams that state 1.5 requests a second got 114 in 4 s from two nodes (test_nodes_together_keep_to_the_limits_of_all_upstreams, failed before).

Cause: each node forwards desk requests and reward calls as its own callers demand. Even a node that kept to the limit would not do: nine nodes had been told of one limit.

Change: before a request goes to an upstream that states a limit, the node appends a record that asks for a send time. Whether and when it may be sent follows from the records before it (generic cell rate algorithm in the order of the log), so all readers agree, without leases and without another service. Requests of a node go out in one append. Stamps use the clock that is furthest ahead, and unused time allows a burst of three only, so clocks that differ cost single requests. Without an answer of the log within 0.2 s a node keeps to its even share, by the number of nodes that wrote to the topic within a minute. A turn that passed while the process was paused is not used.

The pool prefers upstreams without a limit and tries limited ones again after 2 s. A desk request may reserve a turn up to six tenths of its time ahead; if no upstream has one, it is refused at once with the time of the next turn. Reward calls take only turns that are free, so that callers do not wait behind them.

Weighed: a fixed share for each node (of 1.6 requests a second and nine nodes, most of it unused; at 195 nodes a request every two minutes); leases of a rate (the same, and slower to move); one sender for each upstream (eight of nine nodes could not use it); conditional appends (retries under contention).

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/admission.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/admission.py
@@ -12,12 +12,19 @@
 
 # Weight of the newest attempt in the moving mean of seconds per token.
 PACE_WEIGHT = 0.1
+# The rest of the time until the deadline is left for the upstream.
+MAX_SEND_WAIT_SHARE = 0.6
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 30.0
 # Random factor that spreads the retries of callers that were refused together.
 RETRY_AFTER_SPREAD = (0.75, 1.25)
 
 
+def longest_send_wait_s(remaining_s: float) -> float:
+    """Return how long a request may wait to be sent and still be answered in time."""
+    return max(0.0, remaining_s * MAX_SEND_WAIT_SHARE)
+
+
 class Refusal(NamedTuple):
     """Give the reason why a work item is not admitted."""
 
@@ -59,6 +66,34 @@
             return None
         if not any(u.availability() is Availability.AVAILABLE for u in upstreams):
             return Refusal("no_upstream", self._retry_after(MIN_RETRY_AFTER_S * 2))
+        return self.check_limits(item, upstreams, now) or self._check_queue(
+            item, charge, queue, upstreams, now
+        )
+
+    def check_limits(
+        self, item: Item, upstreams: Collection[Upstream], now: float
+    ) -> Refusal | None:
+        """Return why the rate limits of all upstreams delay an item too much."""
+        if item.deadline is None:
+            return None
+        waits = [
+            u.turn_wait_s(now)
+            for u in upstreams
+            if u.availability() is Availability.AVAILABLE
+        ]
+        wait = min(waits, default=0.0)
+        if wait <= longest_send_wait_s(item.deadline - now):
+            return None
+        return Refusal("rate_limited", wait * self._jitter.uniform(*RETRY_AFTER_SPREAD))
+
+    def _check_queue(
+        self,
+        item: Item,
+        charge: int,
+        queue: FairQueue,
+        upstreams: Collection[Upstream],
+        now: float,
+    ) -> Refusal | None:
         slots = sum(u.slots for u in upstreams)
         wait = self._duration(queue.desk_tokens, slots)
         if queue.desk_waiting >= self.document.limits.queue:
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/attempt_tracker.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/attempt_tracker.py
@@ -3,6 +3,7 @@
 from fulmarpulley_schema.generated.http import Ran
 
 from ..ids import Version
+from .admission import longest_send_wait_s
 from .components import PoolComponents
 from .load import record_tokens
 from .messages import AttemptFailed, AttemptFinished, AttemptProgress, Failure
@@ -124,9 +125,30 @@
     def _defer(self, attempt: Attempt, retry_after: float | None, now: float) -> None:
         """Queue an item again that was held back by the rate limit of an upstream."""
         components, item = self._components, attempt.item
-        components.health.record_refusal(attempt.upstream, retry_after, now)
-        if not item.attempts:
+        self._hold_back(attempt, retry_after or 0.0, now)
+        if item.attempts:
+            return
+        refusal = components.admission.check_limits(
+            item, components.ledger.upstreams.values(), now
+        )
+        if refusal is None:
             components.enqueue(item)
+        else:
+            components.refuse(item, refusal.code, refusal.retry_after)
+
+    def _hold_back(self, attempt: Attempt, wait_s: float, now: float) -> None:
+        """Record when the upstream of an attempt has its next turn."""
+        components, upstream = self._components, attempt.upstream
+        upstream.record_limit(True, now)
+        deadline = attempt.item.deadline
+        if deadline is not None and wait_s > longest_send_wait_s(deadline - now):
+            # Items with more time left may still wait for a turn there.
+            upstream.next_turn_at = now + wait_s
+            components.timers.at(
+                upstream.next_turn_at, lambda _: components.request_dispatch()
+            )
+        else:
+            components.health.record_refusal(upstream, wait_s, now)
 
     def _schedule_stall_check(self, attempt: Attempt) -> None:
         # A token resets the stalls and so shortens the timeout, hence the early check.
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
@@ -6,6 +6,7 @@
 from fulmarpulley_schema.generated.document import ServiceDocument
 from fulmarpulley_schema.generated.http import Ran
 
+from .admission import longest_send_wait_s
 from .attempt_tracker import AttemptTracker
 from .components import PoolComponents
 from .messages import (
@@ -16,6 +17,7 @@
     CacheReport,
     DocumentChanged,
     Event,
+    LimitReport,
     LoadReport,
     OrderFinished,
     PoolSettings,
@@ -62,6 +64,7 @@
             AttemptProgress: self.attempt_tracker.on_progress,
             UpstreamState: reports.on_upstream_state,
             LoadReport: reports.on_load_report,
+            LimitReport: reports.on_limit_report,
             CacheReport: reports.on_cache_report,
             OrderFinished: reports.on_order_finished,
             VersionReport: reports.on_version_report,
@@ -228,9 +231,22 @@
                 fitting = [
                     u for u in fitting if u.health.state is not HealthState.PROBING
                 ]
+        if self.settings.avoid_limited:
+            fitting = self._prefer_unlimited(item, fitting)
         fitting = [u for u in fitting if u.keeps_pace(components.now)] or fitting
         return (
             components.routing.choose(item, fitting, self, components.now)
             if fitting
             else None
         )
+
+    def _prefer_unlimited(
+        self, item: Item, upstreams: list[Upstream]
+    ) -> list[Upstream]:
+        """Return the upstreams without a limit, else those with a turn in time."""
+        now = self.components.now
+        unlimited = [u for u in upstreams if not u.is_limited(now)]
+        if unlimited or item.deadline is None:
+            return unlimited or upstreams
+        longest_s = longest_send_wait_s(item.deadline - now)
+        return [u for u in upstreams if u.turn_wait_s(now) <= longest_s]
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
@@ -144,6 +144,13 @@
     version: Version
 
 
+class LimitReport(msgspec.Struct, frozen=True):
+    """Report whether a response of an upstream stated a rate limit."""
+
+    upstream: UpstreamId
+    limited: bool
+
+
 class UpstreamState(msgspec.Struct, frozen=True):
     """Report an upstream's availability from the instance list or its own signal."""
 
@@ -188,6 +195,7 @@
     | LoadReport
     | CacheReport
     | VersionReport
+    | LimitReport
     | UpstreamState
     | VersionAnnounced
     | OrderFinished
@@ -250,12 +258,14 @@
     `id_prefix` must differ between homes of the same upstreams and between restarts of
     a home, so that none cancels an attempt of another. With `refuse_while_loading`,
     engines refuse work of a model while they load it. With `split_models`, each engine
-    serves few of the models.
+    serves few of the models. With `avoid_limited`, upstreams that limit their rate get
+    only the work that others have no room for.
     """
 
     routing: str = "least_tokens"
     refuse_while_loading: bool = False
     split_models: bool = False
+    avoid_limited: bool = False
     store_region: Region = Region("")
     id_prefix: str = ""
 
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/reports.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/reports.py
@@ -6,6 +6,7 @@
     Availability,
     CacheReport,
     DocumentChanged,
+    LimitReport,
     LoadReport,
     OrderFinished,
     UpstreamState,
@@ -44,6 +45,12 @@
         """Pass a hint on cached prefixes to the routing policy."""
         self._components.routing.record_cache_report(event)
 
+    def on_limit_report(self, event: LimitReport, now: float) -> None:
+        """Record whether an upstream states a rate limit."""
+        upstream = self._components.ledger.upstreams.get(event.upstream)
+        if upstream is not None:
+            upstream.record_limit(event.limited, now)
+
     def on_version_report(self, event: VersionReport, now: float) -> None:
         """Record the version that an upstream serves."""
         upstream = self._components.ledger.upstreams.get(event.upstream)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
@@ -28,6 +28,9 @@
 RESERVED_HINT_SHARE = 0.7
 # The recent pace covers one to two of these windows, or some ten stream events.
 PACE_WINDOW_S = 0.5
+# An upstream that limits its rate gets another request after this time, which shows
+# whether the limit still holds.
+LIMIT_RECHECK_S = 2.0
 
 
 class Item(msgspec.Struct, eq=False, kw_only=True):
@@ -161,7 +164,9 @@
     yet to process, `external_attempts` the number of other attempts at time
     `external_measured_at`, and `attempt_counts` the number of own attempts from a time
     on. A weight swap may pause the upstream until `swap_until`. It is marked as slow
-    until `slow_until`, and accepts no new work since `unavailable_since`.
+    until `slow_until`, and as limiting its rate until `limited_until`; then it has no
+    turn for a further request before `next_turn_at`. It accepts no new work since
+    `unavailable_since`.
     """
 
     entry: UpstreamEntry
@@ -177,6 +182,8 @@
     started_attempts: int = 0
     swap_until: float = -math.inf
     slow_until: float = -math.inf
+    limited_until: float = -math.inf
+    next_turn_at: float = -math.inf
     unavailable_since: float | None = None
     loading: set[ModelName] = set()
     attempt_counts: deque[tuple[float, int]] = msgspec.field(default_factory=deque)
@@ -203,6 +210,23 @@
         """Tell whether the upstream is not marked as slow."""
         return self.slow_until <= now
 
+    def record_limit(self, limited: bool, now: float) -> None:
+        """Record whether the upstream limits its rate."""
+        self.limited_until = now + LIMIT_RECHECK_S if limited else -math.inf
+        if not limited:
+            self.next_turn_at = -math.inf
+
+    def is_limited(self, now: float) -> bool:
+        """Tell whether the upstream has lately limited its rate."""
+        return now < self.limited_until
+
+    def turn_wait_s(self, now: float) -> float:
+        """Return how long its rate limit delays the next request at least."""
+        if not self.is_limited(now):
+            return 0.0
+        paused_until = self.health.paused_until if self.health.paused else now
+        return max(0.0, self.next_turn_at - now, paused_until - now)
+
     def is_loading(self, model: ModelName) -> bool:
         """Tell whether an order to load a version of the model is in progress."""
         return model in self.loading
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/send_schedule.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/send_schedule.py
@@ -31,13 +31,14 @@
 class SendSchedule:
     """Hold when the sent and reserved requests of each upstream are used up."""
 
-    def __init__(self) -> None:
+    def __init__(self, burst_requests: int = BURST_REQUESTS) -> None:
+        self.burst_requests = burst_requests
         self.used_until_us: dict[Incarnation, int] = {}
 
     def wait_us(self, upstream: Incarnation, interval_us: int, now_us: int) -> int:
         """Return how long the next request has to wait."""
         used_until_us = self.used_until_us.get(upstream, now_us)
-        burst_us = (BURST_REQUESTS - 1) * interval_us
+        burst_us = (self.burst_requests - 1) * interval_us
         return max(0, used_until_us - burst_us - now_us)
 
     def reserve(
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
@@ -16,6 +16,7 @@
 from ..rollout.partitions import Partitions
 from ..rollout.rate_limits import RateLimits
 from ..rollout.rewards import RewardScorer
+from ..rollout.shared_limits import SharedLimits
 from ..rollout.step_frontend import StepFrontend
 from ..rollout.step_homes import StepHomes
 from .ingress import Ingress
@@ -37,14 +38,15 @@
         self.settings = settings
         self.metrics = RolloutMetrics()
         self.store = StoreClient(settings, self.metrics)
-        self.limits = RateLimits(self.metrics)
+        self.shared_limits = SharedLimits(settings, self.store)
+        self.limits = RateLimits(self.shared_limits, self.metrics)
         self.workers = WorkerClient(settings, self.limits)
         self.directory = Directory()
         self.topic_watcher = TopicWatcher(self.store, self.directory)
         self.partitions = Partitions(settings, self.store)
         self.ownership = Ownership(settings, self.store, self.partitions)
         self.rewards = RewardScorer(
-            settings, self.directory, self.workers, self.metrics
+            settings, self.directory, self.workers, self.limits, self.metrics
         )
         self.homes = StepHomes(
             settings,
@@ -57,7 +59,9 @@
             self.metrics,
         )
         self.steps = StepFrontend(self.directory, self.partitions, self.metrics)
-        self.forwarder = Forwarder(settings, self.directory, self.workers, self.metrics)
+        self.forwarder = Forwarder(
+            settings, self.directory, self.workers, self.limits, self.metrics
+        )
         self.ingress = Ingress(
             settings, self.directory, self.steps, self.forwarder, self.metrics
         )
@@ -68,6 +72,7 @@
             self.directory,
             self.topic_watcher,
             self.partitions,
+            self.shared_limits,
             self.ingress,
             self.ownership,
         )
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/clock.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/clock.py
@@ -13,4 +13,9 @@
 
 def unix_ms() -> int:
     """Return Unix milliseconds that never jump backward or forward."""
-    return int((_UNIX_AT_START + elapsed_s()) * 1000)
+    return unix_us() // 1000
+
+
+def unix_us() -> int:
+    """Return Unix microseconds that never jump backward or forward."""
+    return int((_UNIX_AT_START + elapsed_s()) * 1_000_000)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
@@ -16,12 +16,14 @@
     WorkId,
 )
 from fulmarpulley_core.placement import text_hash
+from fulmarpulley_core.pool.admission import longest_send_wait_s
 from fulmarpulley_core.pool.messages import (
     AttemptFailed,
     AttemptFinished,
     CancelAttempt,
     Failure,
     Finish,
+    LimitReport,
     PoolSettings,
     Refuse,
     StartAttempt,
@@ -31,6 +33,7 @@
     WorkKind,
 )
 from fulmarpulley_core.rollout.topology import Route, RouteKind, choose_service
+from fulmarpulley_core.rollout.upstreams import ListedUpstream
 from fulmarpulley_schema.generated.http import Ran
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 
@@ -44,6 +47,7 @@
     UpstreamResponse,
 )
 from .metrics import RolloutMetrics, labels
+from .rate_limits import RateLimits
 from .service_pools import DocumentTransform, ServicePools, identity
 
 # Share of the remaining time after which an attempt that may be repeated is abandoned,
@@ -78,7 +82,8 @@
 class Forwarder:
     """Own one pool for each plain service on this node.
 
-    `transform_document` adapts the service document that a pool is given.
+    `transform_document` adapts the service document that a pool is given. With
+    `may_wait`, requests may wait for their turn at an upstream that limits its rate.
     """
 
     def __init__(
@@ -86,16 +91,22 @@
         settings: RolloutSettings,
         directory: Directory,
         calls: UpstreamCalls,
+        limits: RateLimits,
         metrics: RolloutMetrics,
         routing: str = "open_connection",
+        may_wait: bool = True,
         transform_document: DocumentTransform = identity,
     ) -> None:
         self.settings = settings
         self.directory = directory
         self.calls = calls
+        self.limits = limits
         self.metrics = metrics
+        self.may_wait = may_wait
         self.tasks = BackgroundTasks()
-        pool_settings = PoolSettings(id_prefix=f"{settings.node_id}.", routing=routing)
+        pool_settings = PoolSettings(
+            id_prefix=f"{settings.node_id}.", routing=routing, avoid_limited=True
+        )
         self.pools = ServicePools(
             settings, directory, pool_settings, self._handlers, transform_document
         )
@@ -103,6 +114,7 @@
         self.attempt_tasks: dict[AttemptId, asyncio.Task[None]] = {}
         self.sequence = 0
         directory.listeners.append(self.pools.directory_changed)
+        limits.listeners.append(self._limit_reported)
 
     async def forward(
         self, route: Route, request: CallerRequest, rank: int = 0
@@ -185,24 +197,13 @@
 
     def _start_attempt(self, action: StartAttempt) -> None:
         pending = self.pending[action.work_id]
-        pending.attempts += 1
         pending.upstream = action.upstream
         task = self.tasks.spawn(self._attempt(action, pending))
         self.attempt_tasks[action.attempt_id] = task
 
     async def _attempt(self, action: StartAttempt, pending: PendingRequest) -> None:
         pool = self.pools[pending.service]
-        entry = self.directory.upstream(action.upstream)
-        if entry is None:
-            result: Result[UpstreamResponse, UpstreamCallFailure] = Err(
-                UpstreamCallFailure(
-                    Failure.NOT_SENT, "the upstream is no longer listed"
-                )
-            )
-        else:
-            result = await self.calls.forward(
-                entry, pending.request, self._attempt_timeout_s(pending)
-            )
+        result = await self._call(action, pending)
         self.attempt_tasks.pop(action.attempt_id, None)
         if isinstance(result, Ok):
             response = result.ok_value
@@ -223,7 +224,37 @@
             outcome=failure.failure.value,
             reason=failure.reason,
         )
-        pool.post(AttemptFailed(action.attempt_id, failure.failure, 0))
+        retry_after_s = failure.retry_after_s
+        pool.post(AttemptFailed(action.attempt_id, failure.failure, 0, retry_after_s))
+
+    async def _call(
+        self, action: StartAttempt, pending: PendingRequest
+    ) -> Result[UpstreamResponse, UpstreamCallFailure]:
+        entry = self.directory.upstream(action.upstream)
+        if entry is None:
+            reason = "the upstream is no longer listed"
+            return Err(UpstreamCallFailure(Failure.NOT_SENT, reason))
+        held_back = await self.limits.take_shared(entry, self._send_wait_s(pending))
+        if held_back is not None:
+            return Err(held_back)
+        pending.attempts += 1
+        return await self.calls.forward(
+            entry, pending.request, self._attempt_timeout_s(pending)
+        )
+
+    def _send_wait_s(self, pending: PendingRequest) -> float:
+        pool = self.pools[pending.service]
+        usable = [self.directory.upstream(name) for name in pool.usable()]
+        all_limited = all(u is None or self.limits.is_limited(u) for u in usable)
+        if not (self.may_wait and all_limited):
+            return 0.0
+        now = asyncio.get_running_loop().time()
+        return longest_send_wait_s(pending.deadline - now)
+
+    def _limit_reported(self, upstream: ListedUpstream, limited: bool) -> None:
+        pool = self.pools.pools.get(upstream.service)
+        if pool is not None:
+            pool.post(LimitReport(upstream.upstream_id, limited))
 
     def _attempt_timeout_s(self, pending: PendingRequest) -> float:
         remaining_s = pending.deadline - asyncio.get_running_loop().time()
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/pool_driver.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/pool_driver.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
+from fulmarpulley_core.ids import UpstreamId
 from fulmarpulley_core.pool.dispatcher import Pool
 from fulmarpulley_core.pool.messages import (
     Action,
@@ -48,6 +49,10 @@
             self._busy = False
         self._set_timer()
 
+    def usable(self) -> list[UpstreamId]:
+        """Return the upstreams that accept new attempts."""
+        return [upstream.upstream_id for upstream in self.pool.usable()]
+
     def close(self) -> None:
         """Stop the timer and ignore further events."""
         self.closed = True
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/rewards.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/rewards.py
@@ -25,6 +25,7 @@
 )
 from .item_runs import ItemRun
 from .metrics import RolloutMetrics
+from .rate_limits import RateLimits
 
 SUCCESS_STATUSES = range(200, 300)
 
@@ -37,11 +38,20 @@
         settings: RolloutSettings,
         directory: Directory,
         calls: UpstreamCalls,
+        limits: RateLimits,
         metrics: RolloutMetrics,
     ) -> None:
         self.directory = directory
+        # Reward calls do not reserve turns ahead of callers, who wait for an answer.
         self.forwarder = Forwarder(
-            settings, directory, calls, metrics, "least_tokens", reward_document
+            settings,
+            directory,
+            calls,
+            limits,
+            metrics,
+            routing="least_tokens",
+            may_wait=False,
+            transform_document=reward_document,
         )
 
     async def score(self, run: ItemRun, rank: int, attempts: int) -> str | None:
--- a/packages/fulmarpulley-node/tests/rollout_settings.py
+++ b/packages/fulmarpulley-node/tests/rollout_settings.py
@@ -1,5 +1,13 @@
 """Provide settings for the tests of a platform node."""
 
+from typing import Any
+
+from result import Err, Result
+
+from fulmarpulley_node.rollout.interfaces import LogPage, StoreFailure
+from fulmarpulley_node.rollout.metrics import RolloutMetrics
+from fulmarpulley_node.rollout.rate_limits import RateLimits
+from fulmarpulley_node.rollout.shared_limits import SharedLimits
 from fulmarpulley_schema.generated.rollout_settings import (
     LogStoreSettings,
     RolloutSettings,
@@ -17,3 +25,19 @@
         metrics="h:3",
         log=LogStoreSettings(address="h:4", partitions=1, **log),
     )
+
+
+class UnreachableLog:
+    """Refuses all calls."""
+
+    async def append(self, *_call: object) -> Result[int, StoreFailure]:
+        return Err(StoreFailure.UNREACHABLE)
+
+    async def read(self, *_call: object) -> Result[LogPage, StoreFailure]:
+        return Err(StoreFailure.UNREACHABLE)
+
+
+def unlimited() -> RateLimits:
+    """Return the limits of upstreams that state none."""
+    log: Any = UnreachableLog()
+    return RateLimits(SharedLimits(settings(), log), RolloutMetrics())
--- a/packages/fulmarpulley-node/tests/test_endless_answers.py
+++ b/packages/fulmarpulley-node/tests/test_endless_answers.py
@@ -10,6 +10,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from result import Err, Ok, Result
 from rollout_settings import settings as rollout_settings
+from rollout_settings import unlimited
 
 from fulmarpulley_core.ids import DataCentre, ServiceName, UpstreamId
 from fulmarpulley_core.pool.messages import Failure
@@ -27,7 +28,6 @@
     UpstreamResponse,
 )
 from fulmarpulley_node.rollout.metrics import RolloutMetrics
-from fulmarpulley_node.rollout.rate_limits import RateLimits
 from fulmarpulley_schema.generated.steps import ItemSpec
 
 # Long enough that the caller's deadline is not what ends a response.
@@ -144,7 +144,7 @@
     async def forward(
         self, address: str
     ) -> Result[UpstreamResponse, UpstreamCallFailure]:
-        client = WorkerClient(rollout_settings(), RateLimits(RolloutMetrics()))
+        client = WorkerClient(rollout_settings(), unlimited())
         request = CallerRequest(
             request_id="r1",
             method="POST",
@@ -160,7 +160,7 @@
             await client.close()
 
     async def generate(self, address: str) -> Result[None, UpstreamCallFailure]:
-        client = WorkerClient(rollout_settings(), RateLimits(RolloutMetrics()))
+        client = WorkerClient(rollout_settings(), unlimited())
         item = ItemSpec(
             item_id="r1", path="/p", headers={}, body=b"", prompt_tokens=1, max_tokens=9
         )
--- a/testing/tests/test_platform_limits.py
+++ b/testing/tests/test_platform_limits.py
@@ -8,6 +8,7 @@
 from platform_case import PlatformCase
 
 from fulmarpulley_testing.platform_limits import busiest_window, most_allowed
+from fulmarpulley_testing.platform_store import StoreMode
 from fulmarpulley_testing.platform_system import (
     Answer,
     NodeProcess,
@@ -87,6 +88,36 @@
             settle(STABILITY_S + 5.0)
         self.assert_limits_kept(self.desks)
 
+    def test_nodes_keep_to_the_limits_while_the_store_is_down(self) -> None:
+        for desk in self.desks:
+            desk.rate_limit = 1.5
+        with self.callers():
+            self.wait_for_limits(self.desks)
+            self.system.store.mode = StoreMode.BUSY
+            settle(STABILITY_S + 5.0)
+        self.assert_limits_kept(self.desks)
+
+    def test_upstream_without_a_limit_answers_all_requests(self) -> None:
+        self.desks[0].rate_limit = 0.5
+        with self.callers():
+            settle(2.0)
+            self.desks[0].rate_limit = None
+            settle(5.0)
+        self.assertEqual({answer.status for answer in self.answers}, {200})
+        # The end of the limit shows in responses to the few requests that it allows.
+        self.assertGreater(len(self.desks[0].arrivals), 20)
+
+    def test_refused_request_is_told_when_to_return(self) -> None:
+        for desk in self.desks:
+            desk.rate_limit = 0.5
+        with self.callers():
+            settle(3.0)
+        refused = [answer for answer in self.answers if answer.status != 200]
+        self.assertGreater(len(refused), 10)
+        self.assertEqual({answer.status for answer in refused}, {503})
+        for answer in refused:
+            self.assertGreater(float(answer.headers["retry-after"]), 0.0)
+
 
 class EngineLimitTest(LimitCase):
     """Guards against items that exceed the limit of an engine."""
