Reject streams that end within an event

What a trainer would see: an item listed as completed with a part of its text, if the next engine answers a resumed item with status 200 and a text that is no event, and ends the body properly.

Cause: the parser keeps what follows the last complete event, and nobody looked at it when the stream ended.

Evidence: test_text_that_is_no_event_does_not_complete_a_stream failed before (Ok for a body of plain text). Errors with their own status were never taken for events, and an answer that is cut at any byte of its head or body, by a close or a reset, was never a success: the other tests of test_truncated_answers passed on the code before.

Change: a stream with a rest other than comments is broken, so the item resumes after the last whole event.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/generation_stream.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/generation_stream.py
@@ -22,6 +22,12 @@
         *blocks, self._rest = (self._rest + data).split(b"\n\n")
         return [_event(block) for block in blocks if block]
 
+    @property
+    def inside_event(self) -> bool:
+        """Tell whether the data so far ends within an event; comments are none."""
+        lines = self._rest.split(b"\n")
+        return any(line and not line.startswith(b":") for line in lines)
+
 
 def _event(block: bytes) -> StreamEvent:
     number: int | None = None
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
@@ -244,6 +244,10 @@
                 return Err(UpstreamCallFailure(Failure.BROKEN, reason, version=version))
             sink(event.data, version)
             expected += 1
+    if parser.inside_event:
+        response.close()
+        reason = f"the stream ends within event {expected}"
+        return Err(UpstreamCallFailure(Failure.BROKEN, reason))
     return Ok(None)
 
 
