Refuse requests that cannot be answered before a node stops

What callers would see: a request on a kept connection, sent late in the grace period of a planned stop, was passed on to an upstream and cut off without an answer at the end of the grace period, also where it must not be repeated.

Cause: while it drains, a node takes every request that still arrives, whatever time it may take; open requests are closed after nine tenths of the grace period.

Evidence: test_late_request_is_answered_or_refused_but_not_cut_off failed before: the request of 6.9 s after SIGTERM ran once and its connection closed without an answer; those of 1.0 to 5.5 s were answered.

Change: once the node refuses new connections, a request whose own time limit (deadline or time-out of its route) reaches past the end of the drain is answered 503 at once, has not run, and its connection is closed, so that it is sent to another node.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
@@ -46,6 +46,8 @@
 # Requests that clients send while the last responses go out arrive within this time.
 QUIET_PERIOD_S = 0.25
 DRAIN_POLL_INTERVAL_S = 0.05
+# Longest time of a trainer's call, including the wait for a result.
+STEP_CALL_S = 2.0
 
 STEPS_PATH = "/-/lots/"
 ITEMS_PATH = "/-/items/"
@@ -74,7 +76,8 @@
         self.forwarder = forwarder
         self.metrics = metrics
         self.shutting_down = False
-        self.draining = False
+        # Event loop time at which the node stops to wait for answers.
+        self.drain_deadline: float | None = None
         self.open_requests = 0
         self.last_request_at = float("-inf")
         self.runners: list[web.ServerRunner] = []
@@ -96,7 +99,7 @@
         :param deadline: event loop time at which to stop waiting
         """
         loop = asyncio.get_running_loop()
-        self.draining = True
+        self.drain_deadline = deadline
         if self.callers_socket is not None and self.callers_site is not None:
             try:
                 refuse_new_connections(self.callers_socket)
@@ -150,7 +153,7 @@
             response = _error_response(502, "the node failed to handle the request")
         finally:
             self.open_requests -= 1
-        if self.draining:
+        if self.drain_deadline is not None:
             response.force_close()
         return response
 
@@ -183,6 +186,8 @@
         name = f"{request.method} {prefix}"
         if name not in step_handlers:
             return _error_response(404, "no such call")
+        if not self._can_answer_within(STEP_CALL_S):
+            return _stopping_response()
         return await step_handlers.get(name)(self, request, StepId(path[len(prefix) :]))
 
     async def _forward(
@@ -190,6 +195,11 @@
     ) -> web.Response:
         loop = asyncio.get_running_loop()
         deadline_ms = _parse_int(request.headers.get("Deadline-Ms"))
+        longest_s = route.timeout_s
+        if deadline_ms is not None:
+            longest_s = min(longest_s, deadline_ms / 1000)
+        if not self._can_answer_within(longest_s):
+            return _stopping_response()
         caller_request = CallerRequest(
             request_id=request.headers.get("Request-Id", ""),
             method=request.method,
@@ -205,9 +215,16 @@
         headers = end_to_end_headers(response.headers)
         return web.Response(status=response.status, headers=headers, body=response.body)
 
+    def _can_answer_within(self, longest_s: float) -> bool:
+        """Tell whether a request that takes this long ends before the node does."""
+        now = asyncio.get_running_loop().time()
+        return self.drain_deadline is None or now + longest_s <= self.drain_deadline
+
     async def _submit(
         self, request: web.BaseRequest, route: Route, path: str, body: bytes
     ) -> web.Response:
+        if not self._can_answer_within(STEP_CALL_S):
+            return _stopping_response()
         step_id = request.headers.get("Request-Id", "")
         try:
             submission = msgspec.json.decode(body, type=wire.Submission)
@@ -380,6 +397,10 @@
     return response
 
 
+def _stopping_response() -> web.Response:
+    return _unavailable_response("the node is about to stop")
+
+
 def _refusal_response(refusal: Refusal) -> web.Response:
     reason = f"the request was refused: {refusal.code}"
     if refusal.ran is Ran.NOT_RUN:
--- a/testing/tests/test_platform_stops.py
+++ b/testing/tests/test_platform_stops.py
@@ -14,6 +14,9 @@
 # Time between the requests of a client; every other client reconnects for each.
 PAUSE_S = 0.03
 BODY = b"text"
+# Seconds after the stop signal at which late requests are sent, and how long they run.
+SENT_AT_S = (1.0, 2.9, 4.0, 5.5, 6.9)
+WORK_S = 1.5
 
 
 class Client:
@@ -68,6 +71,45 @@
         return "connection: close" not in fields
 
 
+class LateRequestTest(PlatformCase):
+    """Guards against requests that the end of the grace period cuts off."""
+
+    def test_late_request_is_answered_or_refused_but_not_cut_off(self) -> None:
+        for desk in self.desks:
+            desk.event_s = WORK_S
+        node = self.non_owner()
+        lengths = "Content-Length: 0\r\n\r\n"
+        head = f"POST /once/a HTTP/1.1\r\nHost: {HOST}\r\n{lengths}".partition(lengths)
+
+        async def ask(sent_at_s: float) -> bytes:
+            """Send a request on a connection that is open since before the stop."""
+            streams = await asyncio.open_connection(LOOPBACK, node.caller_port)
+            await asyncio.sleep(sent_at_s)
+            fields = f"Request-Id: late-{sent_at_s}\r\nDeadline-Ms: 5000\r\n"
+            streams[1].write(f"{head[0]}{fields}{lengths}".encode())
+            answer = await streams[0].read()
+            streams[1].close()
+            return answer.partition(b"\r\n")[0]
+
+        async def stop() -> list[bytes]:
+            asks = [asyncio.create_task(ask(at_s)) for at_s in SENT_AT_S]
+            await asyncio.sleep(0.1)
+            node.signal(signal.SIGTERM)
+            return await asyncio.gather(*asks)
+
+        answers = asyncio.run(stop())
+        for sent_at_s, answer in zip(SENT_AT_S, answers, strict=True):
+            runs = self.system.all_runs(f"late-{sent_at_s}")
+            with self.subTest(sent_at_s=sent_at_s, answer=answer):
+                # The node may have closed an idle connection, but it has not read
+                # the request then.
+                if answer.startswith(b"HTTP/1.1 200"):
+                    self.assertEqual(len(runs), 1)
+                else:
+                    self.assertEqual(len(runs), 0)
+        self.assertTrue(answers[0].startswith(b"HTTP/1.1 200"))
+
+
 class StopTest(PlatformCase):
     """Guards against requests that get no answer because their node stops."""
 
