Let workers of the soak state rate limits

A worker cannot tell nodes apart, so one request for each node that was not told yet is allowed in addition.

--- a/testing/src/fulmarpulley_testing/findings.py
+++ b/testing/src/fulmarpulley_testing/findings.py
@@ -23,6 +23,7 @@
     FALSE_NOT_RUN = "false_not_run"
     LATE_RUN = "late_run"
     ORDER_CONFLICT = "order_conflict"
+    LIMIT_EXCEEDED = "limit_exceeded"
 
 
 # Column of the summary line in which a fault is counted.
@@ -40,6 +41,7 @@
     Fault.FOREIGN_SAMPLE: "mislabelled",
     Fault.LATE_RUN: "mislabelled",
     Fault.ORDER_CONFLICT: "mislabelled",
+    Fault.LIMIT_EXCEEDED: "mislabelled",
     Fault.MISLABELLED: "mislabelled",
     Fault.STALE: "stale",
 }
--- a/testing/src/fulmarpulley_testing/platform_checks.py
+++ b/testing/src/fulmarpulley_testing/platform_checks.py
@@ -36,10 +36,12 @@
         history: PlatformHistory,
         workers: Mapping[str, PlatformWorker],
         lease_s: float,
+        nodes: int = 0,
     ) -> None:
         self.history = history
         self.workers = workers
         self.lease_s = lease_s
+        self.nodes = nodes
         self.runs: dict[str, list[Run]] = defaultdict(list)
         for worker in list(workers.values()):
             for run in list(worker.runs):
--- a/testing/src/fulmarpulley_testing/platform_soak.py
+++ b/testing/src/fulmarpulley_testing/platform_soak.py
@@ -18,6 +18,8 @@
 import defopt
 import msgspec
 
+# Registers a fault and a check.
+from . import platform_limits  # noqa: F401
 from .fault_proxy import FaultProxy
 from .findings import Finding
 from .output import print_flushed
@@ -217,7 +219,10 @@
     def _check(self, final: bool) -> list[Finding]:
         system = self.system
         lease_s = self.settings.lease_ms / 1000
-        return check_all(CheckContext(system.history, system.workers, lease_s), final)
+        context = CheckContext(
+            system.history, system.workers, lease_s, self.settings.nodes
+        )
+        return check_all(context, final)
 
     def _report(self, rounds: int) -> list[str]:
         found = [
--- a/testing/src/fulmarpulley_testing/platform_worker.py
+++ b/testing/src/fulmarpulley_testing/platform_worker.py
@@ -52,6 +52,14 @@
     at: float = 0.0
 
 
+class LimitPeriod(msgspec.Struct):
+    """Record how long responses stated a rate limit."""
+
+    requests_per_s: float
+    stated_at: float
+    ended_at: float = float("inf")
+
+
 class PlatformWorker:
     """Run requests, stream events and load versions, with faults set by attributes."""
 
@@ -76,8 +84,7 @@
         self.first_event_delay_s = 0.0
         # Requests per second that responses state as the limit of the worker.
         self.rate_limit: float | None = None
-        # When a response first stated the current limit.
-        self.limit_stated_at: float | None = None
+        self.limit_periods: list[LimitPeriod] = []
         # Times of all requests, including refused ones.
         self.arrivals: list[float] = []
         self.runs: list[Run] = []
@@ -268,8 +275,12 @@
         }
 
     def _limit_headers(self) -> dict[str, str]:
+        now, periods = time.monotonic(), self.limit_periods
+        stated = periods[-1].requests_per_s if periods else None
+        if periods and stated != self.rate_limit:
+            periods[-1].ended_at = min(periods[-1].ended_at, now)
         if self.rate_limit is None:
-            self.limit_stated_at = None
             return {}
-        self.limit_stated_at = self.limit_stated_at or time.monotonic()
+        if not periods or periods[-1].ended_at <= now:
+            periods.append(LimitPeriod(self.rate_limit, now))
         return {"Server-Limit": f"{self.rate_limit:.1f}"}
--- a/testing/tests/test_platform_checks.py
+++ b/testing/tests/test_platform_checks.py
@@ -3,6 +3,7 @@
 import time
 import unittest
 
+from fulmarpulley_testing import platform_limits  # noqa: F401
 from fulmarpulley_testing.findings import Fault
 from fulmarpulley_testing.platform_checks import CheckContext, check_all
 from fulmarpulley_testing.platform_history import (
@@ -12,7 +13,7 @@
     StepSeen,
     WindowKind,
 )
-from fulmarpulley_testing.platform_worker import Order, PlatformWorker, Run
+from fulmarpulley_testing.platform_worker import LimitPeriod, Order, PlatformWorker, Run
 
 LEASE_S = 1.0
 
@@ -234,3 +235,31 @@
         self.order("n0", 1, 10.0)
         self.order("n1", 1, 20.0)
         self.assertEqual(self.faults(), {Fault.ORDER_CONFLICT})
+
+
+class LimitCheckTest(CheckCase):
+    def add_limit(self, requests_per_s: float) -> None:
+        self.worker.limit_periods.append(LimitPeriod(requests_per_s, self.now))
+
+    def add_arrivals(self, count: int, first_after_s: float) -> None:
+        start = self.now + first_after_s
+        self.worker.arrivals += [start + number * 0.1 for number in range(count)]
+
+    def test_more_requests_than_a_stated_limit_allows_are_found(self) -> None:
+        self.add_limit(1.0)
+        self.add_arrivals(11, first_after_s=3.1)
+        self.assertEqual(self.faults(), set())
+        self.add_arrivals(1, first_after_s=3.15)
+        self.assertEqual(self.faults(), {Fault.LIMIT_EXCEEDED})
+
+    def test_requests_soon_after_the_first_statement_do_not_count(self) -> None:
+        self.add_limit(1.0)
+        self.add_arrivals(29, first_after_s=0.0)
+        self.assertEqual(self.faults(), set())
+
+    def test_stopped_node_excuses_its_requests(self) -> None:
+        self.add_limit(1.0)
+        self.add_arrivals(20, first_after_s=3.1)
+        stop = FaultWindow(kind=WindowKind.STOP, subject="n0", begin=self.now + 1)
+        self.history.windows.append(stop)
+        self.assertEqual(self.faults(), set())
--- a/testing/tests/test_platform_limits.py
+++ b/testing/tests/test_platform_limits.py
@@ -7,7 +7,11 @@
 
 from platform_case import PlatformCase
 
-from fulmarpulley_testing.platform_limits import busiest_window, most_allowed
+from fulmarpulley_testing.platform_limits import (
+    STABILITY_S,
+    busiest_window,
+    most_allowed,
+)
 from fulmarpulley_testing.platform_store import StoreMode
 from fulmarpulley_testing.platform_system import (
     Answer,
@@ -18,8 +22,6 @@
 from fulmarpulley_testing.platform_worker import PlatformWorker
 from fulmarpulley_testing.processes import wait_for
 
-# The bound holds from this time after a limit is first stated.
-STABILITY_S = 3.0
 CALLERS_PER_NODE = 6
 # Callers in a closed loop send at most this often each.
 CALLER_PAUSE_S = 0.2
@@ -64,16 +66,14 @@
             self.answers.append(answer)
 
     def wait_for_limits(self, workers: list[PlatformWorker]) -> None:
-        wait_for(lambda: all(w.limit_stated_at for w in workers), "stated limits")
+        wait_for(lambda: all(w.limit_periods for w in workers), "stated limits")
 
     def assert_limits_kept(self, workers: list[PlatformWorker]) -> None:
         for worker in workers:
-            assert worker.rate_limit is not None
-            assert worker.limit_stated_at is not None
-            since = worker.limit_stated_at + STABILITY_S
+            period = worker.limit_periods[0]
             self.assertLessEqual(
-                busiest_window(worker.arrivals, since),
-                most_allowed(worker.rate_limit),
+                busiest_window(worker.arrivals, period.stated_at + STABILITY_S),
+                most_allowed(period.requests_per_s),
             )
 
 
