Bound the fallback schedule and skip empty batches of send requests

Cause, found on reading: a request that is sent by a turn from the log was counted against the node's share without the bound on upstreams that a reservation applies; and a batch whose callers all left was appended without records.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/send_schedule.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/send_schedule.py
@@ -48,8 +48,16 @@
         wait_us = self.wait_us(upstream, interval_us, now_us)
         if wait_us > max_wait_us:
             return Reservation(False, wait_us)
-        used_until_us = self.used_until_us.pop(upstream, now_us)
-        self.used_until_us[upstream] = max(used_until_us, now_us) + interval_us
+        used_until_us = max(self.used_until_us.get(upstream, now_us), now_us)
+        self._set_used_until(upstream, used_until_us + interval_us)
+        return Reservation(True, wait_us)
+
+    def record_sent(self, upstream: Incarnation, interval_us: int, now_us: int) -> None:
+        """Let the next request wait for an interval after one that was sent anyway."""
+        self._set_used_until(upstream, now_us + interval_us)
+
+    def _set_used_until(self, upstream: Incarnation, used_until_us: int) -> None:
+        self.used_until_us.pop(upstream, None)
+        self.used_until_us[upstream] = used_until_us
         if len(self.used_until_us) > MAX_UPSTREAMS:
             del self.used_until_us[next(iter(self.used_until_us))]
-        return Reservation(True, wait_us)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/rate_limits.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/rate_limits.py
@@ -24,7 +24,7 @@
 
 LimitListener = Callable[[ListedUpstream, bool], None]
 
-# A request that its turn reaches later, after a pause of the process, takes a new one.
+# A turn that passed this long ago, during a pause of the process, is not used.
 TURN_VALIDITY_S = 0.5
 
 
@@ -131,7 +131,7 @@
         """Count a request that is sent anyway against this node's share."""
         now_us = int(elapsed_s() * US_PER_S)
         share_interval_us = interval_us(requests_per_s) * self.shared.count_nodes()
-        self.fallback_schedule.used_until_us[key] = now_us + share_interval_us
+        self.fallback_schedule.record_sent(key, share_interval_us, now_us)
 
 
 def held_back(wait_s: float) -> UpstreamCallFailure:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/shared_limits.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/shared_limits.py
@@ -125,6 +125,8 @@
         while self._pending:
             batch = [r for r in self._pending if not r.answer.done()]
             self._pending = []
+            if not batch:
+                return
             async with self._lock:
                 send_times = await self._ask(batch)
             for index, request in enumerate(batch):
