--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
@@ -14,23 +14,17 @@
 from fulmarpulley_core.rollout.topology import Route, RouteKind
 from fulmarpulley_schema.generated.http import Ran
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
-from fulmarpulley_schema.generated.steps import (
-    ItemResult,
-    ItemSpec,
-    RewardCall,
-    StepAccepted,
-)
 
 from ..observe.events import log_event
-from ..rollout.clock import unix_ms
 from ..rollout.directory import Directory
 from ..rollout.forwarder import Forwarder, Refusal
 from ..rollout.interfaces import CallerRequest
 from ..rollout.metrics import RolloutMetrics
-from ..rollout.step_frontend import ResultPage, StepFrontend, StepOutcome
+from ..rollout.step_frontend import StepFrontend, StepOutcome
 from . import wire
 from .connections import refuse_new_connections
 from .headers import end_to_end_headers
+from .step_messages import parse_int, to_reply, to_step
 
 MAX_RESULT_WAIT_S = 1.0
 # Clients retry after this time, and the retry reaches another node.
@@ -194,7 +188,7 @@
         self, request: web.BaseRequest, route: Route, body: bytes
     ) -> web.Response:
         loop = asyncio.get_running_loop()
-        deadline_ms = _parse_int(request.headers.get("Deadline-Ms"))
+        deadline_ms = parse_int(request.headers.get("Deadline-Ms"))
         longest_s = route.timeout_s
         if deadline_ms is not None:
             longest_s = min(longest_s, deadline_ms / 1000)
@@ -266,10 +260,10 @@
     ingress: Ingress, request: web.BaseRequest, step_id: StepId
 ) -> web.Response:
     """Return the results of a step from a position on."""
-    after = _parse_int(request.query.get("After", "0"))
+    after = parse_int(request.query.get("After", "0"))
     if after is None:
         return _error_response(400, "After must be a whole number")
-    wait_ms = _parse_int(request.headers.get("Wait-Ms")) or 0
+    wait_ms = parse_int(request.headers.get("Wait-Ms")) or 0
     wait_s = min(MAX_RESULT_WAIT_S, wait_ms / 1000)
     result = await ingress.steps.results(request.host, step_id, after, wait_s)
     if isinstance(result, Err):
@@ -300,85 +294,6 @@
     return web.Response(body=result.ok_value)
 
 
-def to_step(
-    submission: wire.Submission, step_id: str, host: str, path: str
-) -> StepAccepted:
-    """Convert a submission; raise ValueError for missing or duplicate ids."""
-    if not step_id:
-        raise ValueError("the submission has no Request-Id")
-    if len({item.item_id for item in submission.items}) < len(submission.items):
-        raise ValueError("two items have the same Id")
-    return StepAccepted(
-        step_id=step_id,
-        host=host.partition(":")[0],
-        path=path,
-        submitted_ms=unix_ms(),
-        number=submission.number,
-        model=submission.model or _find_model(submission),
-        min_version=submission.min_version,
-        target_groups=submission.target_groups,
-        items=[_to_item(item) for item in submission.items],
-    )
-
-
-def to_reply(page: ResultPage) -> wire.ResultsReply:
-    """Convert a page of results to its wire message."""
-    results = [_to_result_entry(result) for result in page.results]
-    return wire.ResultsReply(page.total, page.next_position, results)
-
-
-def _to_result_entry(result: ItemResult) -> wire.ResultEntry:
-    return wire.ResultEntry(
-        item_id=result.item_id,
-        state=result.state.value,
-        text=result.text.decode(errors="replace"),
-        versions=result.versions or None,
-        score=result.score or None,
-    )
-
-
-def _to_item(item: wire.ItemEntry) -> ItemSpec:
-    headers = {name.lower(): value for name, value in item.headers.items()}
-    prompt, _, output = headers.get("token-counts", "").partition(",")
-    prompt_tokens = _parse_int(prompt) or 0
-    parts = headers.get("prompt-prefix", "").split(",")
-    return ItemSpec(
-        item_id=item.item_id,
-        path=item.path,
-        headers=item.headers,
-        body=item.body,
-        prompt_tokens=prompt_tokens,
-        max_tokens=_parse_int(output) or max(0, item.tokens - prompt_tokens),
-        length_hint=_parse_int(headers.get("length-hint")) or 0,
-        prefix=parts[0].partition(":")[0],
-        group=item.group,
-        reward=None if item.reward is None else _to_reward(item.reward),
-    )
-
-
-def _to_reward(entry: wire.RewardEntry) -> RewardCall:
-    if not entry.request_id:
-        raise ValueError("a scoring endpoint has no Id")
-    return RewardCall(
-        request_id=entry.request_id,
-        host=entry.host.partition(":")[0],
-        path=entry.path,
-        body=entry.body,
-    )
-
-
-def _find_model(submission: wire.Submission) -> str:
-    for item in submission.items:
-        for name, value in item.headers.items():
-            if name.lower() == "model":
-                return value
-    return ""
-
-
-def _parse_int(text: str | None) -> int | None:
-    return int(text) if text and text.isdecimal() and len(text) < 16 else None
-
-
 def _json_response(message: msgspec.Struct) -> web.Response:
     body = msgspec.json.encode(message)
     return web.Response(body=body, content_type="application/json")
--- a/packages/fulmarpulley-node/tests/rollout_settings.py
+++ b/packages/fulmarpulley-node/tests/rollout_settings.py
@@ -1,10 +1,11 @@
-"""Provide settings for the tests of a platform node."""
+"""Provide settings, limits and requests for the tests of a platform node."""
 
 from typing import Any
 
+from multidict import CIMultiDict, CIMultiDictProxy
 from result import Err, Result
 
-from fulmarpulley_node.rollout.interfaces import LogPage, StoreFailure
+from fulmarpulley_node.rollout.interfaces import CallerRequest, LogPage, StoreFailure
 from fulmarpulley_node.rollout.metrics import RolloutMetrics
 from fulmarpulley_node.rollout.rate_limits import RateLimits
 from fulmarpulley_node.rollout.shared_limits import SharedLimits
@@ -27,6 +28,19 @@
     )
 
 
+def caller_request() -> CallerRequest:
+    """Return a plain request."""
+    return CallerRequest(
+        request_id="r1",
+        method="POST",
+        target="/p",
+        host="h",
+        headers=CIMultiDictProxy(CIMultiDict({"Request-Id": "r1"})),
+        body=b"",
+        deadline=None,
+    )
+
+
 class UnreachableLog:
     """Refuses all calls."""
 
--- a/packages/fulmarpulley-node/tests/test_endless_answers.py
+++ b/packages/fulmarpulley-node/tests/test_endless_answers.py
@@ -7,10 +7,9 @@
 from collections.abc import AsyncIterator, Iterable, Iterator
 from contextlib import asynccontextmanager
 
-from multidict import CIMultiDict, CIMultiDictProxy
 from result import Err, Ok, Result
+from rollout_settings import caller_request, unlimited
 from rollout_settings import settings as rollout_settings
-from rollout_settings import unlimited
 
 from fulmarpulley_core.ids import DataCentre, ServiceName, UpstreamId
 from fulmarpulley_core.pool.messages import Failure
@@ -22,7 +21,6 @@
 from fulmarpulley_node.platform.store import StoreClient
 from fulmarpulley_node.platform.workers import WorkerClient
 from fulmarpulley_node.rollout.interfaces import (
-    CallerRequest,
     StoreFailure,
     UpstreamCallFailure,
     UpstreamResponse,
@@ -145,17 +143,10 @@
         self, address: str
     ) -> Result[UpstreamResponse, UpstreamCallFailure]:
         client = WorkerClient(rollout_settings(), unlimited())
-        request = CallerRequest(
-            request_id="r1",
-            method="POST",
-            target="/p",
-            host="h",
-            headers=CIMultiDictProxy(CIMultiDict({"Request-Id": "r1"})),
-            body=b"",
-            deadline=None,
-        )
         try:
-            return await client.forward(self.upstream(address), request, DEADLINE_S)
+            return await client.forward(
+                self.upstream(address), caller_request(), DEADLINE_S
+            )
         finally:
             await client.close()
 
--- a/packages/fulmarpulley-node/tests/test_truncated_answers.py
+++ b/packages/fulmarpulley-node/tests/test_truncated_answers.py
@@ -7,17 +7,15 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from multidict import CIMultiDict, CIMultiDictProxy
 from result import Err, Ok, Result
+from rollout_settings import caller_request, unlimited
 from rollout_settings import settings as rollout_settings
-from rollout_settings import unlimited
 
 from fulmarpulley_core.ids import DataCentre, ServiceName, UpstreamId
 from fulmarpulley_core.pool.messages import Failure
 from fulmarpulley_core.rollout.upstreams import ListedUpstream
 from fulmarpulley_node.platform.workers import WorkerClient
 from fulmarpulley_node.rollout.interfaces import (
-    CallerRequest,
     UpstreamCallFailure,
     UpstreamResponse,
 )
@@ -80,17 +78,8 @@
     async def forward(
         self, answer: bytes, reset: bool = False
     ) -> Result[UpstreamResponse, UpstreamCallFailure]:
-        request = CallerRequest(
-            request_id="r1",
-            method="POST",
-            target="/p",
-            host="h",
-            headers=CIMultiDictProxy(CIMultiDict({"Request-Id": "r1"})),
-            body=b"",
-            deadline=None,
-        )
         async with self.client(answer, reset) as (client, upstream):
-            return await client.forward(upstream, request, TIMEOUT_S)
+            return await client.forward(upstream, caller_request(), TIMEOUT_S)
 
     async def resume(
         self, answer: bytes, reset: bool = False
