Log the configuration that decides a request, and reads of the store's topics

To tell apart why a node handles a request by an old configuration: request lines name the version, metrics give the version in force and the last read of each topic, and a record that cannot be handled is logged with its key and offset before it ends the reader. No decision changes.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
@@ -41,8 +41,8 @@
         self.shared_limits = SharedLimits(settings, self.store)
         self.limits = RateLimits(self.shared_limits, self.metrics)
         self.workers = WorkerClient(settings, self.limits)
-        self.directory = Directory()
-        self.topic_watcher = TopicWatcher(self.store, self.directory)
+        self.directory = Directory(self.metrics)
+        self.topic_watcher = TopicWatcher(self.store, self.directory, self.metrics)
         self.partitions = Partitions(settings, self.store)
         self.ownership = Ownership(settings, self.store, self.partitions)
         self.rewards = RewardScorer(
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/topic_watcher.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/topic_watcher.py
@@ -32,6 +32,7 @@
 from ..background_tasks import BackgroundTasks
 from ..observe.events import log_event
 from ..rollout.interfaces import DirectoryListener, StoreFailure
+from ..rollout.metrics import RolloutMetrics, labels
 from . import wire
 from .store import StoreClient
 
@@ -45,6 +46,7 @@
 # together, so that the node's calls and wake-ups do not grow with the number of
 # workers. The interval is a tenth of the shortest time limit for draining workers.
 BATCH_INTERVAL_S = 0.25
+MAX_LOGGED_ERROR_LENGTH = 200
 
 KeyHandler = Callable[[DirectoryListener, str, bytes], None]
 key_handlers: Registry[KeyHandler] = Registry("published key")
@@ -53,20 +55,28 @@
 class TopicWatcher(Service):
     """Read the records of operators and workers and pass them to a listener."""
 
-    def __init__(self, store: StoreClient, listener: DirectoryListener) -> None:
+    def __init__(
+        self, store: StoreClient, listener: DirectoryListener, metrics: RolloutMetrics
+    ) -> None:
         super().__init__()
         self.store = store
         self.listener = listener
+        self.metrics = metrics
         self.tasks = BackgroundTasks()
 
     async def start(self) -> None:
         """Start tailing both topics."""
-        self.tasks.spawn(
-            TopicTail(self.store, OPERATOR_TOPIC, OperatorRecordHandler(self)).run()
+        operator_tail = TopicTail(
+            self.store, OPERATOR_TOPIC, OperatorRecordHandler(self), self.metrics
         )
         server_tail = TopicTail(
-            self.store, SERVER_TOPIC, ServerRecordHandler(self), BATCH_INTERVAL_S
+            self.store,
+            SERVER_TOPIC,
+            ServerRecordHandler(self),
+            self.metrics,
+            BATCH_INTERVAL_S,
         )
+        self.tasks.spawn(operator_tail.run())
         self.tasks.spawn(server_tail.run())
 
     async def stop(self, exception: Exception | None = None) -> None:
@@ -136,11 +146,13 @@
         store: StoreClient,
         topic: str,
         handler: RecordHandler,
+        metrics: RolloutMetrics,
         batch_interval_s: float = 0.0,
     ) -> None:
         self.store = store
         self.topic = topic
         self.handler = handler
+        self.metrics = metrics
         self.batch_interval_s = batch_interval_s
         self.offset: int | None = None
         self.last_contact_at = time.monotonic()
@@ -171,7 +183,11 @@
 
         def apply() -> None:
             self.offset = listing.end
-            self.handler.handle_snapshot(listing.items)
+            try:
+                self.handler.handle_snapshot(listing.items)
+            except Exception as error:
+                self._log_failure("topic_list_failed", error)
+                raise
 
         return Ok(apply)
 
@@ -199,10 +215,19 @@
         size = record[0] if record else 0
         key = record[1 : 1 + size].decode(errors="replace")
         value = record[1 + size :]
-        self.handler.handle_record(key, value or None)
+        try:
+            self.handler.handle_record(key, value or None)
+        except Exception as error:
+            self._log_failure("record_failed", error, key)
+            raise
+
+    def _log_failure(self, event: str, error: Exception, key: str = "") -> None:
+        text = repr(error)[:MAX_LOGGED_ERROR_LENGTH]
+        log_event(event, topic=self.topic, key=key, offset=self.offset, error=text)
 
     def _record_contact(self) -> None:
         now = time.monotonic()
+        self.metrics.topic_read_at.set(labels(topic=self.topic), time.time())
         if self.contact_lost:
             self.contact_lost = False
             outage_s = now - self.last_contact_at
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/directory.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/directory.py
@@ -12,6 +12,7 @@
 
 from ..background_tasks import BackgroundTasks
 from ..observe.events import log_event
+from .metrics import RolloutMetrics
 
 EXPIRY_INTERVAL_S = 0.25
 # Shorter gaps between two responses of the store do not count as an outage.
@@ -21,8 +22,9 @@
 class Directory(Service):
     """Hold what the platform publishes and notify listeners of changes."""
 
-    def __init__(self) -> None:
+    def __init__(self, metrics: RolloutMetrics) -> None:
         super().__init__()
+        self.metrics = metrics
         self.routes: RouteTable | None = None
         self.upstreams = UpstreamDirectory()
         self.versions: dict[ModelName, Version] = {}
@@ -52,6 +54,7 @@
             log_event("config_skipped", version=topology.version, known=known)
             return
         self.routes = RouteTable(topology)
+        self.metrics.config_version.set({}, topology.version)
         log_event(
             "config_in_force",
             version=topology.version,
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
@@ -71,6 +71,7 @@
     request: CallerRequest
     route: Route
     service: ServiceName
+    config_version: int
     deadline: float
     outcome: asyncio.Future[UpstreamResponse | Refusal]
     responses: dict[AttemptId, UpstreamResponse] = {}
@@ -136,6 +137,7 @@
             request=request,
             route=route,
             service=name,
+            config_version=self._config_version(),
             deadline=deadline,
             outcome=loop.create_future(),
         )
@@ -151,6 +153,10 @@
         self._log_outcome(pending, outcome, loop.time() - started_at)
         return outcome
 
+    def _config_version(self) -> int:
+        routes = self.directory.routes
+        return routes.topology.version if routes else 0
+
     def _work(self, work_id: WorkId, pending: PendingRequest, rank: int) -> Work:
         route = pending.route
         return Work(
@@ -181,6 +187,7 @@
             request=pending.request.request_id,
             route=route,
             service=pending.service,
+            config=pending.config_version,
             upstream=pending.upstream,
             attempts=pending.attempts,
             outcome=code,
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
@@ -30,6 +30,12 @@
         self.limited_responses = self.counter(
             "limited_responses", "Responses of upstreams that state a rate limit"
         )
+        self.config_version = self.gauge(
+            "config_version", "Version of the configuration in force"
+        )
+        self.topic_read_at = self.gauge(
+            "topic_read_timestamp_seconds", "Unix time of a topic's last read"
+        )
         self.log_lines = self.counter("log_lines_dropped", "Log lines not written")
 
     def count_dropped_lines(self, event: str, count: int) -> None:
--- a/packages/fulmarpulley-node/tests/test_follower.py
+++ b/packages/fulmarpulley-node/tests/test_follower.py
@@ -109,7 +109,7 @@
         log = SlowLog([step(2), result(0), result(1)])
         log.readable = 2
         partitions = Partitions(SETTINGS, log)  # type: ignore[arg-type]
-        directory = Directory()
+        directory = Directory(RolloutMetrics())
         route = Route(
             name="r",  # type: ignore[arg-type]
             host="h",
--- a/packages/fulmarpulley-node/tests/test_topic_watcher.py
+++ b/packages/fulmarpulley-node/tests/test_topic_watcher.py
@@ -8,6 +8,7 @@
 from fulmarpulley_node.platform.store import Listing
 from fulmarpulley_node.platform.topic_watcher import SERVER_TOPIC, TopicTail
 from fulmarpulley_node.rollout.interfaces import LogPage, StoreFailure
+from fulmarpulley_node.rollout.metrics import RolloutMetrics
 
 BATCH_INTERVAL_S = 0.05
 
@@ -62,7 +63,13 @@
     def tail(
         self, store: BusyStore, batch_interval_s: float = BATCH_INTERVAL_S
     ) -> TopicTail:
-        return TopicTail(store, SERVER_TOPIC, RecordingHandler(), batch_interval_s)  # type: ignore[arg-type]
+        return TopicTail(
+            store,  # type: ignore[arg-type]
+            SERVER_TOPIC,
+            RecordingHandler(),
+            RolloutMetrics(),
+            batch_interval_s,
+        )
 
     async def test_reads_are_spaced_when_records_arrive_continuously(self) -> None:
         store = BusyStore(reads=4)
--- a/testing/src/fulmarpulley_testing/platform_store.py
+++ b/testing/src/fulmarpulley_testing/platform_store.py
@@ -68,7 +68,12 @@
 
     async def put(self, topic: str, key: str, value: Any) -> None:
         """Write a value of a key; None deletes the key."""
-        data = b"" if value is None else msgspec.json.encode(value)
+        await self.put_bytes(
+            topic, key, b"" if value is None else msgspec.json.encode(value)
+        )
+
+    async def put_bytes(self, topic: str, key: str, data: bytes) -> None:
+        """Write a value that need not be valid, as another writer may do."""
         name = key.encode()
         await self.add(topic, 0, [bytes([len(name)]) + name + data])
 
