Reject entries that cannot be decoded, calculated with or called

Callers saw requests handled by an old configuration (404 for a route that had been added) and no request reached a worker that had joined.

Cause: the JSON decoder raises RecursionError for a deeply nested record, which no caller caught, and accepts whole numbers of any size. A worker entry with 400 digits for its slots raised OverflowError in each pool of its service whenever the pools were told of a change, also one of the configuration, and so ended the readers of both topics. An address such as [::1:80 raised ValueError before a request was sent, so the request got no answer before its deadline.

Change: messages of others are decoded in one place that reports nesting as any other error; whole numbers must fit into 64 bits, and the address of a worker must be an IPv4 address and a port.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/shared_limits.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/shared_limits.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from fulmarpulley_schema.codec import from_msgpack
 from fulmarpulley_schema.generated.limits import NodeSeen, SendRequest
 
 from ..ids import NodeId, UpstreamId
@@ -32,8 +33,8 @@
     if record_type is None:
         return None
     try:
-        return msgspec.msgpack.decode(data[1:], type=record_type)
-    except (msgspec.DecodeError, UnicodeError):
+        return from_msgpack(data[1:], record_type)
+    except msgspec.DecodeError:
         return None
 
 
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_records.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_records.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from fulmarpulley_schema.codec import from_msgpack
 from fulmarpulley_schema.generated.steps import (
     ItemProgress,
     ItemResults,
@@ -109,8 +110,8 @@
         record_type = RECORD_TYPES.get(data[0]) if data else None
         if record_type is not None:
             try:
-                return msgspec.msgpack.decode(data[1:], type=record_type)
-            except (msgspec.DecodeError, UnicodeError):
+                return from_msgpack(data[1:], record_type)
+            except msgspec.DecodeError:
                 pass
         self.unreadable += 1
         return None
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
@@ -12,6 +12,7 @@
 from fulmarpulley_core.ids import ItemId, StepId
 from fulmarpulley_core.registry import Registry
 from fulmarpulley_core.rollout.topology import Route, RouteKind
+from fulmarpulley_schema.codec import from_json
 from fulmarpulley_schema.generated.http import Ran
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 
@@ -221,7 +222,7 @@
             return _stopping_response()
         step_id = request.headers.get("Request-Id", "")
         try:
-            submission = msgspec.json.decode(body, type=wire.Submission)
+            submission = from_json(body, wire.Submission)
             step = to_step(submission, step_id, request.host, path)
         except (msgspec.DecodeError, ValueError) as error:
             log_event("step_unreadable", step=step_id, error=str(error))
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/store.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/store.py
@@ -8,6 +8,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from fulmarpulley_schema.codec import from_json
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 
 from ..observe.events import log_event
@@ -279,8 +280,8 @@
 
 def _decode(response: StoreResponse, message_type: type[T]) -> Result[T, StoreFailure]:
     try:
-        return Ok(msgspec.json.decode(response.body, type=message_type))
-    except (msgspec.DecodeError, UnicodeError) as error:
+        return Ok(from_json(response.body, message_type))
+    except msgspec.DecodeError as error:
         log_event(
             "store_answer_unreadable", kind=message_type.__name__, error=str(error)
         )
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/topic_watcher.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/topic_watcher.py
@@ -1,6 +1,7 @@
 """Watch the store topics that operators, trainers and workers publish to."""
 
 import asyncio
+import ipaddress
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -28,12 +29,14 @@
 )
 from fulmarpulley_core.rollout.topology import Service as TopologyService
 from fulmarpulley_core.rollout.upstreams import ListedState, ListedUpstream
+from fulmarpulley_schema.codec import from_json
 
 from ..background_tasks import BackgroundTasks
 from ..observe.events import log_event
 from ..rollout.interfaces import DirectoryListener, StoreFailure
 from ..rollout.metrics import RolloutMetrics, labels
 from . import wire
+from .step_messages import parse_int
 from .store import StoreClient
 
 OPERATOR_TOPIC = "keyed.op"
@@ -47,6 +50,7 @@
 # workers. The interval is a tenth of the shortest time limit for draining workers.
 BATCH_INTERVAL_S = 0.25
 MAX_LOGGED_ERROR_LENGTH = 200
+MAX_PORT = 65535
 
 KeyHandler = Callable[[DirectoryListener, str, bytes], None]
 key_handlers: Registry[KeyHandler] = Registry("published key")
@@ -222,7 +226,7 @@
             raise
 
     def _log_failure(self, event: str, error: Exception, key: str = "") -> None:
-        text = repr(error)[:MAX_LOGGED_ERROR_LENGTH]
+        text = _shorten(error)
         log_event(event, topic=self.topic, key=key, offset=self.offset, error=text)
 
     def _record_contact(self) -> None:
@@ -239,10 +243,9 @@
 def handle_config(listener: DirectoryListener, key: str, value: bytes) -> None:
     """Apply a configuration; keep the previous one if it cannot be decoded."""
     try:
-        entry = msgspec.json.decode(value, type=wire.ConfigEntry)
-        topology = to_topology(entry)
+        topology = to_topology(from_json(value, wire.ConfigEntry))
     except (msgspec.DecodeError, ValueError) as error:
-        log_event("config_unreadable", key=key, error=str(error))
+        log_event("config_unreadable", key=key, error=_shorten(error))
         return
     listener.topology_changed(topology)
 
@@ -251,9 +254,9 @@
 def handle_version(listener: DirectoryListener, key: str, value: bytes) -> None:
     """Apply a weight version that a trainer announced."""
     try:
-        entry = msgspec.json.decode(value, type=wire.VersionEntry)
-    except (msgspec.DecodeError, UnicodeError) as error:
-        log_event("version_unreadable", key=key, error=str(error))
+        entry = from_json(value, wire.VersionEntry)
+    except msgspec.DecodeError as error:
+        log_event("version_unreadable", key=key, error=_shorten(error))
         return
     listener.version_announced(ModelName(entry.model), Version(entry.version))
 
@@ -280,10 +283,11 @@
 def decode_upstream(key: str, value: bytes) -> ListedUpstream | None:
     """Convert the entry of a worker, or return None if it cannot be decoded."""
     try:
-        entry = msgspec.json.decode(value, type=wire.ServerEntry)
+        entry = from_json(value, wire.ServerEntry)
         state = ListedState(entry.state)
+        check_address(entry.address)
     except (msgspec.DecodeError, ValueError) as error:
-        log_event("upstream_entry_unreadable", upstream=key, error=str(error))
+        log_event("upstream_entry_unreadable", upstream=key, error=_shorten(error))
         return None
     return ListedUpstream(
         upstream_id=UpstreamId(key),
@@ -297,6 +301,19 @@
     )
 
 
+def _shorten(error: Exception) -> str:
+    return repr(error)[:MAX_LOGGED_ERROR_LENGTH]
+
+
+def check_address(address: str) -> None:
+    """Raise ValueError unless an address is an IPv4 address and a port."""
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    number = parse_int(port)
+    if number is None or not 0 < number <= MAX_PORT:
+        raise ValueError(f"address {address!r} has no valid port")
+
+
 def _to_route(entry: wire.RouteEntry) -> Route:
     if entry.service is not None:
         parts = [WeightedService(ServiceName(entry.service), 1)]
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/wire.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/wire.py
@@ -4,19 +4,25 @@
 wire name.
 """
 
+from typing import Annotated
+
 import msgspec
 
+# The range of numbers that can be written to the log. Larger ones are valid JSON, and
+# other writers may leave some.
+Int64 = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+
 
 class AppendedReply(msgspec.Struct):
     """Acknowledge an append."""
 
-    first_offset: int = msgspec.field(name="Offset")
+    first_offset: Int64 = msgspec.field(name="Offset")
 
 
 class ExpiredReply(msgspec.Struct):
     """Answer a read of records that are past their retention."""
 
-    first_offset: int = msgspec.field(name="First")
+    first_offset: Int64 = msgspec.field(name="First")
 
 
 class KeyedItem(msgspec.Struct):
@@ -31,7 +37,7 @@
 
     items: list[KeyedItem] = msgspec.field(name="Items")
     has_more: bool = msgspec.field(name="HasMore")
-    end: int = msgspec.field(name="End")
+    end: Int64 = msgspec.field(name="End")
 
 
 class JoinRequest(msgspec.Struct):
@@ -47,7 +53,7 @@
 class JoinReply(msgspec.Struct):
     """List the partitions of a member; a row has topic, partition and offset."""
 
-    generation: int = msgspec.field(name="Generation")
+    generation: Int64 = msgspec.field(name="Generation")
     rows: list[tuple[str, int, int]] = msgspec.field(name="parts", default=[])
 
 
@@ -62,7 +68,7 @@
     """Name the version of a model that a worker serves."""
 
     name: str = msgspec.field(name="Name")
-    version: int = msgspec.field(name="Version", default=0)
+    version: Int64 = msgspec.field(name="Version", default=0)
 
 
 class ServerEntry(msgspec.Struct):
@@ -72,17 +78,17 @@
     address: str = msgspec.field(name="Address")
     zone: str = msgspec.field(name="Zone")
     state: str = msgspec.field(name="State")
-    slots: int = msgspec.field(name="Slots", default=0)
+    slots: Int64 = msgspec.field(name="Slots", default=0)
     models: list[ModelEntry] = msgspec.field(name="Models", default=[])
     # Start of the worker's process, in Unix milliseconds.
-    started_ms: int = msgspec.field(name="born", default=0)
+    started_ms: Int64 = msgspec.field(name="born", default=0)
 
 
 class SplitPart(msgspec.Struct):
     """Give a service its share of a route's traffic."""
 
     service: str = msgspec.field(name="Service")
-    weight: int = msgspec.field(name="Weight")
+    weight: Int64 = msgspec.field(name="Weight")
 
 
 class RouteEntry(msgspec.Struct):
@@ -96,8 +102,8 @@
     split: list[SplitPart] = msgspec.field(name="TrafficSplit", default=[])
     timeout_ms: float = msgspec.field(name="TimeoutMs", default=30_000.0)
     target_ms: float = msgspec.field(name="TargetLatencyMs", default=0.0)
-    priority: int = msgspec.field(name="Priority", default=5)
-    max_attempts: int = msgspec.field(name="MaxAttempts", default=1)
+    priority: Int64 = msgspec.field(name="Priority", default=5)
+    max_attempts: Int64 = msgspec.field(name="MaxAttempts", default=1)
     resumable: bool = msgspec.field(name="Resumable", default=False)
     single_version: bool = msgspec.field(name="SingleVersion", default=False)
     retention_s: float = msgspec.field(name="RetentionS", default=0.0)
@@ -113,10 +119,10 @@
 class EngineEntry(msgspec.Struct):
     """Describe the model engines of a service."""
 
-    slots: int = msgspec.field(name="Slots", default=1)
-    cache_tokens: int = msgspec.field(name="KvCacheTokens", default=65536)
+    slots: Int64 = msgspec.field(name="Slots", default=1)
+    cache_tokens: Int64 = msgspec.field(name="KvCacheTokens", default=65536)
     # Tokens in each event of a stream.
-    stride: int = msgspec.field(name="Stride", default=1)
+    stride: Int64 = msgspec.field(name="Stride", default=1)
     models: list[EngineModel] = msgspec.field(name="Models", default=[])
 
 
@@ -124,15 +130,15 @@
     """Describe a service of the operator's configuration."""
 
     name: str = msgspec.field(name="Name")
-    connection_limit: int = msgspec.field(name="ConnectionLimit", default=0)
+    connection_limit: Int64 = msgspec.field(name="ConnectionLimit", default=0)
     engine: EngineEntry | None = msgspec.field(name="Engine", default=None)
 
 
 class LimitsEntry(msgspec.Struct):
     """Limit the size of client requests and how long clients may stay idle."""
 
-    header_bytes: int = msgspec.field(name="MaxHeaderBytes", default=16384)
-    body_bytes: int = msgspec.field(name="MaxBodyBytes", default=33554432)
+    header_bytes: Int64 = msgspec.field(name="MaxHeaderBytes", default=16384)
+    body_bytes: Int64 = msgspec.field(name="MaxBodyBytes", default=33554432)
     header_timeout_ms: float = msgspec.field(name="HeaderTimeoutMs", default=3000.0)
     idle_timeout_ms: float = msgspec.field(name="IdleTimeoutMs", default=15000.0)
 
@@ -140,7 +146,7 @@
 class ConfigEntry(msgspec.Struct):
     """Hold a version of the operator's configuration."""
 
-    version: int = msgspec.field(name="Version")
+    version: Int64 = msgspec.field(name="Version")
     routes: list[RouteEntry] = msgspec.field(name="Routes")
     services: list[ServiceEntry] = msgspec.field(name="Services")
     limits: LimitsEntry = msgspec.field(name="Limits", default_factory=LimitsEntry)
@@ -150,7 +156,7 @@
     """Announce a version of a model's weights by its trainer."""
 
     model: str = msgspec.field(name="Model")
-    version: int = msgspec.field(name="Version")
+    version: Int64 = msgspec.field(name="Version")
 
 
 class ReportReply(msgspec.Struct):
@@ -158,7 +164,7 @@
 
     models: list[ModelEntry] = msgspec.field(name="Models", default=[])
     # Orders that the worker has accepted since its start.
-    orders: int = msgspec.field(name="Sequence", default=0)
+    orders: Int64 = msgspec.field(name="Sequence", default=0)
 
 
 class VersionOrder(msgspec.Struct):
@@ -192,7 +198,7 @@
     headers: dict[str, str] = msgspec.field(name="Headers", default={})
     body: bytes = msgspec.field(name="Body", default=b"")
     # Sum of the prompt tokens and the output token limit.
-    tokens: int = msgspec.field(name="Tokens", default=0)
+    tokens: Int64 = msgspec.field(name="Tokens", default=0)
     group: str = msgspec.field(name="Group", default="")
     # Has no address; the call is routed by its host and path.
     reward: RewardEntry | None = msgspec.field(name="ScoringEndpoint", default=None)
@@ -202,10 +208,10 @@
     """Hold a submitted step."""
 
     items: list[ItemEntry] = msgspec.field(name="Items")
-    number: int = msgspec.field(name="Step", default=0)
+    number: Int64 = msgspec.field(name="Step", default=0)
     model: str = msgspec.field(name="Model", default="")
-    min_version: int = msgspec.field(name="MinVersion", default=0)
-    target_groups: int = msgspec.field(name="TargetGroups", default=0)
+    min_version: Int64 = msgspec.field(name="MinVersion", default=0)
+    target_groups: Int64 = msgspec.field(name="TargetGroups", default=0)
 
 
 class ResultEntry(msgspec.Struct, omit_defaults=True):
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
@@ -11,6 +11,7 @@
 
 from fulmarpulley_core.pool.messages import Failure
 from fulmarpulley_core.rollout.upstreams import ListedUpstream
+from fulmarpulley_schema.codec import from_json
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 from fulmarpulley_schema.generated.steps import ItemSpec
 
@@ -190,7 +191,7 @@
         ):
             if response.status != 200:
                 raise ValueError(f"the report has status {response.status}")
-            return msgspec.json.decode(await response.read(), type=ReportReply)
+            return from_json(await response.read(), ReportReply)
 
     async def _send_order(
         self, upstream: ListedUpstream, order: LoadOrder, expected_orders: int
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/text_store.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/text_store.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from fulmarpulley_core.ids import Partition
+from fulmarpulley_schema.codec import from_msgpack
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 from fulmarpulley_schema.generated.steps import TextRef
 
@@ -136,7 +137,7 @@
 
 def decode_events(text: bytes) -> list[bytes]:
     """Decode the events of a text."""
-    return msgspec.msgpack.decode(text, type=list[bytes])
+    return from_msgpack(text, list[bytes])
 
 
 def _split(text: bytes, record_bytes: int) -> list[bytes]:
--- a/packages/fulmarpulley-node/tests/test_platform_decoding.py
+++ b/packages/fulmarpulley-node/tests/test_platform_decoding.py
@@ -18,6 +18,13 @@
     "Models": [{"Name": "m", "Version": 3}],
     "born": 5,
 }
+NESTING = 100_000
+
+
+def _with_field(name: str, text: str) -> bytes:
+    """Return a worker's entry with a field replaced by a JSON text."""
+    marked = msgspec.json.encode({**SERVER, name: "marked"})
+    return marked.replace(b'"marked"', text.encode())
 
 
 class EventParserTest(unittest.TestCase):
@@ -50,6 +57,24 @@
             with self.subTest(data=data):
                 self.assertIsNone(decode_upstream("i-1", data))
 
+    def test_decode_upstream_returns_none_for_odd_values(self) -> None:
+        # Each of them once ended a reader or a pool, or had requests wait in vain.
+        odd = {
+            "Extra": ["[" * NESTING + "]" * NESTING, '{"a":' * NESTING],
+            "Slots": ["9" * 400, "1e400", "9" * 25],
+            "born": ["9" * 25],
+            "Models": [f'[{{"Name":"m","Version":{"9" * 25}}}]'],
+            "Address": [
+                *('"10.0.0.1:99999"', '"10.0.0.1:0"', '"10.0.0.1:http"'),
+                *('"10.0.0.1"', '"[::1:80"', '"10.0.0.1:80/x?y"', '"worker:80"'),
+            ],
+        }
+        for name, texts in odd.items():
+            for text in texts:
+                with self.subTest(name=name, text=text[:40]):
+                    data = _with_field(name, text)
+                    self.assertIsNone(decode_upstream("i-1", data))
+
 
 class TopologyTest(unittest.TestCase):
     def test_to_topology_rejects_route_without_service(self) -> None:
--- a/packages/fulmarpulley-schema/src/fulmarpulley_schema/codec.py
+++ b/packages/fulmarpulley-schema/src/fulmarpulley_schema/codec.py
@@ -13,7 +13,8 @@
 if TYPE_CHECKING:
     from jsonschema.protocols import Validator
 
-T = TypeVar("T", bound=msgspec.Struct)
+T = TypeVar("T")
+S = TypeVar("S", bound=msgspec.Struct)
 
 _json_encoder = msgspec.json.Encoder()
 _msgpack_encoder = msgspec.msgpack.Encoder()
@@ -25,8 +26,11 @@
 
 
 def from_json(data: bytes | str, kind: type[T]) -> T:
-    """Decode trusted JSON; raise msgspec.ValidationError if the type does not fit."""
-    return msgspec.json.decode(data, type=kind)
+    """Decode JSON; raise msgspec.DecodeError if it is invalid or does not fit."""
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (RecursionError, UnicodeError) as error:
+        raise _to_decode_error(error) from error
 
 
 def to_msgpack(message: Any) -> bytes:
@@ -35,8 +39,19 @@
 
 
 def from_msgpack(data: bytes, kind: type[T]) -> T:
-    """Decode MessagePack; raise msgspec.ValidationError if the type does not fit."""
-    return msgspec.msgpack.decode(data, type=kind)
+    """Decode MessagePack; raise msgspec.DecodeError if it is invalid or does not fit.
+
+    Other writers may leave any bytes, also ones that are nested too deeply to decode.
+    """
+    try:
+        return msgspec.msgpack.decode(data, type=kind)
+    except (RecursionError, UnicodeError) as error:
+        raise _to_decode_error(error) from error
+
+
+def _to_decode_error(error: Exception) -> msgspec.DecodeError:
+    nested = isinstance(error, RecursionError)
+    return msgspec.DecodeError("nested too deeply" if nested else str(error))
 
 
 def to_builtins(message: Any) -> Any:
@@ -44,7 +59,7 @@
     return msgspec.to_builtins(message)
 
 
-def parse(data: bytes | str, kind: type[T]) -> Result[T, list[Finding]]:
+def parse(data: bytes | str, kind: type[S]) -> Result[S, list[Finding]]:
     """Decode untrusted JSON; return the message or all findings with their paths."""
     try:
         value = json.loads(data)
@@ -55,7 +70,7 @@
     return convert(value, kind)
 
 
-def convert(value: Any, kind: type[T]) -> Result[T, list[Finding]]:
+def convert(value: Any, kind: type[S]) -> Result[S, list[Finding]]:
     """Convert built-in values; return the message or all findings with their paths."""
     findings = [
         Finding(path=error.json_path, message=error.message)
