Keep one exception from ending the work of a whole node

Callers saw requests handled by an old configuration: a node stopped reading it for as long as its process lived.

Cause: tasks that last as long as the process ran unguarded. One exception, of a record, of a pool that is told of a change, or of one item, ended the reader of a topic, the heartbeat of the owner, the loop of a step home or the writer of results, and nothing started them again. The readers of both topics tell the same pools, so an entry of a worker ended the reader of the configuration.

Change: lasting tasks are supervised and start again after a growing delay; a reader that starts again lists its topic. Records, listeners, pools, items, orders, attempts and results fail one by one, each with a log line.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/topic_watcher.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/topic_watcher.py
@@ -80,8 +80,8 @@
             self.metrics,
             BATCH_INTERVAL_S,
         )
-        self.tasks.spawn(operator_tail.run())
-        self.tasks.spawn(server_tail.run())
+        self.tasks.supervise(operator_tail.run)
+        self.tasks.supervise(server_tail.run)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop tailing the topics."""
@@ -166,6 +166,8 @@
 
     async def run(self) -> None:
         """Tail the topic until cancelled."""
+        # After an exception, records of the last read may not have been handled.
+        self.offset = None
         while True:
             result = await (self._list() if self.offset is None else self._read())
             if isinstance(result, Ok):
@@ -187,11 +189,7 @@
 
         def apply() -> None:
             self.offset = listing.end
-            try:
-                self.handler.handle_snapshot(listing.items)
-            except Exception as error:
-                self._log_failure("topic_list_failed", error)
-                raise
+            self.handler.handle_snapshot(listing.items)
 
         return Ok(apply)
 
@@ -222,12 +220,9 @@
         try:
             self.handler.handle_record(key, value or None)
         except Exception as error:
-            self._log_failure("record_failed", error, key)
-            raise
-
-    def _log_failure(self, event: str, error: Exception, key: str = "") -> None:
-        text = _shorten(error)
-        log_event(event, topic=self.topic, key=key, offset=self.offset, error=text)
+            # One record must not keep the node from reading those after it.
+            text = _shorten(error)
+            log_event("record_failed", topic=self.topic, key=key, error=text)
 
     def _record_contact(self) -> None:
         now = time.monotonic()
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/attempts.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/attempts.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from result import Ok
+from result import Err, Ok, Result
 
 from fulmarpulley_core.ids import AttemptId, ModelName, Version
 from fulmarpulley_core.pool.messages import (
@@ -16,7 +16,7 @@
     VersionReport,
 )
 
-from ..background_tasks import BackgroundTasks
+from ..background_tasks import BackgroundTasks, log_failure
 from ..observe.events import log_event
 from .directory import Directory
 from .interfaces import UpstreamCallFailure, UpstreamCalls
@@ -114,14 +114,20 @@
         if held_back is not None:
             self._report_failure(attempt, pool, held_back, tokens_per_event)
             return
-        result = await self.calls.generate(
-            entry,
-            run.step.accepted.host,
-            run.item,
-            len(attempt.events),
-            run.step.accepted.min_version,
-            sink,
-        )
+        result: Result[None, UpstreamCallFailure]
+        try:
+            result = await self.calls.generate(
+                entry,
+                run.step.accepted.host,
+                run.item,
+                len(attempt.events),
+                run.step.accepted.min_version,
+                sink,
+            )
+        except Exception as error:
+            # The pool waits for the outcome of each attempt.
+            log_failure("attempt_raised", self._run, error, upstream=attempt.upstream)
+            result = Err(UpstreamCallFailure(Failure.BROKEN, "the attempt raised"))
         if isinstance(result, Ok):
             self._count_outcome(pool, "finished")
             tokens = len(attempt.events) * tokens_per_event
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/directory.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/directory.py
@@ -10,7 +10,7 @@
 from fulmarpulley_core.rollout.topology import RouteTable, Topology
 from fulmarpulley_core.rollout.upstreams import ListedUpstream, UpstreamDirectory
 
-from ..background_tasks import BackgroundTasks
+from ..background_tasks import BackgroundTasks, notify_all
 from ..observe.events import log_event
 from .metrics import RolloutMetrics
 
@@ -33,7 +33,7 @@
 
     async def start(self) -> None:
         """Start the periodic expiry of upstream entries."""
-        self.tasks.spawn(self._expire())
+        self.tasks.supervise(self._expire)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop the periodic expiry."""
@@ -117,5 +117,4 @@
                 self._notify()
 
     def _notify(self) -> None:
-        for listener in list(self.listeners):
-            listener()
+        notify_all(self.listeners)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/follower.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/follower.py
@@ -10,7 +10,7 @@
 from fulmarpulley_core.rollout.step_records import RecordReader
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 
-from ..background_tasks import BackgroundTasks
+from ..background_tasks import BackgroundTasks, log_failure
 from ..observe.events import log_event
 from .clock import elapsed_s, unix_ms
 from .interfaces import DurableLog, LogPage, StoreFailure
@@ -59,7 +59,7 @@
         """Start reading if necessary, and read on until the idle time-out."""
         self._active_until = time.monotonic() + IDLE_TIMEOUT_S
         if self._follow_task is None or self._follow_task.done():
-            self._follow_task = self.tasks.spawn(self._follow())
+            self._follow_task = self.tasks.supervise(self._follow)
 
     def set_owned(self, owned: bool) -> None:
         """Set whether this node owns the partition, which keeps it read."""
@@ -172,7 +172,17 @@
         if record is None:
             return False
         self.fold.orders.offset = offset
-        self.fold.apply(record)
+        try:
+            self.fold.apply(record)
+        except Exception as error:
+            # All nodes skip the record, since the fold depends on the records only.
+            log_failure(
+                "step_record_failed",
+                self.fold.apply,
+                error,
+                partition=self.partition,
+                offset=offset,
+            )
         return True
 
     def notify(self) -> None:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
@@ -37,7 +37,7 @@
 from fulmarpulley_schema.generated.http import Ran
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 
-from ..background_tasks import BackgroundTasks
+from ..background_tasks import BackgroundTasks, log_failure
 from ..observe.events import log_event
 from .directory import Directory
 from .interfaces import (
@@ -210,7 +210,12 @@
 
     async def _attempt(self, action: StartAttempt, pending: PendingRequest) -> None:
         pool = self.pools[pending.service]
-        result = await self._call(action, pending)
+        try:
+            result = await self._call(action, pending)
+        except Exception as error:
+            # The pool waits for the outcome of each attempt.
+            log_failure("attempt_raised", self._call, error, upstream=action.upstream)
+            result = Err(UpstreamCallFailure(Failure.BROKEN, "the attempt raised"))
         self.attempt_tasks.pop(action.attempt_id, None)
         if isinstance(result, Ok):
             response = result.ok_value
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/outbox.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/outbox.py
@@ -10,6 +10,7 @@
 from fulmarpulley_core.ids import Partition, StepId
 from fulmarpulley_schema.generated.steps import ItemResult, ItemResults, ItemsGenerated
 
+from ..background_tasks import log_failure
 from ..observe.events import log_event
 from .interfaces import StoreFailure
 from .item_runs import PendingResult, UnsavedProgress
@@ -61,8 +62,7 @@
         while True:
             await self._has_queued.wait()
             await asyncio.sleep(LINGER_S)
-            batch = self._take_batch()
-            await self._write_until_done(batch)
+            await self._write_batch(self._take_batch())
             if not self._queued:
                 self._has_queued.clear()
                 self._all_written.set()
@@ -109,6 +109,24 @@
             size += len(batch[-1].result.text)
         return batch
 
+    async def _write_batch(self, batch: Batch) -> None:
+        try:
+            await self._write_until_done(batch)
+        except Exception as error:
+            if len(batch) == 1:
+                (entry,) = batch
+                log_failure(
+                    "result_failed",
+                    self._write_until_done,
+                    error,
+                    step=entry.step_id,
+                    item=entry.result.item_id,
+                )
+                return
+            # One result that cannot be encoded must not hold up the others.
+            for entry in batch:
+                await self._write_batch([entry])
+
     async def _write_until_done(self, batch: Batch) -> None:
         await self._retry_until_written(batch, lambda: self._write_texts(batch))
         await self._retry_until_written(batch, lambda: self._append(_to_records(batch)))
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/ownership.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/ownership.py
@@ -68,7 +68,7 @@
 
     async def start(self) -> None:
         """Start the heartbeat, which joins the group."""
-        self.tasks.spawn(self._heartbeat())
+        self.tasks.supervise(self._heartbeat)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop the heartbeat."""
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/pool_driver.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/pool_driver.py
@@ -47,7 +47,8 @@
                 self._handle(self._events.popleft())
         finally:
             self._busy = False
-        self._set_timer()
+            # Also after an exception, since the timer handles the remaining events.
+            self._set_timer()
 
     def usable(self) -> list[UpstreamId]:
         """Return the upstreams that accept new attempts."""
@@ -71,8 +72,8 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        due = self.pool.next_wakeup()
+        loop = asyncio.get_running_loop()
+        due = loop.time() if self._events else self.pool.next_wakeup()
         if due is not None and not self.closed:
-            loop = asyncio.get_running_loop()
             when = max(due, loop.time() + MIN_TIMER_S)
             self._timer = loop.call_at(when, lambda: self.post(Tick()))
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/service_pools.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/service_pools.py
@@ -17,6 +17,7 @@
 from fulmarpulley_schema.generated.document import ServiceDocument
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 
+from ..background_tasks import log_failure
 from .directory import Directory
 from .pool_driver import PoolDriver
 
@@ -74,7 +75,11 @@
     def directory_changed(self) -> None:
         """Update all pools after the configuration, upstreams or versions changed."""
         for name, pool in self.pools.items():
-            self._update(name, pool)
+            try:
+                self._update(name, pool)
+            except Exception as error:
+                # The other pools must not miss the change.
+                log_failure("pool_update_failed", self._update, error, service=name)
 
     def close(self) -> None:
         """Close all pools."""
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/shared_limits.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/shared_limits.py
@@ -81,7 +81,7 @@
 
     async def start(self) -> None:
         """Start to count this node among those that share limits."""
-        self.tasks.spawn(self._report_presence())
+        self.tasks.supervise(self._report_presence)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop all tasks."""
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
@@ -42,7 +42,7 @@
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 from fulmarpulley_schema.generated.steps import ItemSpec
 
-from ..background_tasks import BackgroundTasks
+from ..background_tasks import BackgroundTasks, log_failure
 from ..observe.events import log_event
 from .age_marks import AgeMarkWriter
 from .attempts import ItemAttemptRunner
@@ -121,10 +121,10 @@
         self.follower.set_owned(True)
         self.directory.listeners.append(self.directory_changed)
         self._open_pools()
-        self.tasks.spawn(self._run())
-        self.tasks.spawn(self.outbox.run())
-        self.tasks.spawn(self._save_periodically())
-        self.mark_task = self.tasks.spawn(self.mark_writer.run())
+        self.tasks.supervise(self._run)
+        self.tasks.supervise(self.outbox.run)
+        self.tasks.supervise(self._save_periodically)
+        self.mark_task = self.tasks.supervise(self.mark_writer.run)
 
     async def stop(self) -> None:
         """Abort all attempts and save their events, for the next owner to resume."""
@@ -203,7 +203,17 @@
                 self._remove_run(run)
         for step in list(self.follower.fold.open_steps()):
             for item in list(step.open_items.values()):
-                self._schedule_item(step, item, now_ms)
+                try:
+                    self._schedule_item(step, item, now_ms)
+                except Exception as error:
+                    # One item must not keep the others from running.
+                    log_failure(
+                        "item_failed",
+                        self._schedule_item,
+                        error,
+                        step=step.step_id,
+                        item=item.item_id,
+                    )
 
     def _schedule_item(self, step: Step, item: ItemSpec, now_ms: int) -> None:
         work_id = work_id_of(step.step_id, item.item_id)
@@ -427,9 +437,13 @@
 
     async def _issue_order(self, name: ServiceName, order: Order) -> None:
         pool = self.pools[name]
-        outcome = (
-            await self.orders.issue(order) if self._owns_service(name) else ORDER_FAILED
-        )
+        outcome = ORDER_FAILED
+        try:
+            if self._owns_service(name):
+                outcome = await self.orders.issue(order)
+        except Exception as error:
+            # The pool waits for the outcome of each order.
+            log_failure("order_failed", self.orders.issue, error, order=order.order_id)
         if outcome.loaded is not None:
             pool.post(VersionReport(order.upstream, order.model, outcome.loaded))
         succeeded = outcome.loaded is not None
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/text_store.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/text_store.py
@@ -92,9 +92,15 @@
     ) -> Result[list[bytes], StoreFailure]:
         """Return the events of all referenced texts, in order."""
         result = await self.read(partition, refs)
-        return result.map(
-            lambda texts: [event for text in texts for event in decode_events(text)]
-        )
+        if isinstance(result, Err):
+            return result
+        try:
+            texts = [decode_events(text) for text in result.ok_value]
+        except msgspec.DecodeError:
+            offset = refs[0].offset if refs else 0
+            log_event("text_unreadable", partition=partition, offset=offset)
+            return Err(StoreFailure.UNKNOWN)
+        return Ok([event for events in texts for event in events])
 
     async def _read_adjacent(
         self,
--- a/packages/fulmarpulley-node/tests/test_follower.py
+++ b/packages/fulmarpulley-node/tests/test_follower.py
@@ -7,7 +7,7 @@
 from rollout_settings import settings
 
 from fulmarpulley_core.ids import Partition, StepId
-from fulmarpulley_core.rollout.step_records import StepRecord, encode, split
+from fulmarpulley_core.rollout.step_records import RecordKind, StepRecord, encode, split
 from fulmarpulley_core.rollout.topology import (
     Route,
     RouteKind,
@@ -102,6 +102,31 @@
         self.assertEqual(len(follower.fold.steps[StepId("s1")].results), 1)
 
 
+class OddRecordTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against one record that keeps a partition from being read."""
+
+    async def test_records_after_one_that_cannot_be_applied_are_read(self) -> None:
+        nested = bytes([RecordKind.STEP_ACCEPTED]) + b"\x91" * 100_000 + b"\xc0"
+        log = SlowLog([step(2), result(0), result(1)])
+        log.records.insert(1, nested)
+        log.readable += 1
+        tasks = BackgroundTasks()
+        follower = PartitionFollower(SETTINGS, log, Partition(0), tasks)  # type: ignore[arg-type]
+        apply = follower.fold.apply
+
+        def fail_once(record: StepRecord) -> None:
+            if isinstance(record, ItemResults):
+                follower.fold.apply = apply  # type: ignore[method-assign]
+                raise KeyError("odd")
+            apply(record)
+
+        follower.fold.apply = fail_once  # type: ignore[method-assign]
+        self.assertTrue(await follower.sync(30.0))
+        await tasks.stop()
+        results = follower.fold.steps[StepId("s1")].results
+        self.assertEqual([found.item_id for found in results], ["i1"])
+
+
 class PartialFoldTest(unittest.IsolatedAsyncioTestCase):
     """Guards against an empty page for results that another node has returned."""
 
--- a/packages/fulmarpulley-node/tests/test_topic_watcher.py
+++ b/packages/fulmarpulley-node/tests/test_topic_watcher.py
@@ -5,6 +5,7 @@
 
 from result import Ok, Result
 
+from fulmarpulley_node.background_tasks import BackgroundTasks
 from fulmarpulley_node.platform.store import Listing
 from fulmarpulley_node.platform.topic_watcher import SERVER_TOPIC, TopicTail
 from fulmarpulley_node.rollout.interfaces import LogPage, StoreFailure
@@ -28,6 +29,27 @@
         pass
 
 
+class FailingHandler(RecordingHandler):
+    """Fails to handle a key, and the first listings of the topic."""
+
+    def __init__(self, failing_key: str = "", failing_lists: int = 0) -> None:
+        super().__init__()
+        self.failing_key = failing_key
+        self.failing_lists = failing_lists
+        self.listed = asyncio.Event()
+
+    def handle_record(self, key: str, value: bytes | None) -> None:
+        super().handle_record(key, value)
+        if key == self.failing_key:
+            raise RecursionError("nested too deeply")
+
+    def handle_snapshot(self, items: list[Any]) -> None:
+        if self.failing_lists:
+            self.failing_lists -= 1
+            raise OverflowError("int too large to convert to float")
+        self.listed.set()
+
+
 class BusyStore:
     """Returns a new record for each read, as if many workers wrote continuously."""
 
@@ -47,7 +69,8 @@
         if len(self.reads) >= self.expected_reads:
             self.done.set()
         await asyncio.sleep(0)
-        return Ok(LogPage(start, [b"\x01k{}"], start + 1 + self.backlog, 0))
+        key = str(len(self.reads) % 10).encode()
+        return Ok(LogPage(start, [b"\x01" + key + b"{}"], start + 1 + self.backlog, 0))
 
 
 async def run_until_done(tail: TopicTail, store: BusyStore) -> None:
@@ -82,3 +105,29 @@
         store = BusyStore(reads=5, backlog=1)
         async with asyncio.timeout(30.0):
             await run_until_done(self.tail(store, batch_interval_s=3600.0), store)
+
+
+class FailureTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against one record that ends the reading of a topic."""
+
+    def watch(self, handler: FailingHandler, store: BusyStore) -> TopicTail:
+        return TopicTail(
+            store,  # type: ignore[arg-type]
+            SERVER_TOPIC,
+            handler,
+            RolloutMetrics(),
+        )
+
+    async def test_records_after_one_that_raises_are_handled(self) -> None:
+        handler, store = FailingHandler(failing_key="2"), BusyStore(reads=5)
+        async with asyncio.timeout(30.0):
+            await run_until_done(self.watch(handler, store), store)
+        self.assertEqual(handler.keys[:4], ["1", "2", "3", "4"])
+
+    async def test_topic_is_listed_again_after_a_listing_that_raises(self) -> None:
+        handler, store = FailingHandler(failing_lists=2), BusyStore(reads=1)
+        tasks = BackgroundTasks()
+        tasks.supervise(self.watch(handler, store).run)
+        async with asyncio.timeout(30.0):
+            await handler.listed.wait()
+        await tasks.stop()
