Open new connections to the store after a call that timed out

Callers could see requests handled by an old configuration for up to five seconds after the open connections of a node to the store had gone silent.

Cause: a read that times out closes only its own connection. The next ones took further idle connections of the pool, which were silent as well, each until its time-out; another task's success in between made them wait for the full time-out again.

Change: after a time-out, later calls use a new pool; calls in progress end on the old one.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/connections.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/connections.py
@@ -5,6 +5,9 @@
 import functools
 import socket
 import struct
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import Any
 
 import aiohttp
@@ -118,6 +121,44 @@
         self._factory = factory
 
 
+class RenewableSession:
+    """Own a client session that can be replaced while calls are in progress.
+
+    When the open connections to a server go silent, each idle one costs the next call
+    its time-out. A renewed session uses none of them.
+    """
+
+    def __init__(self) -> None:
+        self.current: aiohttp.ClientSession | None = None
+        self._calls: Counter[aiohttp.ClientSession] = Counter()
+
+    @asynccontextmanager
+    async def use(self) -> AsyncIterator[aiohttp.ClientSession]:
+        """Provide the current session for a call; renew it if the call times out."""
+        if self.current is None:
+            self.current = new_session()
+        session = self.current
+        self._calls[session] += 1
+        try:
+            yield session
+        except TimeoutError:
+            if session is self.current:
+                self.current = None
+            raise
+        finally:
+            self._calls[session] -= 1
+            if not self._calls[session]:
+                del self._calls[session]
+                if session is not self.current:
+                    await session.close()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        sessions = {*self._calls, *([self.current] if self.current else [])}
+        self.current = None
+        await asyncio.gather(*(session.close() for session in sessions))
+
+
 def new_session(idle_timeout_s: float = IDLE_TIMEOUT_S) -> aiohttp.ClientSession:
     """Return a client session that passes bodies on unchanged."""
     connector = BoundedResponseConnector(
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/store.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/store.py
@@ -14,7 +14,7 @@
 from ..observe.events import log_event
 from ..rollout.interfaces import LogPage, Membership, StoreFailure
 from ..rollout.metrics import RolloutMetrics, labels
-from .connections import new_session
+from .connections import RenewableSession
 from .wire import (
     AppendedReply,
     ExpiredReply,
@@ -61,7 +61,7 @@
         self.metrics = metrics
         # Consecutive calls that ended without a response.
         self.unanswered_calls = 0
-        self._session: aiohttp.ClientSession | None = None
+        self.session = RenewableSession()
 
     async def append(
         self, topic: str, partition: int, records: Sequence[bytes]
@@ -160,8 +160,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        await self.session.close()
 
     async def _call_with_resends(
         self,
@@ -212,14 +211,13 @@
     async def _send(
         self, method: str, path: str, body: bytes | None, timeout_s: float, json: bool
     ) -> Result[StoreResponse, StoreFailure]:
-        if self._session is None:
-            self._session = new_session()
         content_type = "application/json" if json else "application/octet-stream"
         headers = {"Content-Type": content_type} if body is not None else {}
         try:
             async with (
+                self.session.use() as session,
                 asyncio.timeout(timeout_s),
-                self._session.request(
+                session.request(
                     method,
                     self.base + path,
                     data=body,
--- a/packages/fulmarpulley-node/tests/test_store_outage.py
+++ b/packages/fulmarpulley-node/tests/test_store_outage.py
@@ -19,30 +19,41 @@
 SLOW_S = 0.8
 # Allowance for the overhead of a call.
 SLACK_S = 0.3
+IDLE_CONNECTIONS = 6
 EMPTY_PAGE = bytes(16)
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n" + EMPTY_PAGE
 
 
 class FakeStore:
-    """Answers after a delay; calls received while `silent` are never answered."""
+    """Answers after a delay; calls received while `silent` are never answered.
+
+    Connections that were open at a call of `silence_connections` stay silent.
+    """
 
     def __init__(self) -> None:
         self.silent = False
         self.delay_s = 0.0
+        self.open: set[asyncio.StreamWriter] = set()
+        self.silenced: set[asyncio.StreamWriter] = set()
+
+    def silence_connections(self) -> None:
+        self.silenced |= self.open
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self.open.add(writer)
         try:
             while True:
                 await reader.readuntil(b"\r\n\r\n")
-                silent = self.silent
+                silent = self.silent or writer in self.silenced
                 await asyncio.sleep(self.delay_s)
                 if not silent:
                     writer.write(RESPONSE)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self.open.discard(writer)
             writer.close()
 
 
@@ -92,3 +103,24 @@
         self.store_server.delay_s = CALL_TIMEOUT_S - SLACK_S
         done = await self.store.read("t", 0, 0, 0.0)
         self.assertIsInstance(done, Ok)
+
+    async def test_only_one_call_waits_for_silent_connections(self) -> None:
+        self.store_server.delay_s = 0.1
+        calls = [self.store.read("t", 0, 0, 0.0) for _ in range(IDLE_CONNECTIONS)]
+        await asyncio.gather(*calls)
+        self.store_server.delay_s = 0.0
+        self.store_server.silence_connections()
+        started_at = time.monotonic()
+        answered = await self.read_until_answered()
+        first_call_s = CALL_TIMEOUT_S + LONG_POLL_S
+        self.assertLess(answered - started_at, first_call_s + SLACK_S)
+
+    async def test_calls_in_progress_survive_the_time_out_of_another(self) -> None:
+        self.store_server.delay_s = CALL_TIMEOUT_S - SLACK_S
+        self.store_server.silent = True
+        lost = asyncio.create_task(self.store.read("t", 0, 0, 0.0))
+        await asyncio.sleep(SLACK_S)
+        self.store_server.silent = False
+        answered = await self.store.read("t", 0, 0, 0.0)
+        self.assertIsInstance(await lost, Err)
+        self.assertIsInstance(answered, Ok)
