--- a/packages/fulmarpulley-node/src/fulmarpulley_node/background_tasks.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/background_tasks.py
@@ -71,11 +71,11 @@
         delay_s = min(2 * delay_s, MAX_RESTART_DELAY_S)
 
 
-def notify_all(listeners: Iterable[Callable[[], None]]) -> None:
+def notify_all(listeners: Iterable[Callable[..., None]], *change: Any) -> None:
     """Call all listeners; log the exception of one and call the others."""
     for listener in list(listeners):
         try:
-            listener()
+            listener(*change)
         except Exception as error:
             log_failure("listener_failed", listener, error)
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/configuration.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/configuration.py
@@ -27,7 +27,7 @@
 )
 from fulmarpulley_schema.generated.upstream import LogPage
 
-from .background_tasks import BackgroundTasks
+from .background_tasks import BackgroundTasks, log_failure, notify_all
 from .documents import read_document
 from .log_client import PAGE_RECORDS, LogClient, read_record
 from .members import Members
@@ -72,8 +72,8 @@
 
     async def start(self) -> None:
         """Start reading the log and pulling from other nodes."""
-        self.tasks.spawn(self._tail_log())
-        self.tasks.spawn(self._pull_loop())
+        self.tasks.supervise(self._tail_log)
+        self.tasks.supervise(self._pull_loop)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Cancel the background tasks."""
@@ -128,7 +128,8 @@
             await wait_event(self.changed, remaining_s)
 
     async def _tail_log(self) -> None:
-        async for page in self.log.tail(CONFIG_STREAM, 1):
+        # A reader that is restarted goes on after the last record that was folded.
+        async for page in self.log.tail(CONFIG_STREAM, self.fold.offset + 1):
             if isinstance(page, Ok):
                 self._apply_page(page.ok_value)
 
@@ -136,18 +137,29 @@
         if page.first > self.fold.offset + 1 or self.fold.first is None:
             self.fold.start_at(Offset(page.first))
         for item in page.records:
-            offset = Offset(item.offset)
-            record = read_record(item.data)
-            if isinstance(record, Ok):
-                self._handle_events(self.fold.apply(offset, record.ok_value))
-                if record.ok_value.kind == "snapshot":
-                    self.snapshot_read_at = asyncio.get_running_loop().time()
-            else:
-                self._handle_events(self.fold.skip(offset, record.err_value))
+            try:
+                self._apply_record(Offset(item.offset), item.data)
+            except Exception as error:
+                # One record must not keep the node from reading those after it.
+                log_failure(
+                    "config_record_failed",
+                    self._apply_record,
+                    error,
+                    offset=item.offset,
+                )
         if len(page.records) < PAGE_RECORDS:
             self.caught_up = True
         self._publish_offset()
 
+    def _apply_record(self, offset: Offset, data: str) -> None:
+        record = read_record(data)
+        if isinstance(record, Err):
+            self._handle_events(self.fold.skip(offset, record.err_value))
+            return
+        if record.ok_value.kind == "snapshot":
+            self.snapshot_read_at = asyncio.get_running_loop().time()
+        self._handle_events(self.fold.apply(offset, record.ok_value))
+
     def _publish_offset(self) -> None:
         self.members.set_config_offset(self.fold.offset)
         self.metrics.config_offset.set({}, self.fold.offset)
@@ -159,8 +171,7 @@
             if isinstance(event, DocumentAccepted):
                 self.holders = holders(self._known_documents())
                 self._put_in_force(event.accepted)
-                for listener in self.listeners:
-                    listener(event.accepted.service)
+                notify_all(self.listeners, event.accepted.service)
             elif isinstance(event, EditDecided):
                 log_event(
                     "edit_decided",
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/edit_publisher.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/edit_publisher.py
@@ -52,7 +52,7 @@
 
     async def start(self) -> None:
         """Start the periodic snapshots."""
-        self.tasks.spawn(self._snapshot_loop())
+        self.tasks.supervise(self._snapshot_loop)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop the periodic snapshots."""
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/claim_stream.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/claim_stream.py
@@ -42,7 +42,7 @@
 
     def start(self) -> None:
         """Start reading the stream."""
-        self.tasks.spawn(self._tail())
+        self.tasks.supervise(self._tail)
 
     async def stop(self) -> None:
         """Stop reading and all other tasks of the partition."""
@@ -86,7 +86,8 @@
             await asyncio.sleep(OUTCOME_RETRY_S)
 
     async def _tail(self) -> None:
-        async for page in self.log.tail(self.name, 1):
+        # A reader that is restarted goes on after the last record that was applied.
+        async for page in self.log.tail(self.name, self.table.offset + 1):
             if isinstance(page, Ok):
                 self._apply_page(page.ok_value)
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/partitions.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/partitions.py
@@ -67,7 +67,7 @@
 
     async def start(self) -> None:
         """Start opening and closing partition homes."""
-        self.tasks.spawn(self._reconcile())
+        self.tasks.supervise(self._reconcile)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop all partition homes."""
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pool_home.py
@@ -93,9 +93,9 @@
     def start(self) -> None:
         """Start dispatching work."""
         self.monitors.update(self.document)
-        self.tasks.spawn(self._run())
-        self.tasks.spawn(self._close_unused())
-        self.tasks.spawn(self.announcements.release())
+        self.tasks.supervise(self._run)
+        self.tasks.supervise(self._close_unused)
+        self.tasks.supervise(self.announcements.release)
 
     async def stop(self) -> None:
         """Cancel all attempts and close all connections."""
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pools.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/pools.py
@@ -79,7 +79,7 @@
 
     async def start(self) -> None:
         """Start opening and closing pool homes."""
-        self.tasks.spawn(self._reconcile_periodically())
+        self.tasks.supervise(self._reconcile_periodically)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop all pool homes."""
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/step_home.py
@@ -65,7 +65,7 @@
         self.sample_tasks: dict[WorkId, asyncio.Task[None]] = {}
         self.samples_ready = asyncio.Event()
         self.tasks = BackgroundTasks()
-        self.tasks.spawn(self._tick())
+        self.tasks.supervise(self._tick)
 
     async def stop(self) -> None:
         """Cancel all sample tasks."""
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/steps.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/steps.py
@@ -75,7 +75,7 @@
 
     async def start(self) -> None:
         """Start handing over steps whose home has moved to another node."""
-        self.tasks.spawn(self._reconcile())
+        self.tasks.supervise(self._reconcile)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop all step homes."""
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/homes/upstream_monitors.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/homes/upstream_monitors.py
@@ -97,8 +97,8 @@
         monitor = UpstreamMonitor(entry, self.post, self.is_leaving, self.metrics)
         self.monitors[upstream] = monitor
         self.poll_tasks[upstream] = [
-            self.tasks.spawn(monitor.poll()),
-            self.tasks.spawn(monitor.poll_cache()),
+            self.tasks.supervise(monitor.poll),
+            self.tasks.supervise(monitor.poll_cache),
         ]
 
     def _retire(self, upstream: UpstreamId) -> None:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/members.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/members.py
@@ -22,7 +22,7 @@
     InstanceState,
 )
 
-from .background_tasks import BackgroundTasks
+from .background_tasks import BackgroundTasks, notify_all
 from .observe.events import log_event
 from .observe.metrics import Metrics
 from .peers import PeerLinks
@@ -60,8 +60,8 @@
 
     async def start(self) -> None:
         """Start probing other nodes and polling the instance list."""
-        self.tasks.spawn(self._tick_loop())
-        self.tasks.spawn(self._poll_instance_list())
+        self.tasks.supervise(self._tick_loop)
+        self.tasks.supervise(self._poll_instance_list)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Cancel the background tasks and close the instance list client."""
@@ -149,8 +149,7 @@
             log_event("members_changed", members=",".join(sorted(homes)))
         self._notified_homes = homes
         self.metrics.members.set({}, len(homes))
-        for listener in self.listeners:
-            listener()
+        notify_all(self.listeners)
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/peers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/peers.py
@@ -1,6 +1,7 @@
 """Exchange messages with other nodes over ZeroMQ."""
 
 import asyncio
+import functools
 import itertools
 from collections.abc import Awaitable, Callable
 from enum import StrEnum
@@ -17,6 +18,7 @@
 from fulmarpulley_schema.generated.peer import MessageKind
 from fulmarpulley_schema.generated.settings import NodeSettings
 
+from .background_tasks import BackgroundTasks
 from .observe.events import log_event
 from .observe.metrics import Metrics
 from .peer_link import CallFailure, PeerLink, new_socket
@@ -59,7 +61,7 @@
         self.zmq_context: zmq.asyncio.Context | None = None
         self.router: zmq.asyncio.Socket | None = None
         self.in_progress: set[tuple[bytes, bytes]] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self.tasks = BackgroundTasks()
 
     async def start(self) -> None:
         """Bind the socket that receives messages of other nodes."""
@@ -67,14 +69,12 @@
         self.zmq_context = zmq.asyncio.Context()
         self.router = new_socket(self.zmq_context, zmq.ROUTER, self.settings.peer_keys)
         self.router.bind(f"tcp://{listen.host}:{listen.port}")
-        self._spawn(self._receive_messages(self.router))
-        self._spawn(self._check_links())
+        self.tasks.supervise(functools.partial(self._receive_messages, self.router))
+        self.tasks.supervise(self._check_links)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Close all sockets and the context."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.tasks.stop()
         for link in self.links.values():
             link.close()
         if self.router is not None:
@@ -161,7 +161,7 @@
                 if link.replace_if_silent():
                     log_event("peer_link_replaced", address=link.address)
                 else:
-                    self._spawn(link.ping_for_waiting_calls())
+                    self.tasks.spawn(link.ping_for_waiting_calls())
                 if link.is_unused():
                     self.links.pop(link.address).close()
 
@@ -176,7 +176,7 @@
                 await router.send_multipart([identity, REPLY, call_id, not_in_progress])
             else:
                 self.in_progress.add((identity, call_id))
-                self._spawn(self._handle_and_reply(router, frames))
+                self.tasks.spawn(self._handle_and_reply(router, frames))
 
     def _calls_not_in_progress(self, identity: bytes, call_ids: list[bytes]) -> bytes:
         # The reply to a call is sent before the call leaves in_progress, hence before
@@ -211,8 +211,3 @@
             )
             return MessageKind.FAILURE, b""
         return MessageKind.REPLY, to_msgpack(result) if result is not None else b""
-
-    def _spawn(self, work: Any) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/versions.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/versions.py
@@ -13,7 +13,7 @@
 from fulmarpulley_schema.generated.peer import MessageKind, VersionNotice
 from fulmarpulley_schema.generated.records import RecordKind, VersionRecord
 
-from .background_tasks import BackgroundTasks
+from .background_tasks import BackgroundTasks, notify_all
 from .configuration import Configuration
 from .locator import Locator, pool_shard_count
 from .log_client import LogClient, new_record, read_record
@@ -56,8 +56,8 @@
 
     async def start(self) -> None:
         """Start reading versions from the log and appending new ones."""
-        self.tasks.spawn(self._tail_log())
-        self.tasks.spawn(self._append_loop())
+        self.tasks.supervise(self._tail_log)
+        self.tasks.supervise(self._append_loop)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Cancel the background tasks."""
@@ -97,8 +97,7 @@
             model=notice.model,
             version=notice.version,
         )
-        for listener in self.listeners:
-            listener(notice)
+        notify_all(self.listeners, notice)
         return True
 
     def newest_version(self, service: str, model: str) -> Version:
--- a/packages/fulmarpulley-node/tests/test_configuration.py
+++ b/packages/fulmarpulley-node/tests/test_configuration.py
@@ -65,8 +65,8 @@
     return LogPage(first=1, next=len(records) + 1, records=records)
 
 
-class PullTest(IsolatedAsyncioTestCase):
-    """Check that a pull from a peer never loses documents."""
+class ConfigurationCase(IsolatedAsyncioTestCase):
+    """Connects a node to a peer that knows two documents."""
 
     def node(self) -> tuple[Configuration, FakePeers, FakeMembers]:
         peers, members = FakePeers(), FakeMembers()
@@ -81,6 +81,10 @@
         self.client, self.peers, self.members = self.node()
         self.peers.source = server_peers
 
+
+class PullTest(ConfigurationCase):
+    """Check that a pull from a peer never loses documents."""
+
     async def test_pull_adopts_all_documents_at_equal_offset(self) -> None:
         self.client.fold.start_at(Offset(3))
         await self.client._pull_once(NodeId("n2"))
@@ -102,3 +106,24 @@
         await self.client._pull_once(NodeId("n2"))
         self.assertEqual(self.client.fold.services(), ["desk", "later", "tutor"])
         self.assertIn("$", self.client.problems["later"])
+
+
+class OddRecordTest(ConfigurationCase):
+    """Guards against one record that keeps later documents from being in force."""
+
+    async def test_documents_after_a_listener_that_raises_are_in_force(self) -> None:
+        def fail(service: str) -> None:
+            raise OverflowError(service)
+
+        self.client.listeners.append(fail)
+        self.client._apply_page(page(desk=DOCUMENT, tutor=TUTOR))
+        self.assertIsNotNone(self.client.document("tutor"))
+
+    async def test_documents_after_a_deeply_nested_record_are_in_force(self) -> None:
+        records = page(desk=DOCUMENT, tutor=TUTOR).records
+        records[0].data = '{"body":' + "[" * 100_000
+        nested = '{"body":' + "[" * 100_000 + "]" * 100_000 + "}"
+        records.insert(1, LogRecord(offset=2, id="r", data=nested))
+        records[2].offset = 3
+        self.client._apply_page(LogPage(first=1, next=4, records=records))
+        self.assertIsNotNone(self.client.document("tutor"))
