Reject responses and submissions that no record can hold

Callers would see steps whose results are never listed: a weight version of 30 digits in a response, or a signature with bytes that are no text, could not be encoded for the log. A caller got the signature without these bytes, which is another one.

Change: such a response is broken, and such a submission is answered 400.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/generation_stream.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/generation_stream.py
@@ -2,9 +2,14 @@
 
 from typing import NamedTuple
 
+from .headers import parse_int
+
 
 class StreamEvent(NamedTuple):
-    """Hold a complete event; the version is set only when it changes."""
+    """Hold a complete event; the version is set only when it changes.
+
+    An event whose number or version cannot be read has no number.
+    """
 
     number: int | None
     data: bytes
@@ -32,14 +37,16 @@
 def _event(block: bytes) -> StreamEvent:
     number: int | None = None
     version: int | None = None
+    is_valid = True
     data: list[bytes] = []
     for line in block.split(b"\n"):
         name, _, value = line.partition(b":")
         value = value.removeprefix(b" ")
         if name == b"data":
             data.append(value)
-        elif name == b"id" and value.isdigit():
-            number = int(value)
-        elif name == b"weight-versions" and value.strip().isdigit():
-            version = int(value)
-    return StreamEvent(number, b"\n".join(data), version)
+        elif name == b"id":
+            number = parse_int(value.decode(errors="replace"))
+        elif name == b"weight-versions":
+            version = parse_int(value.strip().decode(errors="replace"))
+            is_valid = version is not None
+    return StreamEvent(number if is_valid else None, b"\n".join(data), version)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/headers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/headers.py
@@ -1,9 +1,11 @@
-"""Select the headers that are forwarded."""
+"""Select the headers that are forwarded, and read numbers from headers."""
 
 from collections.abc import Mapping
 
 from multidict import CIMultiDict
 
+# Longer numbers are not meant by anyone, and might not fit into the records of the log.
+MAX_DIGITS = 15
 # Includes headers that the HTTP library sets itself.
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -33,3 +35,9 @@
         if name.lower() not in dropped:
             kept.add(name, value)
     return kept
+
+
+def parse_int(text: str | None) -> int | None:
+    """Return the whole number that a header or query holds, or None."""
+    is_number = text is not None and text.isascii() and text.isdecimal()
+    return int(text) if text and is_number and len(text) <= MAX_DIGITS else None
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
@@ -24,8 +24,8 @@
 from ..rollout.step_frontend import StepFrontend, StepOutcome
 from . import wire
 from .connections import refuse_new_connections
-from .headers import end_to_end_headers
-from .step_messages import parse_int, to_reply, to_step
+from .headers import end_to_end_headers, parse_int
+from .step_messages import to_reply, to_step
 
 MAX_RESULT_WAIT_S = 1.0
 # Clients retry after this time, and the retry reaches another node.
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/step_messages.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/step_messages.py
@@ -10,14 +10,15 @@
 from ..rollout.clock import unix_ms
 from ..rollout.step_frontend import ResultPage
 from . import wire
+from .headers import parse_int
 
 
 def to_step(
     submission: wire.Submission, step_id: str, host: str, path: str
 ) -> StepAccepted:
     """Convert a submission; raise ValueError for missing or duplicate ids."""
-    if not step_id:
-        raise ValueError("the submission has no Request-Id")
+    if not step_id or not step_id.isascii():
+        raise ValueError("the submission has no valid Request-Id")
     if len({item.item_id for item in submission.items}) < len(submission.items):
         raise ValueError("two items have the same Id")
     return StepAccepted(
@@ -85,8 +86,3 @@
             if name.lower() == "model":
                 return value
     return ""
-
-
-def parse_int(text: str | None) -> int | None:
-    """Return the whole number that a header or query holds, or None."""
-    return int(text) if text and text.isdecimal() and len(text) < 16 else None
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/topic_watcher.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/topic_watcher.py
@@ -36,7 +36,7 @@
 from ..rollout.interfaces import DirectoryListener, StoreFailure
 from ..rollout.metrics import RolloutMetrics, labels
 from . import wire
-from .step_messages import parse_int
+from .headers import parse_int
 from .store import StoreClient
 
 OPERATOR_TOPIC = "keyed.op"
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
@@ -26,7 +26,7 @@
 from ..rollout.rate_limits import RateLimits
 from .connections import new_session
 from .generation_stream import EventParser
-from .headers import end_to_end_headers
+from .headers import end_to_end_headers, parse_int
 from .wire import ReportReply, VersionOrder
 
 ORDER_TIMEOUT_S = 2.0
@@ -225,7 +225,7 @@
     min_version: int,
     sink: EventSink,
 ) -> Result[None, UpstreamCallFailure]:
-    version = int(response.headers["Weight-Versions"])
+    version = parse_int(response.headers["Weight-Versions"]) or 0
     parser = EventParser()
     expected = resume_after + 1
     async for chunk in response.content.iter_any():
@@ -265,8 +265,12 @@
         return UpstreamCallFailure(
             Failure.BROKEN, "the response belongs to another request"
         )
-    if 200 <= status < 300 and "Server-Stamp" not in response.headers:
+    signature = response.headers.get("Server-Stamp")
+    if 200 <= status < 300 and signature is None:
         return UpstreamCallFailure(Failure.BROKEN, "the response is not signed")
+    if signature is not None and not signature.isascii():
+        # It could be passed on neither in a header nor in a record.
+        return UpstreamCallFailure(Failure.BROKEN, "the signature is not text")
     if not _has_length(response):
         # The end of such a body is the end of the connection, and the client library
         # does not report whether that was closed or reset.
@@ -296,12 +300,12 @@
     status = response.status
     if status != 200:
         return UpstreamCallFailure(Failure.ERRORED, f"status {status}", status)
-    text = response.headers.get("Weight-Versions", "")
-    if not text.isdigit():
+    served = parse_int(response.headers.get("Weight-Versions"))
+    if served is None:
         return UpstreamCallFailure(Failure.BROKEN, "the response has no weight version")
-    if int(text) < version:
-        reason = f"the engine serves version {text}, older than {version}"
-        return UpstreamCallFailure(Failure.REFUSED, reason, status, int(text))
+    if served < version:
+        reason = f"the engine serves version {served}, older than {version}"
+        return UpstreamCallFailure(Failure.REFUSED, reason, status, served)
     return None
 
 
--- a/packages/fulmarpulley-node/tests/test_platform_decoding.py
+++ b/packages/fulmarpulley-node/tests/test_platform_decoding.py
@@ -93,6 +93,12 @@
         with self.assertRaisesRegex(ValueError, "the same Id"):
             to_step(submission, "s", "h", "/p")
 
+    def test_to_step_rejects_request_id_that_no_record_can_hold(self) -> None:
+        submission = msgspec.json.decode(b'{"Items":[]}', type=wire.Submission)
+        for step_id in ("", "s\udcff"):
+            with self.assertRaisesRegex(ValueError, "Request-Id"):
+                to_step(submission, step_id, "h", "/p")
+
 
 class FrameTest(unittest.TestCase):
     def test_unframe_drops_truncated_record(self) -> None:
--- a/packages/fulmarpulley-node/tests/test_truncated_answers.py
+++ b/packages/fulmarpulley-node/tests/test_truncated_answers.py
@@ -116,6 +116,13 @@
                     result = await self.forward(answer[:length], reset)
                     self.assertIsInstance(result, Err, (name, answer[:length], reset))
 
+    async def test_answer_whose_signature_cannot_be_passed_on_is_not_a_success(
+        self,
+    ) -> None:
+        head = HEAD.replace(b"Stamp: s", b"Stamp: s\xff")
+        result = await self.forward(head + b"Content-Length: 0\r\n\r\n")
+        self.assertIsInstance(result, Err)
+
 
 class StreamTest(TruncatedCase):
     """Guards against streams that take in an error or end before their last event."""
@@ -143,3 +150,17 @@
             result, events = await self.resume(CHUNKED + chunk(text) + b"0\r\n\r\n")
             self.assertIsInstance(result, Err, text)
             self.assertEqual(events, [b"c", b"d"][: len(events)])
+
+    async def test_events_of_a_version_that_no_record_can_hold_are_not_taken(
+        self,
+    ) -> None:
+        large = b"9" * 30
+        head = HEAD.replace(b"Versions: 1", b"Versions: " + large)
+        event = b"weight-versions: " + large + b"\n" + EVENTS
+        for answer in (
+            head + b"Transfer-Encoding: chunked\r\n\r\n" + chunk(EVENTS),
+            CHUNKED + chunk(event),
+        ):
+            result, events = await self.resume(answer + b"0\r\n\r\n")
+            self.assertIsInstance(result, Err)
+            self.assertEqual(events, [])
