List topics beside odd keys and items

A node that starts could learn of no worker and no configuration.

Cause: a page of a listing was decoded as a whole, so that one odd item made each listing fail, and the key after which the next page begins was not quoted: after a key with a special character, the store was asked for another page.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/store.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Sequence
 from typing import NamedTuple, TypeVar
+from urllib.parse import quote
 
 import aiohttp
 import msgspec
@@ -124,13 +125,15 @@
             if isinstance(page, Err):
                 return page
             reply = page.ok_value
-            items += reply.items
+            decoded = [_decode_item(item) for item in reply.items]
+            page_items = [item for item in decoded if item is not None]
+            items += page_items
             # The pages are not a snapshot: records that change during the listing come
             # after the end offset of the first page.
             end = reply.end if end is None else end
-            if not reply.has_more or not reply.items:
+            if not reply.has_more or not page_items:
                 break
-            after = f"&After={reply.items[-1].key}"
+            after = f"&After={quote(page_items[-1].key, safe='')}"
         return Ok(Listing(items, end or 0))
 
     async def join(
@@ -276,6 +279,14 @@
     return Ok(LogPage(start, records, end, first))
 
 
+def _decode_item(data: msgspec.Raw) -> KeyedItem | None:
+    try:
+        return from_json(bytes(data), KeyedItem)
+    except msgspec.DecodeError as error:
+        log_event("store_item_unreadable", error=str(error))
+        return None
+
+
 def _decode(response: StoreResponse, message_type: type[T]) -> Result[T, StoreFailure]:
     try:
         return Ok(from_json(response.body, message_type))
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/wire.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/wire.py
@@ -35,7 +35,8 @@
 class NewestReply(msgspec.Struct):
     """Hold a page of the newest record of each key."""
 
-    items: list[KeyedItem] = msgspec.field(name="Items")
+    # Instances of KeyedItem, but other writers may leave odd ones.
+    items: list[msgspec.Raw] = msgspec.field(name="Items")
     has_more: bool = msgspec.field(name="HasMore")
     end: Int64 = msgspec.field(name="End")
 
