Give no more work to upstreams that say in responses that they leave

Callers' requests reached a worker longer than the drain time after the node had passed on an answer with Server-Leaving: the header was not read, and a node that is cut off from the store, or whose list still says ready, had no other sign.

Change: each response of a worker, also to items, reward calls, reports and orders, marks this start of the worker as draining in the node's directory, whatever its entry says. A new start of the worker is used again.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/upstreams.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/upstreams.py
@@ -9,6 +9,8 @@
 # Entries that expired during an outage of the store are back within two seconds after
 # it. Until then a missing entry does not mean that its upstream is gone.
 REMOVAL_GRACE_S = 2.0
+# Bounds the memory for upstreams that have left.
+MAX_LEAVING = 4096
 
 
 class ListedState(StrEnum):
@@ -32,10 +34,16 @@
 
 
 class UpstreamDirectory:
-    """Keep the entries of the upstreams to use."""
+    """Keep the entries of the upstreams to use.
+
+    An upstream that says in its responses that it leaves counts as draining, whatever
+    its entry says, until it is started again.
+    """
 
     def __init__(self) -> None:
         self.listed: dict[UpstreamId, ListedUpstream] = {}
+        # The ids and starts of upstreams that leave, as an ordered set.
+        self._leaving: dict[tuple[UpstreamId, int], None] = {}
         self._removal_due: dict[UpstreamId, float] = {}
         self._recovered_at = float("-inf")
 
@@ -46,11 +54,26 @@
     def put(self, entry: ListedUpstream) -> bool:
         """Add or replace an entry; return whether it changes anything."""
         self._removal_due.pop(entry.upstream_id, None)
+        if (entry.upstream_id, entry.started_ms) in self._leaving:
+            entry = msgspec.structs.replace(entry, state=ListedState.DRAINING)
         if self.listed.get(entry.upstream_id) == entry:
             return False
         self.listed[entry.upstream_id] = entry
         return True
 
+    def mark_leaving(self, upstream: ListedUpstream) -> bool:
+        """Record that an upstream says that it leaves; return whether that is new."""
+        key = (upstream.upstream_id, upstream.started_ms)
+        if key in self._leaving:
+            return False
+        self._leaving[key] = None
+        if len(self._leaving) > MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        listed = self.listed.get(upstream.upstream_id)
+        if listed is not None:
+            self.put(listed)
+        return True
+
     def remove(self, upstream_id: UpstreamId, now: float) -> bool:
         """Remove an entry, after a grace period if the store has just recovered.
 
--- a/packages/fulmarpulley-core/tests/rollout/test_upstreams.py
+++ b/packages/fulmarpulley-core/tests/rollout/test_upstreams.py
@@ -2,7 +2,9 @@
 
 from fulmarpulley_core.ids import DataCentre, ServiceName, UpstreamId
 from fulmarpulley_core.rollout.upstreams import (
+    MAX_LEAVING,
     REMOVAL_GRACE_S,
+    ListedState,
     ListedUpstream,
     UpstreamDirectory,
 )
@@ -10,9 +12,10 @@
 U1, U2 = UpstreamId("u1"), UpstreamId("u2")
 
 
-def entry(name: UpstreamId) -> ListedUpstream:
+def entry(name: UpstreamId, started_ms: int = 1) -> ListedUpstream:
     return ListedUpstream(
         upstream_id=name,
+        started_ms=started_ms,
         service=ServiceName("s"),
         address="h:1",
         data_centre=DataCentre("a1"),
@@ -48,3 +51,38 @@
     def test_replace_drops_what_is_not_listed(self) -> None:
         self.assertTrue(self.directory.replace([entry(U2)], 10.0))
         self.assertEqual(self.names(), ["u2"])
+
+
+class LeavingTest(unittest.TestCase):
+    """Guards against an upstream that is used again after it said that it leaves."""
+
+    def setUp(self) -> None:
+        self.directory = UpstreamDirectory()
+        self.directory.put(entry(U1))
+
+    def state(self) -> ListedState:
+        return self.directory.listed[U1].state
+
+    def test_leaving_upstream_drains_whatever_its_entry_says(self) -> None:
+        self.assertTrue(self.directory.mark_leaving(entry(U1)))
+        self.assertFalse(self.directory.mark_leaving(entry(U1)))
+        self.assertIs(self.state(), ListedState.DRAINING)
+        self.directory.replace([entry(U1)], 10.0)
+        self.directory.remove(U1, 10.0)
+        self.directory.put(entry(U1))
+        self.assertIs(self.state(), ListedState.DRAINING)
+
+    def test_upstream_that_was_started_again_is_ready(self) -> None:
+        self.directory.mark_leaving(entry(U1))
+        self.directory.put(entry(U1, started_ms=2))
+        self.assertIs(self.state(), ListedState.READY)
+
+    def test_late_response_of_an_earlier_start_has_no_effect(self) -> None:
+        self.directory.put(entry(U1, started_ms=2))
+        self.directory.mark_leaving(entry(U1))
+        self.assertIs(self.state(), ListedState.READY)
+
+    def test_memory_for_upstreams_that_left_is_bounded(self) -> None:
+        for number in range(MAX_LEAVING + 1):
+            self.directory.mark_leaving(entry(UpstreamId(f"left{number}")))
+        self.assertEqual(len(self.directory._leaving), MAX_LEAVING)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
@@ -42,6 +42,7 @@
         self.limits = RateLimits(self.shared_limits, self.metrics)
         self.workers = WorkerClient(settings, self.limits)
         self.directory = Directory(self.metrics)
+        self.workers.on_leaving = self.directory.upstream_leaving
         self.topic_watcher = TopicWatcher(self.store, self.directory, self.metrics)
         self.partitions = Partitions(settings, self.store)
         self.ownership = Ownership(settings, self.store, self.partitions)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 
 import aiohttp
 import msgspec
@@ -48,6 +49,8 @@
     def __init__(self, settings: RolloutSettings, limits: RateLimits) -> None:
         self.node_id = settings.node_id
         self.limits = limits
+        # Called for each response of an upstream that is about to leave.
+        self.on_leaving: Callable[[ListedUpstream], None] = lambda upstream: None
         self._open_session: aiohttp.ClientSession | None = None
 
     async def forward(
@@ -72,6 +75,7 @@
                     allow_redirects=False,
                 ) as response,
             ):
+                self._record_leaving(upstream, response)
                 self._record_limit(upstream, response, request.request_id, sent_at)
                 body = await response.read()
                 failure = _check_response(response, request.request_id)
@@ -112,6 +116,7 @@
             async with self._session.post(
                 url, headers=headers, data=item.body, allow_redirects=False
             ) as response:
+                self._record_leaving(upstream, response)
                 self._record_limit(upstream, response, item.item_id, sent_at)
                 failure = _check_response(response, item.item_id) or _check_stream(
                     response, min_version
@@ -156,6 +161,16 @@
             self._open_session = new_session()
         return self._open_session
 
+    def _record_leaving(
+        self, upstream: ListedUpstream, response: aiohttp.ClientResponse
+    ) -> None:
+        # A misdirected request was answered by another worker at the address.
+        if (
+            response.headers.get("Server-Leaving") == "1"
+            and response.status != MISDIRECTED
+        ):
+            self.on_leaving(upstream)
+
     def _record_limit(
         self,
         upstream: ListedUpstream,
@@ -189,6 +204,7 @@
             asyncio.timeout(ORDER_TIMEOUT_S),
             self._session.get(url, headers=headers) as response,
         ):
+            self._record_leaving(upstream, response)
             if response.status != 200:
                 raise ValueError(f"the report has status {response.status}")
             return from_json(await response.read(), ReportReply)
@@ -214,6 +230,7 @@
             asyncio.timeout(ORDER_TIMEOUT_S),
             self._session.post(url, headers=headers, data=body) as response,
         ):
+            self._record_leaving(upstream, response)
             await response.read()
             return response.status
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/directory.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/directory.py
@@ -86,6 +86,17 @@
             )
         self._notify()
 
+    def upstream_leaving(self, upstream: ListedUpstream) -> None:
+        """Stop using an upstream that says in a response that it leaves."""
+        if self.upstreams.mark_leaving(upstream):
+            log_event(
+                "upstream_leaving",
+                upstream=upstream.upstream_id,
+                service=upstream.service,
+                state=upstream.state.value,
+            )
+            self._notify()
+
     def upstream_removed(self, upstream_id: UpstreamId) -> None:
         """Remove the entry of an upstream, after a grace period following an outage."""
         removed = self.upstreams.remove(upstream_id, time.monotonic())
--- a/testing/src/fulmarpulley_testing/platform_system.py
+++ b/testing/src/fulmarpulley_testing/platform_system.py
@@ -154,6 +154,8 @@
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self.store = PlatformStore(PARTITIONS)
         self.workers: dict[str, PlatformWorker] = {}
+        # Entries of workers as they were first written.
+        self.entries: dict[str, Any] = {}
         self.nodes: list[NodeProcess] = []
         self.runners: list[web.AppRunner] = []
         self.store_port = 0
@@ -189,6 +191,7 @@
         port = self.run(self._serve(worker.app()))
         self.workers[name] = worker
         entry = worker.entry(service, f"{LOOPBACK}:{port}", "a1", 4)
+        self.entries[name] = entry
         self.put_worker_entry(name, entry)
         return worker
 
--- a/testing/src/fulmarpulley_testing/platform_worker.py
+++ b/testing/src/fulmarpulley_testing/platform_worker.py
@@ -82,6 +82,10 @@
         # While this is set, streams that have sent no event yet send comments only.
         self.comments_only = False
         self.first_event_delay_s = 0.0
+        # While this is set, all responses say that the worker is about to leave.
+        self.leaving = False
+        # Start of the worker in Unix milliseconds, as its entry says.
+        self.born = 1
         # Requests per second that responses state as the limit of the worker.
         self.rate_limit: float | None = None
         self.limit_periods: list[LimitPeriod] = []
@@ -112,15 +116,17 @@
             "ColdRemainingMs": 0,
             "Models": models,
             "Sequence": 1,
-            "born": 1,
+            "born": self.born,
         }
 
     async def report(self, request: web.Request) -> web.Response:
         """Report the versions that the worker serves and whether it is loading."""
         models = [{"Name": m, "Version": v} for m, v in self.versions.items()]
-        return json_response(
+        response = json_response(
             {"Models": models, "Busy": self.loading, "Sequence": self.accepted_orders}
         )
+        response.headers.update(self._leaving_headers())
+        return response
 
     async def order(self, request: web.Request) -> web.Response:
         """Accept an order to load a version."""
@@ -140,20 +146,21 @@
 
     def _apply_order(self, body: Any, arrived: float) -> web.Response:
         newest = max((order.fence for order in self.orders), default=0)
+        headers = self._leaving_headers()
         if body["FencingToken"] < newest:
-            return web.Response(status=412)
+            return web.Response(status=412, headers=headers)
         if (
             self.loading
             or body.get("Precondition", self.accepted_orders) != self.accepted_orders
         ):
-            return web.Response(status=409)
+            return web.Response(status=409, headers=headers)
         self.accepted_orders += 1
         accepted = Order(body["Holder"], body["FencingToken"], body["Version"], arrived)
         self.orders.append(accepted)
         self.loading = True
         loop = asyncio.get_running_loop()
         loop.call_later(self.load_s, self._finish_load, body["Model"], body["Version"])
-        return web.Response(status=202)
+        return web.Response(status=202, headers=headers)
 
     def _finish_load(self, model: str, version: int) -> None:
         self.versions[model] = version
@@ -168,7 +175,11 @@
         model = headers.get("Model")
         running = sum(not run.ended for run in self.runs)
         if running >= self.slots or (model is not None and self.loading):
-            refused = {"Not-Executed": "1", **self._limit_headers()}
+            refused = {
+                "Not-Executed": "1",
+                **self._limit_headers(),
+                **self._leaving_headers(),
+            }
             return web.Response(status=503, headers=refused)
         run = Run(
             worker=self.name,
@@ -272,8 +283,12 @@
             "Request-Id": request_id,
             "Server-Stamp": signature,
             **self._limit_headers(),
+            **self._leaving_headers(),
         }
 
+    def _leaving_headers(self) -> dict[str, str]:
+        return {"Server-Leaving": "1"} if self.leaving else {}
+
     def _limit_headers(self) -> dict[str, str]:
         now, periods = time.monotonic(), self.limit_periods
         stated = periods[-1].requests_per_s if periods else None
