Let the fault soak change what the store publishes, and check that nodes follow

The soak wrote new versions of the configuration without a check of what is in force, and no entry of another writer. It now adds routes and asks for them, writes odd entries and has workers say that they leave in answers only.

--- a/testing/src/fulmarpulley_testing/platform_clients.py
+++ b/testing/src/fulmarpulley_testing/platform_clients.py
@@ -35,6 +35,7 @@
 REWARD_PROBABILITY = 0.5
 DEADLINE_MS = 3000
 REQUEST_PAUSE_S = 0.15
+ADDED_ROUTE_PROBABILITY = 0.5
 REQUESTS_PER_CONNECTION = 12
 # Trainers read incomplete steps again at the end of a soak up to this age.
 MAX_REREAD_AGE_S = 60.0
@@ -197,6 +198,9 @@
     def _next_request(self, node: NodeProcess, number: int) -> RequestSeen:
         repeatable = self.random.random() < 0.5
         prefix = DESK_PREFIX if repeatable else UNSAFE_PREFIX
+        added = list(self.history.added_routes)
+        if repeatable and added and self.random.random() < ADDED_ROUTE_PROBABILITY:
+            prefix = added[-1]
         request_id = f"{self.name}r{number}"
         request = RequestSeen(
             request_id=request_id,
@@ -225,6 +229,8 @@
             ):
                 request.answer = await response.read()
                 request.answer_id = response.headers.get("Request-Id", "")
+                request.signature = response.headers.get("Server-Stamp", "")
+                request.leaving = response.headers.get("Server-Leaving") == "1"
                 request.status = response.status
         except (TimeoutError, aiohttp.ClientError, OSError):
             request.status = 0
--- a/testing/src/fulmarpulley_testing/platform_faults.py
+++ b/testing/src/fulmarpulley_testing/platform_faults.py
@@ -403,7 +403,8 @@
 def change_configuration(context: FaultContext) -> None:
     """Write several new versions of the configuration in a row."""
     for _ in range(context.random.randint(1, 4)):
-        context.system.platform.configure()
+        with context.system.config_lock:
+            context.system.platform.configure()
         time.sleep(context.random.uniform(0.0, MIN_FAULT_S))
 
 
--- a/testing/src/fulmarpulley_testing/platform_history.py
+++ b/testing/src/fulmarpulley_testing/platform_history.py
@@ -66,6 +66,9 @@
     status: int = 0
     answer: bytes = b""
     answer_id: str = ""
+    signature: str = ""
+    # Whether the answer says that its worker leaves.
+    leaving: bool = False
 
 
 class PlatformHistory:
@@ -78,12 +81,19 @@
         self.windows: list[FaultWindow] = []
         # By worker, the monotonic time when the store accepted its draining entry.
         self.draining: dict[str, float] = {}
+        # By prefix, the monotonic time when the store accepted an added route.
+        self.added_routes: dict[str, float] = {}
         self.nonzero_exits: list[str] = []
 
     def answers(self) -> int:
         """Return the number of requests answered with status 200."""
         return sum(request.status == 200 for request in self.requests.values())
 
+    def route_added_at(self, path: str) -> float:
+        """Return when the route of a path was added, or infinity."""
+        prefixes = [prefix for prefix in self.added_routes if path.startswith(prefix)]
+        return min((self.added_routes[p] for p in prefixes), default=float("inf"))
+
     def fault_active(self, begin: float, end: float, *kinds: WindowKind) -> bool:
         """Tell whether a fault of these kinds was active between two times."""
         return any(w.kind in kinds and w.overlaps(begin, end) for w in self.windows)
--- a/testing/src/fulmarpulley_testing/platform_soak.py
+++ b/testing/src/fulmarpulley_testing/platform_soak.py
@@ -10,6 +10,7 @@
 import random
 import sys
 import tempfile
+import threading
 import time
 from contextlib import ExitStack
 from pathlib import Path
@@ -18,8 +19,8 @@
 import defopt
 import msgspec
 
-# Registers a fault and a check.
-from . import platform_limits  # noqa: F401
+# Register faults and checks.
+from . import platform_changes, platform_limits  # noqa: F401
 from .fault_proxy import FaultProxy
 from .findings import Finding
 from .output import print_flushed
@@ -80,6 +81,7 @@
         self.entries: dict[str, Any] = {}
         self.workers_started = 0
         self.version = 1
+        self.config_lock = threading.Lock()
 
     def __enter__(self) -> Self:
         """Start stand-ins, proxies and nodes, and wait until all nodes are ready."""
@@ -138,6 +140,17 @@
             self.entries[name] = entry
         self.platform.put_worker_entry(name, entry)
 
+    def write_bytes(self, topic: str, key: str, data: bytes) -> None:
+        """Write a record of another writer to the store."""
+        self.platform.run(self.platform.store.put_bytes(topic, key, data))
+
+    def add_route(self) -> None:
+        """Write the next version of the configuration, with one more route."""
+        with self.config_lock:
+            prefix = f"/added/{len(self.history.added_routes)}/"
+            self.platform.add_route(prefix)
+            self.history.added_routes[prefix] = time.monotonic()
+
     def refresh_entries(self) -> None:
         """Update the entries to the versions that workers serve, as heartbeats do."""
         for name, entry in list(self.entries.items()):
--- a/testing/src/fulmarpulley_testing/platform_system.py
+++ b/testing/src/fulmarpulley_testing/platform_system.py
@@ -160,6 +160,7 @@
         self.runners: list[web.AppRunner] = []
         self.store_port = 0
         self.config_version = 0
+        self.added_routes: list[dict[str, Any]] = []
 
     def __enter__(self) -> Self:
         """Start the event loop and the store."""
@@ -203,8 +204,16 @@
         """Write the next version of the configuration, with changed fields."""
         self.config_version += 1
         config = configuration(self.config_version)
+        config["Routes"] += self.added_routes
         self.run(self.store.put(OPERATOR_TOPIC, "config", {**config, **changes}))
 
+    def add_route(self, prefix: str) -> None:
+        """Write the next version, which has one more route to the desk service."""
+        desk = next(r for r in configuration(0)["Routes"] if r["Service"] == DESK)
+        name = f"r-{len(self.added_routes)}"
+        self.added_routes.append({**desk, "Name": name, "PathPrefix": prefix})
+        self.configure()
+
     def set_target_version(self, version: int) -> None:
         """Write the model version that engines shall load, as the trainer does."""
         value = {"Model": MODEL, "Version": version}
--- a/testing/tests/test_platform_checks.py
+++ b/testing/tests/test_platform_checks.py
@@ -3,7 +3,9 @@
 import time
 import unittest
 
-from fulmarpulley_testing import platform_limits  # noqa: F401
+import msgspec
+
+from fulmarpulley_testing import platform_changes, platform_limits  # noqa: F401
 from fulmarpulley_testing.findings import Fault
 from fulmarpulley_testing.platform_checks import CheckContext, check_all
 from fulmarpulley_testing.platform_history import (
@@ -13,7 +15,13 @@
     StepSeen,
     WindowKind,
 )
-from fulmarpulley_testing.platform_worker import LimitPeriod, Order, PlatformWorker, Run
+from fulmarpulley_testing.platform_worker import (
+    LimitPeriod,
+    Order,
+    PlatformWorker,
+    Run,
+    server_stamp,
+)
 
 LEASE_S = 1.0
 
@@ -263,3 +271,42 @@
         stop = FaultWindow(kind=WindowKind.STOP, subject="n0", begin=self.now + 1)
         self.history.windows.append(stop)
         self.assertEqual(self.faults(), set())
+
+
+class ChangeTest(CheckCase):
+    def test_404_long_after_a_route_was_added(self) -> None:
+        self.history.added_routes["/added/0/"] = self.now - 2.6
+        self.add_request(path="/added/0/1", status=404)
+        self.assertEqual(self.faults(), {Fault.STALE})
+
+    def test_404_is_excused_just_after_the_change_and_by_a_cut(self) -> None:
+        self.history.added_routes["/added/0/"] = self.now - 2.4
+        request = self.add_request(path="/added/0/1", status=404)
+        self.assertEqual(self.faults(), set())
+        request.began += 1.0
+        window = FaultWindow(
+            kind=WindowKind.STORE, subject="n0", begin=self.now, end=self.now + 0.1
+        )
+        self.history.windows.append(window)
+        self.assertEqual(self.faults(), set())
+        window.subject = "n1"
+        self.assertEqual(self.faults(), {Fault.STALE})
+
+    def test_request_reaches_a_worker_that_said_it_leaves(self) -> None:
+        first = self.add_request(leaving=True, repeatable=True)
+        first.signature = server_stamp(self.worker.name, "r1")
+        self.add_run()
+        later = msgspec.structs.replace(
+            first, request_id="r2", began=self.now + 2.7, answer_id="r2", leaving=False
+        )
+        self.history.requests["r2"] = later
+        self.add_run("r2", started=self.now + 2.7)
+        self.assertEqual(self.faults(), {Fault.LATE_RUN})
+        freeze = FaultWindow(
+            kind=WindowKind.PROCESS,
+            subject="n0",
+            begin=self.now + 1.0,
+            end=self.now + 2.0,
+        )
+        self.history.windows.append(freeze)
+        self.assertEqual(self.faults(), set())
--- a/testing/tests/test_platform_config.py
+++ b/testing/tests/test_platform_config.py
@@ -1,21 +1,24 @@
 """Test that nodes follow the store: odd entries and silent connections."""
 
 import asyncio
-import json
 import time
 from concurrent.futures import ThreadPoolExecutor
-from typing import Any
 
 from platform_case import PlatformCase
 
 from fulmarpulley_testing.fault_proxy import FaultProxy
+from fulmarpulley_testing.odd_entries import (
+    ODD_FIELDS,
+    odd_announcement,
+    odd_configuration,
+    odd_worker,
+)
 from fulmarpulley_testing.platform_store import OPERATOR_TOPIC, SERVER_TOPIC
 from fulmarpulley_testing.platform_system import (
     DESK,
     ENGINES,
     Answer,
     NodeProcess,
-    configuration,
     settle,
     submit,
     wait_results,
@@ -32,41 +35,6 @@
 PARALLEL_CALLS = 8
 # Nodes notice a change of the store within this time.
 NOTICE_S = 1.0
-DEEP = "[" * 100_000 + "]" * 100_000
-LARGE = "9" * 400
-
-# Fields of an entry, as JSON texts, that another writer gave an odd value.
-ODD_FIELDS: dict[str, dict[str, str]] = {
-    "deeply nested": {"Extra": DEEP},
-    "large number of slots": {"Slots": LARGE},
-    "large start time": {"born": "9" * 25},
-    "large version": {"Models": f'[{{"Name":"m0","Version":{"9" * 25}}}]'},
-    "port out of range": {"Address": '"127.0.0.1:99999"'},
-    "port that is no number": {"Address": '"127.0.0.1:http"'},
-    "unclosed bracket": {"Address": '"[::1:80"'},
-    "path after the port": {"Address": '"127.0.0.1:9/x?y"'},
-}
-
-
-def worker_entry(service: str, **odd: str) -> bytes:
-    """Return a worker's entry with some fields replaced by JSON texts."""
-    fields = {
-        "Service": json.dumps(service),
-        "Address": '"127.0.0.1:9"',
-        "Zone": '"a1"',
-        "State": '"ready"',
-        "Slots": "4",
-        "born": "1",
-        **odd,
-    }
-    members = [f'"{name}":{text}' for name, text in fields.items()]
-    return f"{{{','.join(members)}}}".encode()
-
-
-def route(name: str, prefix: str) -> dict[str, Any]:
-    """Return a route of the desk service."""
-    desk = next(r for r in configuration(0)["Routes"] if r["Name"] == "r-desk")
-    return {**desk, "Name": name, "PathPrefix": prefix}
 
 
 class OddEntryCase(PlatformCase):
@@ -76,14 +44,8 @@
         self.system.run(self.system.store.put_bytes(topic, key, data))
 
     def write_odd_workers(self, service: str) -> None:
-        for name, fields in ODD_FIELDS.items():
-            self.write(SERVER_TOPIC, f"odd {name}", worker_entry(service, **fields))
-
-    def add_route(self, prefix: str) -> None:
-        """Write the next version of the configuration, with one more route."""
-        routes = configuration(0)["Routes"]
-        added = route(f"r-{prefix.strip('/')}", prefix)
-        self.system.configure(Routes=[*routes, added])
+        for name in ODD_FIELDS:
+            self.write(SERVER_TOPIC, f"odd {name}", odd_worker(service, name))
 
     def ask(self, node: NodeProcess, path: str, request_id: str = "q1") -> Answer:
         return node.call(
@@ -124,14 +86,14 @@
     def assert_configurations_in_force(self) -> None:
         settle(NOTICE_S)
         for prefix in ("/first/", "/second/"):
-            self.add_route(prefix)
+            self.system.add_route(prefix)
             for node in self.nodes:
                 self.assert_in_force(node, prefix)
 
     def test_configurations_are_in_force_after_a_large_number_of_slots(self) -> None:
         for node in self.nodes:
             self.ask(node, "/desk/a")
-        odd = worker_entry(DESK, **ODD_FIELDS["large number of slots"])
+        odd = odd_worker(DESK, "large number of slots")
         self.write(SERVER_TOPIC, "odd", odd)
         self.assert_configurations_in_force()
 
@@ -171,11 +133,10 @@
     """Guards against nodes that stop following the operator at an odd entry."""
 
     def test_configuration_is_in_force_after_an_odd_configuration(self) -> None:
-        odd = json.dumps(configuration(2))[:-1] + f',"Extra":{DEEP}}}'
-        self.write(OPERATOR_TOPIC, "config", odd.encode())
-        self.write(OPERATOR_TOPIC, "version/m0", f'{{"Model":{DEEP}}}'.encode())
+        self.write(OPERATOR_TOPIC, "config", odd_configuration(2))
+        self.write(OPERATOR_TOPIC, "version/m0", odd_announcement())
         self.system.config_version = 2
-        self.add_route("/next/")
+        self.system.add_route("/next/")
         for node in self.nodes:
             self.assert_in_force(node, "/next/")
 
@@ -207,6 +168,6 @@
                 silent_since = time.monotonic()
                 settle(0.1 * number)
                 prefix = f"/silent{number}/"
-                self.add_route(prefix)
+                self.system.add_route(prefix)
                 due = max(silent_since + STABILITY_S, time.monotonic() + APPLY_S)
                 self.assert_in_force(self.node, prefix, due - time.monotonic())
