Reject worker entries with more slots than any worker has

Cause: a pool sizes its admission and budgets by the slots of its entries, so an entry of another writer with a large number would have requests wait in vain instead of being refused at once. Two cases of test_platform_decoding failed before.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/wire.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/wire.py
@@ -11,6 +11,8 @@
 # The range of numbers that can be written to the log. Larger ones are valid JSON, and
 # other writers may leave some.
 Int64 = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+# An entry with more slots would have a pool admit work that no other upstream can take.
+Slots = Annotated[int, msgspec.Meta(ge=0, le=2**16 - 1)]
 
 
 class AppendedReply(msgspec.Struct):
@@ -79,7 +81,7 @@
     address: str = msgspec.field(name="Address")
     zone: str = msgspec.field(name="Zone")
     state: str = msgspec.field(name="State")
-    slots: Int64 = msgspec.field(name="Slots", default=0)
+    slots: Slots = msgspec.field(name="Slots", default=0)
     models: list[ModelEntry] = msgspec.field(name="Models", default=[])
     # Start of the worker's process, in Unix milliseconds.
     started_ms: Int64 = msgspec.field(name="born", default=0)
--- a/packages/fulmarpulley-node/tests/test_platform_decoding.py
+++ b/packages/fulmarpulley-node/tests/test_platform_decoding.py
@@ -61,7 +61,7 @@
         # Each of them once ended a reader or a pool, or had requests wait in vain.
         odd = {
             "Extra": ["[" * NESTING + "]" * NESTING, '{"a":' * NESTING],
-            "Slots": ["9" * 400, "1e400", "9" * 25],
+            "Slots": ["9" * 400, "1e400", "9" * 25, "65536", "-1"],
             "born": ["9" * 25],
             "Models": [f'[{{"Name":"m","Version":{"9" * 25}}}]'],
             "Address": [
