--- a/packages/fulmarpulley-node/tests/test_exceptions.py
+++ b/packages/fulmarpulley-node/tests/test_exceptions.py
@@ -3,7 +3,9 @@
 import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
 from typing import Any
+from unittest import mock
 
 from result import Ok, Result
 from rollout_settings import caller_request, settings, unlimited
@@ -15,7 +17,9 @@
     ServiceName,
     StepId,
     UpstreamId,
+    WorkId,
 )
+from fulmarpulley_core.pool.messages import PoolSettings, Withdraw
 from fulmarpulley_core.rollout.topology import (
     Route,
     RouteKind,
@@ -24,6 +28,7 @@
     WeightedService,
 )
 from fulmarpulley_core.rollout.upstreams import ListedUpstream
+from fulmarpulley_node.rollout import pool_driver
 from fulmarpulley_node.rollout.directory import Directory
 from fulmarpulley_node.rollout.forwarder import Forwarder, Refusal
 from fulmarpulley_node.rollout.interfaces import (
@@ -34,6 +39,7 @@
 from fulmarpulley_node.rollout.item_runs import PendingResult
 from fulmarpulley_node.rollout.metrics import RolloutMetrics
 from fulmarpulley_node.rollout.outbox import Outbox
+from fulmarpulley_node.rollout.pool_driver import PoolDriver
 from fulmarpulley_schema.generated.http import Ran
 from fulmarpulley_schema.generated.steps import ItemResult, ItemState
 
@@ -95,6 +101,44 @@
         await forwarder.tasks.stop()
 
 
+class RaisingPool:
+    """Raises for the first batch of events, and keeps those that follow."""
+
+    def __init__(self) -> None:
+        self.handled: list[Any] = []
+        self.driver: PoolDriver | None = None
+        self.done = asyncio.Event()
+
+    def handle_all(self, events: Any, now: float) -> list[Any]:
+        assert self.driver is not None
+        self.handled += events
+        if len(self.handled) == 1:
+            self.driver.post(Withdraw(WorkId("second")))
+            raise KeyError("odd")
+        self.done.set()
+        return []
+
+    def next_wakeup(self) -> float | None:
+        return None
+
+
+class PoolDriverTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against events that wait behind one that raised."""
+
+    async def test_events_after_one_that_raises_are_handled(self) -> None:
+        document: Any = SimpleNamespace(name="desk")
+        pool: Any = RaisingPool()
+        with mock.patch.object(pool_driver, "Pool", return_value=pool):
+            pool.driver = PoolDriver(document, PoolSettings(), 1, {})
+        with self.assertRaises(KeyError):
+            pool.driver.post(Withdraw(WorkId("first")))
+        async with asyncio.timeout(TIMEOUT_S):
+            await pool.done.wait()
+        self.assertEqual(
+            [event.work_id for event in pool.handled[:2]], ["first", "second"]
+        )
+
+
 class RaisingPartitions:
     """Keeps written results; raises for an item whose record cannot be encoded."""
 
--- a/packages/fulmarpulley-node/tests/test_wire_names.py
+++ b/packages/fulmarpulley-node/tests/test_wire_names.py
@@ -14,6 +14,7 @@
     "Last-Event-Id",
     "Not-Executed",
     "Prompt-Prefix",
+    "Server-Leaving",
     "Server-Limit",
     "Server-Stamp",
     "Token-Counts",
