--- a/testing/src/fulmarpulley_testing/platform_system.py
+++ b/testing/src/fulmarpulley_testing/platform_system.py
@@ -187,7 +187,7 @@
 
     def add_worker(self, name: str, service: str = ENGINES) -> PlatformWorker:
         """Start a worker and write its entry to the store."""
-        models = [MODEL] if service == ENGINES else []
+        models = [] if service == DESK else [MODEL]
         worker = PlatformWorker(name, models)
         port = self.run(self._serve(worker.app()))
         self.workers[name] = worker
--- a/testing/tests/test_platform_config.py
+++ b/testing/tests/test_platform_config.py
@@ -19,6 +19,7 @@
     ENGINES,
     Answer,
     NodeProcess,
+    configuration,
     settle,
     submit,
     wait_results,
@@ -27,6 +28,7 @@
 from fulmarpulley_testing.processes import wait_for
 from fulmarpulley_testing.serving import LOOPBACK
 
+OTHER_ENGINES = "other-engines"
 # Time within which an acknowledged configuration must be in force.
 APPLY_S = 2.5
 # A node must follow changes again this long after its connections went silent.
@@ -171,3 +173,27 @@
                 self.system.add_route(prefix)
                 due = max(silent_since + STABILITY_S, time.monotonic() + APPLY_S)
                 self.assert_in_force(self.node, prefix, due - time.monotonic())
+
+
+class MovedRouteTest(OddEntryCase):
+    """Guards against waiting items that run where their route no longer leads."""
+
+    def test_waiting_items_follow_a_route_that_moves(self) -> None:
+        for engine in self.engines:
+            engine.slots = 0
+        submit(self.nodes[0], "s1", 8)
+        wait_for(lambda: bool(self.engines[0].arrivals), "an attempt")
+        self.system.add_worker("other-1", OTHER_ENGINES)
+        config = configuration(0)
+        for moved in config["Routes"]:
+            if moved["Service"] == ENGINES:
+                moved["Service"] = OTHER_ENGINES
+        engine_service = config["Services"][0]
+        other = {**engine_service, "Name": OTHER_ENGINES}
+        services = [*config["Services"], other]
+        self.system.configure(Routes=config["Routes"], Services=services)
+        settle(APPLY_S)
+        for engine in self.engines:
+            engine.slots = 1000
+        self.assert_complete(wait_results(self.nodes[0], "s1", 8), 5)
+        self.assertEqual([run for engine in self.engines for run in engine.runs], [])
