--- a/packages/fulmarpulley-core/tests/test_claims.py
+++ b/packages/fulmarpulley-core/tests/test_claims.py
@@ -196,6 +196,17 @@
         reused = RefuseKey("key_reused", Ran.NOT_RUN)
         self.assertEqual(self.b.table.request(self.key, "g"), reused)
 
+    def test_fetch_says_not_run_only_if_no_claim_can_follow(self) -> None:
+        """Guards against `not_run` for a request whose claim is still on its way."""
+        entry = self.claim(self.a, self.key).entry
+        self.b.table.set_first_offset(Offset(1))
+        told = self.b.table.fetch(self.key)
+        self.append("claims", entry)
+        self.simulation.read(self.a, 9)
+        runs = self.a.table.begin(entry.claim_id)
+        says_not_run = isinstance(told, RefuseKey) and told.ran is Ran.NOT_RUN
+        self.assertFalse(runs and says_not_run, told)
+
     def test_dead_holder_is_reported_permanently(self) -> None:
         """Guards against `not_run` or a wait after a caller was told `may_have_run`."""
         claim_id = self.win(self.a)
