Let the entry of a leaving upstream expire

An answer that said that its upstream leaves put the entry again, which cancelled a removal that was due after an outage of the store: the entry of an upstream that is gone would have stayed in the list for good. The new test failed before.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/upstreams.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/upstreams.py
@@ -54,8 +54,7 @@
     def put(self, entry: ListedUpstream) -> bool:
         """Add or replace an entry; return whether it changes anything."""
         self._removal_due.pop(entry.upstream_id, None)
-        if (entry.upstream_id, entry.started_ms) in self._leaving:
-            entry = msgspec.structs.replace(entry, state=ListedState.DRAINING)
+        entry = self._with_known_state(entry)
         if self.listed.get(entry.upstream_id) == entry:
             return False
         self.listed[entry.upstream_id] = entry
@@ -71,9 +70,14 @@
             del self._leaving[next(iter(self._leaving))]
         listed = self.listed.get(upstream.upstream_id)
         if listed is not None:
-            self.put(listed)
+            self.listed[upstream.upstream_id] = self._with_known_state(listed)
         return True
 
+    def _with_known_state(self, entry: ListedUpstream) -> ListedUpstream:
+        if (entry.upstream_id, entry.started_ms) in self._leaving:
+            return msgspec.structs.replace(entry, state=ListedState.DRAINING)
+        return entry
+
     def remove(self, upstream_id: UpstreamId, now: float) -> bool:
         """Remove an entry, after a grace period if the store has just recovered.
 
--- a/packages/fulmarpulley-core/tests/rollout/test_upstreams.py
+++ b/packages/fulmarpulley-core/tests/rollout/test_upstreams.py
@@ -82,6 +82,14 @@
         self.directory.mark_leaving(entry(U1))
         self.assertIs(self.state(), ListedState.READY)
 
+    def test_entry_of_a_leaving_upstream_still_expires(self) -> None:
+        self.directory.record_store_recovery(10.0)
+        self.directory.remove(U1, 10.1)
+        self.directory.mark_leaving(entry(U1))
+        self.assertIs(self.state(), ListedState.DRAINING)
+        self.assertTrue(self.directory.expire(10.0 + REMOVAL_GRACE_S))
+        self.assertEqual(self.directory.listed, {})
+
     def test_memory_for_upstreams_that_left_is_bounded(self) -> None:
         for number in range(MAX_LEAVING + 1):
             self.directory.mark_leaving(entry(UpstreamId(f"left{number}")))
