Count a response of a leaving upstream for the start that is listed

A request that was sent by the entry of an earlier start is answered by the new process, which has the same id: the node marked the old start only and would have gone on using the new one.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/upstreams.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/upstreams.py
@@ -61,16 +61,24 @@
         return True
 
     def mark_leaving(self, upstream: ListedUpstream) -> bool:
-        """Record that an upstream says that it leaves; return whether that is new."""
+        """Record that an upstream says that it leaves; return whether that is new.
+
+        :param upstream: entry by which the request was sent
+        """
+        listed = self.listed.get(upstream.upstream_id, upstream)
+        # If it was started again meanwhile, the new process gave the response.
+        changed = [self._mark_start(upstream), self._mark_start(listed)]
+        if upstream.upstream_id in self.listed:
+            self.listed[upstream.upstream_id] = self._with_known_state(listed)
+        return any(changed)
+
+    def _mark_start(self, upstream: ListedUpstream) -> bool:
         key = (upstream.upstream_id, upstream.started_ms)
         if key in self._leaving:
             return False
         self._leaving[key] = None
         if len(self._leaving) > MAX_LEAVING:
             del self._leaving[next(iter(self._leaving))]
-        listed = self.listed.get(upstream.upstream_id)
-        if listed is not None:
-            self.listed[upstream.upstream_id] = self._with_known_state(listed)
         return True
 
     def _with_known_state(self, entry: ListedUpstream) -> ListedUpstream:
