Start nodes of the soak again that a settings signal ended

A settings signal ended the interpreter of n2 before it had installed its handler, as the platform's restart of a process would mend; the soak left that to the fault that had reserved the node, which had just started it and was done. It now starts each process that ended by this signal.

--- a/testing/src/fulmarpulley_testing/platform_faults.py
+++ b/testing/src/fulmarpulley_testing/platform_faults.py
@@ -179,9 +179,10 @@
     for _ in range(2):
         node.signal(signal.SIGHUP)
         time.sleep(MIN_FAULT_S)
-    if not node.running and node.name not in context.reserved:
+    process = node.process
+    if process is not None and process.poll() == -signal.SIGHUP:
         # SIGHUP ends the interpreter before the node has installed its handler. The
-        # platform would start the node again.
+        # platform would start the node again, whatever else happens to it.
         start_node(node)
 
 
--- a/testing/tests/test_platform_soak.py
+++ b/testing/tests/test_platform_soak.py
@@ -1,9 +1,13 @@
 """Run the platform soak: guarantees must hold under random concurrent faults."""
 
+import signal
 import tempfile
 import unittest
 from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
 
+from fulmarpulley_testing.platform_faults import FaultContext, platform_faults
 from fulmarpulley_testing.platform_soak import SoakSettings, run_soak
 
 SEED = 12
@@ -13,9 +17,47 @@
 FAILED_SEEDS = {
     4: "a settings signal ended a node that was starting (test_platform_main)",
     44: "a late fence ended the orders of its successor (test_platform_owner)",
+    833: "the soak left a node down that it had started and ended (SettingsSignalTest)",
 }
 
 
+class StartingNode:
+    """Stands for a process that the first settings signal ends."""
+
+    name = "n0"
+
+    def __init__(self) -> None:
+        self.process = self
+        self.code: int | None = None
+        self.starts = 0
+
+    @property
+    def running(self) -> bool:
+        return self.code is None
+
+    def poll(self) -> int | None:
+        return self.code
+
+    def signal(self, number: signal.Signals) -> None:
+        self.code = -number
+
+    def start(self) -> None:
+        self.code = None
+        self.starts += 1
+
+
+class SettingsSignalTest(unittest.TestCase):
+    """Guards against a soak that leaves a node down, which the platform restarts."""
+
+    def test_node_that_ends_while_another_fault_uses_it_is_started_again(self) -> None:
+        node = StartingNode()
+        system: Any = SimpleNamespace(nodes=[node])
+        context = FaultContext(system, seed=1)
+        context.reserved.add(node.name)
+        platform_faults.get("settings_signal")(context)
+        self.assertEqual((node.starts, node.running), (1, True))
+
+
 class PlatformSoakTest(unittest.TestCase):
     """Runs some seeds for a short time; `make platform-soak` runs longer."""
 
