Log which requests are the same and under which an upstream crashed

Cause: the logs could not tell a crash from a reset connection or a lost response, nor that two request ids were the same request. Change: the lines of a request carry a digest of method, host, path, caller and body. When a connection ends under a request, the node checks whether the upstream refuses a new one, and logs upstream_crashed with the digests. No decision depends on it yet.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/ids.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/ids.py
@@ -19,6 +19,7 @@
 DataCentre = NewType("DataCentre", str)
 ModelName = NewType("ModelName", str)
 PrefixId = NewType("PrefixId", str)
+RequestDigest = NewType("RequestDigest", str)
 
 Offset = NewType("Offset", int)
 Revision = NewType("Revision", int)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
@@ -8,6 +8,7 @@
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 
 from ..observe.events import log_event
+from ..rollout.crash_watch import CrashWatch
 from ..rollout.directory import Directory
 from ..rollout.forwarder import Forwarder
 from ..rollout.log_line_writer import LogLineWriter
@@ -43,11 +44,17 @@
         self.workers = WorkerClient(settings, self.limits)
         self.directory = Directory(self.metrics)
         self.workers.on_leaving = self.directory.upstream_leaving
+        self.crashes = CrashWatch(self.directory, self.workers, self.metrics)
         self.topic_watcher = TopicWatcher(self.store, self.directory, self.metrics)
         self.partitions = Partitions(settings, self.store)
         self.ownership = Ownership(settings, self.store, self.partitions)
         self.rewards = RewardScorer(
-            settings, self.directory, self.workers, self.limits, self.metrics
+            settings,
+            self.directory,
+            self.workers,
+            self.limits,
+            self.crashes,
+            self.metrics,
         )
         self.homes = StepHomes(
             settings,
@@ -61,7 +68,12 @@
         )
         self.steps = StepFrontend(self.directory, self.partitions, self.metrics)
         self.forwarder = Forwarder(
-            settings, self.directory, self.workers, self.limits, self.metrics
+            settings,
+            self.directory,
+            self.workers,
+            self.limits,
+            self.crashes,
+            self.metrics,
         )
         self.ingress = Ingress(
             settings, self.directory, self.steps, self.forwarder, self.metrics
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/headers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/headers.py
@@ -37,6 +37,11 @@
     return kept
 
 
+def caller_credentials(headers: Mapping[str, str]) -> str:
+    """Return the credentials by which a caller identifies itself, or an empty text."""
+    return headers.get("Authorization", "")
+
+
 def parse_int(text: str | None) -> int | None:
     """Return the whole number that a header or query holds, or None."""
     is_number = text is not None and text.isascii() and text.isdecimal()
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
@@ -24,7 +24,7 @@
 from ..rollout.step_frontend import StepFrontend, StepOutcome
 from . import wire
 from .connections import refuse_new_connections
-from .headers import end_to_end_headers, parse_int
+from .headers import caller_credentials, end_to_end_headers, parse_int
 from .step_messages import to_reply, to_step
 
 MAX_RESULT_WAIT_S = 1.0
@@ -203,6 +203,7 @@
             headers=request.headers,
             body=body,
             deadline=None if deadline_ms is None else loop.time() + deadline_ms / 1000,
+            caller=caller_credentials(request.headers),
         )
         response = await self.forwarder.forward(route, caller_request)
         if isinstance(response, Refusal):
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
@@ -19,6 +19,7 @@
 from ..observe.events import log_event
 from ..rollout.interfaces import (
     CallerRequest,
+    ConnectionFault,
     EventSink,
     LoadOrder,
     UpstreamCallFailure,
@@ -31,6 +32,8 @@
 from .wire import ReportReply, VersionOrder
 
 ORDER_TIMEOUT_S = 2.0
+# A retry waits for this check. A crashed worker refuses within a round trip.
+CONNECTION_CHECK_TIMEOUT_S = 0.1
 # Loading takes 0.9 s. Waiting for a report instead would leave the engine idle, since
 # reports lag by a few hundred ms. An engine that is still loading refuses its next
 # request, or its response names the old version.
@@ -131,6 +134,19 @@
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
             return Err(_to_call_failure(error))
 
+    async def refuses_connections(self, upstream: ListedUpstream) -> bool:
+        """Tell whether a worker refuses a new connection."""
+        host, _, port = upstream.address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECTION_CHECK_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (TimeoutError, OSError):
+            return False
+        writer.close()
+        return False
+
     async def load_version(
         self, upstream: ListedUpstream, order: LoadOrder
     ) -> Result[None, str]:
@@ -329,7 +345,21 @@
 def _to_call_failure(error: Exception) -> UpstreamCallFailure:
     connect_errors = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
     failure = Failure.NOT_SENT if isinstance(error, connect_errors) else Failure.BROKEN
-    return UpstreamCallFailure(failure, repr(error)[:200])
+    return UpstreamCallFailure(
+        failure, repr(error)[:200], connection=_connection_fault(error)
+    )
+
+
+def _connection_fault(error: Exception) -> ConnectionFault | None:
+    if isinstance(error, aiohttp.ClientConnectorError):
+        refused = isinstance(error.os_error, ConnectionRefusedError)
+        return ConnectionFault.REFUSED if refused else None
+    # The library also raises subclasses of these for time-outs.
+    if isinstance(error, TimeoutError) or not isinstance(
+        error, (aiohttp.ClientConnectionError, aiohttp.ClientPayloadError, OSError)
+    ):
+        return None
+    return ConnectionFault.LOST
 
 
 def _serves_version(report: ReportReply, order: LoadOrder) -> bool:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
@@ -11,6 +11,7 @@
     AttemptId,
     ModelName,
     Region,
+    RequestDigest,
     ServiceName,
     TenantId,
     WorkId,
@@ -39,15 +40,18 @@
 
 from ..background_tasks import BackgroundTasks, log_failure
 from ..observe.events import log_event
+from .crash_watch import CrashWatch
 from .directory import Directory
 from .interfaces import (
     CallerRequest,
+    ConnectionFault,
     UpstreamCallFailure,
     UpstreamCalls,
     UpstreamResponse,
 )
 from .metrics import RolloutMetrics, labels
 from .rate_limits import RateLimits
+from .request_digest import request_digest
 from .service_pools import DocumentTransform, ServicePools, identity
 
 # Share of the remaining time after which an attempt that may be repeated is abandoned,
@@ -69,6 +73,7 @@
     """Track a request until it has an outcome."""
 
     request: CallerRequest
+    digest: RequestDigest
     route: Route
     service: ServiceName
     config_version: int
@@ -93,6 +98,7 @@
         directory: Directory,
         calls: UpstreamCalls,
         limits: RateLimits,
+        crashes: CrashWatch,
         metrics: RolloutMetrics,
         routing: str = "open_connection",
         may_wait: bool = True,
@@ -102,6 +108,7 @@
         self.directory = directory
         self.calls = calls
         self.limits = limits
+        self.crashes = crashes
         self.metrics = metrics
         self.may_wait = may_wait
         self.tasks = BackgroundTasks()
@@ -135,6 +142,7 @@
             deadline = min(deadline, request.deadline)
         pending = PendingRequest(
             request=request,
+            digest=request_digest(request),
             route=route,
             service=name,
             config_version=self._config_version(),
@@ -185,6 +193,7 @@
         log_event(
             "request_refused" if refused else "request_answered",
             request=pending.request.request_id,
+            digest=pending.digest,
             route=route,
             service=pending.service,
             config=pending.config_version,
@@ -232,6 +241,7 @@
         log_event(
             "attempt_failed",
             request=pending.request.request_id,
+            digest=pending.digest,
             upstream=action.upstream,
             outcome=failure.failure.value,
             reason=failure.reason,
@@ -250,9 +260,15 @@
         if held_back is not None:
             return Err(held_back)
         pending.attempts += 1
-        return await self.calls.forward(
+        result = await self.calls.forward(
             entry, pending.request, self._attempt_timeout_s(pending)
         )
+        if isinstance(result, Err):
+            if result.err_value.connection is ConnectionFault.LOST:
+                await self.crashes.record_loss(entry, pending.digest)
+            elif result.err_value.connection is ConnectionFault.REFUSED:
+                self.crashes.record_refusal(entry)
+        return result
 
     def _send_wait_s(self, pending: PendingRequest) -> float:
         pool = self.pools[pending.service]
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
@@ -19,6 +19,16 @@
 ITEM_FAILURE_STATUS = 500
 
 
+class ConnectionFault(StrEnum):
+    """Name what happened to the connection of a failed call to an upstream.
+
+    With LOST it ended under the request, with REFUSED the upstream did not accept it.
+    """
+
+    LOST = "lost"
+    REFUSED = "refused"
+
+
 class StoreFailure(StrEnum):
     """Classify failed calls to the log; only an UNKNOWN one may have taken effect."""
 
@@ -104,7 +114,10 @@
 
 
 class CallerRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold a caller's request; `target` is the unmodified path and query."""
+    """Hold a caller's request; `target` is the unmodified path and query.
+
+    :param caller: credentials of the caller; empty if there are none
+    """
 
     request_id: str
     method: str
@@ -113,6 +126,7 @@
     headers: CIMultiDictProxy[str]
     body: bytes
     deadline: float | None
+    caller: str = ""
 
 
 class UpstreamResponse(msgspec.Struct, frozen=True, kw_only=True):
@@ -132,6 +146,7 @@
     status: int | None = None
     version: int | None = None
     retry_after_s: float | None = None
+    connection: ConnectionFault | None = None
 
 
 class LoadOrder(msgspec.Struct, frozen=True, kw_only=True):
@@ -168,6 +183,9 @@
         :param resume_after: number of events that the item already has
         """
 
+    async def refuses_connections(self, upstream: ListedUpstream) -> bool:
+        """Tell whether an upstream refuses a new connection."""
+
     async def load_version(
         self, upstream: ListedUpstream, order: LoadOrder
     ) -> Result[None, str]:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
@@ -30,6 +30,9 @@
         self.limited_responses = self.counter(
             "limited_responses", "Responses of upstreams that state a rate limit"
         )
+        self.upstream_crashes = self.counter(
+            "upstream_crashes", "Crashes of upstreams under requests of this node"
+        )
         self.config_version = self.gauge(
             "config_version", "Version of the configuration in force"
         )
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/rewards.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/rewards.py
@@ -15,6 +15,7 @@
 from fulmarpulley_schema.generated.steps import RewardCall
 
 from ..observe.events import log_event
+from .crash_watch import CrashWatch
 from .directory import Directory
 from .forwarder import Forwarder, Refusal
 from .interfaces import (
@@ -39,6 +40,7 @@
         directory: Directory,
         calls: UpstreamCalls,
         limits: RateLimits,
+        crashes: CrashWatch,
         metrics: RolloutMetrics,
     ) -> None:
         self.directory = directory
@@ -48,6 +50,7 @@
             directory,
             calls,
             limits,
+            crashes,
             metrics,
             routing="least_tokens",
             may_wait=False,
--- a/packages/fulmarpulley-node/tests/test_exceptions.py
+++ b/packages/fulmarpulley-node/tests/test_exceptions.py
@@ -29,6 +29,7 @@
 )
 from fulmarpulley_core.rollout.upstreams import ListedUpstream
 from fulmarpulley_node.rollout import pool_driver
+from fulmarpulley_node.rollout.crash_watch import CrashWatch
 from fulmarpulley_node.rollout.directory import Directory
 from fulmarpulley_node.rollout.forwarder import Forwarder, Refusal
 from fulmarpulley_node.rollout.interfaces import (
@@ -76,8 +77,10 @@
     async def test_request_is_answered_after_an_attempt_that_raises(self) -> None:
         directory = Directory(RolloutMetrics())
         calls: Any = RaisingCalls()
+        metrics = RolloutMetrics()
+        crashes = CrashWatch(directory, calls, metrics)
         forwarder = Forwarder(
-            settings(), directory, calls, unlimited(), RolloutMetrics()
+            settings(), directory, calls, unlimited(), crashes, metrics
         )
         directory.topology_changed(topology(1))
         directory.upstream_put(
