--- a/testing/src/fulmarpulley_testing/platform_system.py
+++ b/testing/src/fulmarpulley_testing/platform_system.py
@@ -33,6 +33,8 @@
 HOST = "host.example"
 ROLLOUT_PREFIX = "/lot/"
 DESK_PREFIX = "/desk/"
+# Workers that crashed start again under another id after this time.
+RESTART_S = 1.0
 UNSAFE_PREFIX = "/once/"
 SETTINGS_VARIABLE = "FULMARPULLEY_NODE_FILE"
 
@@ -158,6 +160,10 @@
         self.entries: dict[str, Any] = {}
         self.nodes: list[NodeProcess] = []
         self.runners: list[web.AppRunner] = []
+        self.sites: dict[str, web.TCPSite] = {}
+        self.deadly_bodies: set[bytes] = set()
+        # Times at which workers crashed.
+        self.crashes: list[float] = []
         self.store_port = 0
         self.config_version = 0
         self.added_routes: list[dict[str, Any]] = []
@@ -187,15 +193,49 @@
 
     def add_worker(self, name: str, service: str = ENGINES) -> PlatformWorker:
         """Start a worker and write its entry to the store."""
+        worker = self.run(self._start_worker(name, service, *free_ports(1)))
+        self.put_worker_entry(name, self.entries[name])
+        return worker
+
+    async def _start_worker(self, name: str, service: str, port: int) -> PlatformWorker:
         models = [] if service == DESK else [MODEL]
         worker = PlatformWorker(name, models)
-        port = self.run(self._serve(worker.app()))
+        worker.deadly_bodies = self.deadly_bodies
+        worker.crash = lambda: self._crash(name, service, port)
+        self.sites[name] = await self._listen(worker.app(), port)
         self.workers[name] = worker
-        entry = worker.entry(service, f"{LOOPBACK}:{port}", "a1", 4)
-        self.entries[name] = entry
-        self.put_worker_entry(name, entry)
+        self.entries[name] = worker.entry(service, f"{LOOPBACK}:{port}", "a1", 4)
         return worker
 
+    def crash_worker(self, name: str) -> None:
+        """Crash a worker, which starts again under another id."""
+        self.loop.call_soon_threadsafe(self.workers[name].crash)
+
+    def _crash(self, name: str, service: str, port: int) -> None:
+        """Close the sockets of a worker like the end of its process does."""
+        site = self.sites.pop(name, None)
+        if site is None:
+            return
+        self.crashes.append(time.monotonic())
+        self.loop.create_task(self._end_site(site))
+        self.loop.create_task(self._restart(name, service, port))
+
+    async def _end_site(self, site: web.TCPSite) -> None:
+        await site.stop()
+        server = site._runner.server
+        assert server is not None
+        for handler in server.connections:
+            if handler.transport is not None:
+                handler.transport.abort()
+
+    async def _restart(self, name: str, service: str, port: int) -> None:
+        await asyncio.sleep(RESTART_S)
+        successor = await self._start_worker(f"{name}+", service, port)
+        successor.event_s = self.workers[name].event_s
+        await self.store.put(SERVER_TOPIC, name, None)
+        entry = self.entries[successor.name]
+        await self.store.put(SERVER_TOPIC, successor.name, entry)
+
     def put_worker_entry(self, name: str, entry: Any) -> None:
         """Write the entry of a worker to the store; None removes it."""
         self.run(self.store.put(SERVER_TOPIC, name, entry))
@@ -240,6 +280,11 @@
         member = self.store.owner("homes", partition) or ""
         return next((n for n in self.nodes if member.startswith(n.name + "/")), None)
 
+    def runs_of_body(self, body: bytes) -> list[Any]:
+        """Return the runs of all requests with a body, sorted by time."""
+        runs = [run for w in list(self.workers.values()) for run in w.runs]
+        return sorted((r for r in runs if r.body == body), key=lambda r: r.started)
+
     def all_runs(self, request_id: str) -> list[Any]:
         """Return the runs of a request on all workers."""
         runs = [run for w in self.workers.values() for run in w.runs]
@@ -250,14 +295,19 @@
         return self.run(self._serve(app))
 
     async def _serve(self, app: web.Application) -> int:
+        (port,) = free_ports(1)
+        await self._listen(app, port)
+        return port
+
+    async def _listen(self, app: web.Application, port: int) -> web.TCPSite:
         runner = web.AppRunner(
             app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
         )
         await runner.setup()
-        (port,) = free_ports(1)
-        await web.TCPSite(runner, LOOPBACK, port).start()
+        site = web.TCPSite(runner, LOOPBACK, port)
+        await site.start()
         self.runners.append(runner)
-        return port
+        return site
 
 
 async def _cancel_tasks() -> None:
--- a/testing/src/fulmarpulley_testing/platform_worker.py
+++ b/testing/src/fulmarpulley_testing/platform_worker.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import time
+from collections.abc import Callable
 from enum import Enum
 from typing import Any
 
@@ -75,6 +76,10 @@
         self.fail_status = 0
         # Ids of requests that fail each time they run.
         self.failing_requests: set[str] = set()
+        # Bodies of requests that crash the worker as soon as they run.
+        self.deadly_bodies: set[bytes] = set()
+        # Ends the worker; set by the owner of its sockets.
+        self.crash: Callable[[], None] = lambda: None
         self.break_after: int | None = None
         self.wrong_id = False
         self.reset_without_length = False
@@ -191,6 +196,8 @@
             started=time.monotonic(),
         )
         self.runs.append(run)
+        if run.body in self.deadly_bodies:
+            self.crash()
         try:
             return await self._answer(request, run, model)
         finally:
