Block requests that crash upstreams at all nodes

Cause: nothing counted crashes per request. Attempts are counted per client attempt and its id, and a crash was retried like a lost response. The class of fault: a limit that is kept per node and per id, for a cause that neither ends with. Change: requests are the same if method, host, path, caller and body are. An upstream has crashed if the connection ended under a request and a new one is refused, unless it drains or is unlisted. Each node writes the requests that it had at a crashed upstream to a keyed topic of the log, and reads those of the others. A request that was the only suspect of two crashes, or shared three, is refused at once; a completion clears it, and a request that completed shortly before is not suspected beside one that has not. Waiting requests are refused too, retries, hedges and reward calls are checked right before they are sent. A refusal says not run only if no attempt of this client attempt was sent. Evidence and records are bounded and expire after 10 minutes. Without the log, a node goes by its own crashes.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/attempt_tracker.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/attempt_tracker.py
@@ -6,7 +6,13 @@
 from .admission import longest_send_wait_s
 from .components import PoolComponents
 from .load import record_tokens
-from .messages import AttemptFailed, AttemptFinished, AttemptProgress, Failure
+from .messages import (
+    CRASHES_UPSTREAMS,
+    AttemptFailed,
+    AttemptFinished,
+    AttemptProgress,
+    Failure,
+)
 from .state import Attempt, HealthState
 
 # The stall timeout doubles with each further stall of an item: with a fixed one, items
@@ -60,6 +66,12 @@
         if event.failure is Failure.RATE_LIMITED:
             self._defer(attempt, event.retry_after, now)
             return
+        if event.failure is Failure.WITHHELD:
+            if not attempt.item.attempts:
+                self._components.refuse(
+                    attempt.item, CRASHES_UPSTREAMS, event.retry_after
+                )
+            return
         self._fail(attempt, event.failure, now)
         if event.failure is Failure.REFUSED:
             self._components.health.record_refusal(
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
@@ -142,7 +142,7 @@
     def _withdraw(self, event: Withdraw, now: float) -> None:
         item = self.components.ledger.items.get(event.work_id)
         if item is not None:
-            self.components.refuse(item, "cancelled")
+            self.components.refuse(item, event.code, event.retry_after)
 
     def _dispatch(self) -> None:
         self.components.dispatch_needed = False
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
@@ -20,6 +20,9 @@
     WorkId,
 )
 
+# Code of refused work that must not be sent to any upstream.
+CRASHES_UPSTREAMS = "crashes_upstreams"
+
 
 class WorkKind(StrEnum):
     """Name the kind of a work item."""
@@ -31,11 +34,13 @@
 class Failure(StrEnum):
     """Name how an attempt failed, by what the upstream may have done.
 
-    A RATE_LIMITED attempt was not sent, to keep to the upstream's rate limit.
+    A RATE_LIMITED attempt was not sent, to keep to the upstream's rate limit. A
+    WITHHELD one was not sent, since its work crashes upstreams.
     """
 
     NOT_SENT = "not_sent"
     RATE_LIMITED = "rate_limited"
+    WITHHELD = "withheld"
     REFUSED = "refused"
     BROKEN = "broken"
     ERRORED = "errored"
@@ -88,9 +93,11 @@
 
 
 class Withdraw(msgspec.Struct, frozen=True):
-    """End a work item as cancelled, together with its attempts."""
+    """End a work item, together with its attempts."""
 
     work_id: WorkId
+    code: str = "cancelled"
+    retry_after: float | None = None
 
 
 class AttemptProgress(msgspec.Struct, frozen=True):
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
@@ -8,6 +8,7 @@
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 
 from ..observe.events import log_event
+from ..rollout.crash_reports import CrashReports
 from ..rollout.crash_watch import CrashWatch
 from ..rollout.directory import Directory
 from ..rollout.forwarder import Forwarder
@@ -44,8 +45,13 @@
         self.workers = WorkerClient(settings, self.limits)
         self.directory = Directory(self.metrics)
         self.workers.on_leaving = self.directory.upstream_leaving
-        self.crashes = CrashWatch(self.directory, self.workers, self.metrics)
-        self.topic_watcher = TopicWatcher(self.store, self.directory, self.metrics)
+        self.crash_reports = CrashReports(settings, self.store, self.metrics)
+        self.crashes = CrashWatch(
+            self.directory, self.workers, self.crash_reports, self.metrics
+        )
+        self.topic_watcher = TopicWatcher(
+            self.store, self.directory, self.crash_reports, self.metrics
+        )
         self.partitions = Partitions(settings, self.store)
         self.ownership = Ownership(settings, self.store, self.partitions)
         self.rewards = RewardScorer(
@@ -83,6 +89,7 @@
         """Return the services in the order in which they start."""
         return (
             self.directory,
+            self.crash_reports,
             self.topic_watcher,
             self.partitions,
             self.shared_limits,
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/store.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/store.py
@@ -13,7 +13,7 @@
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 
 from ..observe.events import log_event
-from ..rollout.interfaces import LogPage, Membership, StoreFailure
+from ..rollout.interfaces import KeyedValue, LogPage, Membership, StoreFailure
 from ..rollout.metrics import RolloutMetrics, labels
 from .connections import RenewableSession
 from .wire import (
@@ -79,6 +79,13 @@
         decoded = self._decode("append", response, AppendedReply)
         return decoded.map(lambda reply: reply.first_offset)
 
+    async def put(
+        self, topic: str, values: Sequence[KeyedValue]
+    ) -> Result[int, StoreFailure]:
+        """Write values of keys and return the offset of the first."""
+        records = [encode_keyed(key, value) for key, value in values]
+        return await self.append(keyed_topic(topic), 0, records)
+
     async def read(
         self,
         topic: str,
@@ -253,6 +260,17 @@
         return StoreFailure.REFUSED if refused else StoreFailure.UNKNOWN
 
 
+def keyed_topic(topic: str) -> str:
+    """Return the store's name of a topic that keeps the newest value of each key."""
+    return f"keyed.{topic}"
+
+
+def encode_keyed(key: str, value: bytes) -> bytes:
+    """Return the record that writes a value, or deletes the key if it is empty."""
+    name = key.encode()
+    return bytes([len(name)]) + name + value
+
+
 def frame(record: bytes) -> bytes:
     """Return a record with a length prefix."""
     return len(record).to_bytes(LENGTH_PREFIX_BYTES, "big") + record
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/topic_watcher.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/topic_watcher.py
@@ -33,17 +33,25 @@
 
 from ..background_tasks import BackgroundTasks
 from ..observe.events import log_event
-from ..rollout.interfaces import DirectoryListener, StoreFailure
+from ..rollout.crash_reports import CRASHES_TOPIC
+from ..rollout.interfaces import (
+    DirectoryListener,
+    KeyedRecordHandler,
+    StoreFailure,
+)
 from ..rollout.metrics import RolloutMetrics, labels
 from . import wire
 from .headers import parse_int
-from .store import StoreClient
+from .store import StoreClient, keyed_topic
 
 OPERATOR_TOPIC = "keyed.op"
 SERVER_TOPIC = "keyed.servers"
 # A long poll of this length detects a silent connection soon enough to meet the time
 # limits for applying a configuration and for draining workers.
 LONG_POLL_S = 0.5
+# A read of crashes on a silent connection also ends within the shortest time in which
+# nodes must learn of them.
+CRASH_LONG_POLL_S = 1.0
 RETRY_S = 0.1
 # Workers rewrite their entries continuously. The entries of one interval are read
 # together, so that the node's calls and wake-ups do not grow with the number of
@@ -57,19 +65,31 @@
 
 
 class TopicWatcher(Service):
-    """Read the records of operators and workers and pass them to a listener."""
+    """Read the records of operators, workers and other nodes and pass them on."""
 
     def __init__(
-        self, store: StoreClient, listener: DirectoryListener, metrics: RolloutMetrics
+        self,
+        store: StoreClient,
+        listener: DirectoryListener,
+        crashes: KeyedRecordHandler,
+        metrics: RolloutMetrics,
     ) -> None:
         super().__init__()
         self.store = store
         self.listener = listener
+        self.crashes = crashes
         self.metrics = metrics
         self.tasks = BackgroundTasks()
 
     async def start(self) -> None:
-        """Start tailing both topics."""
+        """Start tailing the topics."""
+        crash_tail = TopicTail(
+            self.store,
+            keyed_topic(CRASHES_TOPIC),
+            CrashRecordHandler(self),
+            self.metrics,
+            long_poll_s=CRASH_LONG_POLL_S,
+        )
         operator_tail = TopicTail(
             self.store, OPERATOR_TOPIC, OperatorRecordHandler(self), self.metrics
         )
@@ -80,6 +100,7 @@
             self.metrics,
             BATCH_INTERVAL_S,
         )
+        self.tasks.supervise(crash_tail.run)
         self.tasks.supervise(operator_tail.run)
         self.tasks.supervise(server_tail.run)
 
@@ -139,6 +160,23 @@
         self.listener.upstreams_replaced([e for e in entries if e is not None])
 
 
+class CrashRecordHandler:
+    """Pass what nodes share about crashes of upstreams on."""
+
+    def __init__(self, watcher: TopicWatcher) -> None:
+        self.listener = watcher.listener
+        self.crashes = watcher.crashes
+
+    def handle_record(self, key: str, value: bytes | None) -> None:
+        """Handle a record."""
+        self.crashes.handle_record(key, value)
+
+    def handle_snapshot(self, items: list[wire.KeyedItem]) -> None:
+        """Handle a listing in the order in which its records were written."""
+        for item in sorted(items, key=lambda item: item.offset):
+            self.handle_record(item.key, item.value)
+
+
 class TopicTail:
     """List a keyed topic, then read the records that follow.
 
@@ -152,12 +190,14 @@
         handler: RecordHandler,
         metrics: RolloutMetrics,
         batch_interval_s: float = 0.0,
+        long_poll_s: float = LONG_POLL_S,
     ) -> None:
         self.store = store
         self.topic = topic
         self.handler = handler
         self.metrics = metrics
         self.batch_interval_s = batch_interval_s
+        self.long_poll_s = long_poll_s
         self.offset: int | None = None
         self.last_contact_at = time.monotonic()
         self.contact_lost = False
@@ -195,7 +235,7 @@
 
     async def _read(self) -> Result[Callable[[], None], StoreFailure]:
         start = self.offset or 0
-        result = await self.store.read(self.topic, 0, start, LONG_POLL_S)
+        result = await self.store.read(self.topic, 0, start, self.long_poll_s)
         if isinstance(result, Err):
             return result
         page = result.ok_value
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/wire.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/wire.py
@@ -32,6 +32,7 @@
 
     key: str = msgspec.field(name="Key")
     value: bytes = msgspec.field(name="Value")
+    offset: int = msgspec.field(name="Offset", default=0)
 
 
 class NewestReply(msgspec.Struct):
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/crash_watch.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/crash_watch.py
@@ -11,6 +11,7 @@
 from ..background_tasks import BackgroundTasks
 from ..observe.events import log_event
 from .clock import elapsed_s
+from .crash_reports import CrashReports
 from .directory import Directory
 from .interfaces import UpstreamCalls
 from .metrics import RolloutMetrics, labels
@@ -38,10 +39,15 @@
     """
 
     def __init__(
-        self, directory: Directory, calls: UpstreamCalls, metrics: RolloutMetrics
+        self,
+        directory: Directory,
+        calls: UpstreamCalls,
+        reports: CrashReports,
+        metrics: RolloutMetrics,
     ) -> None:
         self.directory = directory
         self.calls = calls
+        self.reports = reports
         self.metrics = metrics
         self.tasks = BackgroundTasks()
         self.losses: dict[Incarnation, Loss] = {}
@@ -88,6 +94,7 @@
             service=upstream.service,
             requests=",".join(loss.requests),
         )
+        self.reports.report_crash(incarnation_of(upstream), loss.requests)
 
     def _recent_loss(self, key: Incarnation) -> Loss | None:
         loss = self.losses.get(key)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
@@ -19,6 +19,7 @@
 from fulmarpulley_core.placement import text_hash
 from fulmarpulley_core.pool.admission import longest_send_wait_s
 from fulmarpulley_core.pool.messages import (
+    CRASHES_UPSTREAMS,
     AttemptFailed,
     AttemptFinished,
     CancelAttempt,
@@ -82,6 +83,7 @@
     responses: dict[AttemptId, UpstreamResponse] = {}
     error_response: UpstreamResponse | None = None
     attempts: int = 0
+    running: set[AttemptId] = set()
     upstream: str = ""
 
 
@@ -123,6 +125,7 @@
         self.sequence = 0
         directory.listeners.append(self.pools.directory_changed)
         limits.listeners.append(self._limit_reported)
+        crashes.reports.listeners.append(self._withdraw_blocked)
 
     async def forward(
         self, route: Route, request: CallerRequest, rank: int = 0
@@ -134,6 +137,9 @@
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         name = choose_service(route, text_hash(request.request_id))
+        digest = request_digest(request)
+        if self.crashes.reports.is_blocked(digest):
+            return self._refuse_blocked(request, digest, route, name)
         pool = self.pools.open(name)
         if pool is None:
             return Refusal("no_upstream", Ran.NOT_RUN, 0.5)
@@ -142,7 +148,7 @@
             deadline = min(deadline, request.deadline)
         pending = PendingRequest(
             request=request,
-            digest=request_digest(request),
+            digest=digest,
             route=route,
             service=name,
             config_version=self._config_version(),
@@ -161,6 +167,41 @@
         self._log_outcome(pending, outcome, loop.time() - started_at)
         return outcome
 
+    def _refuse_blocked(
+        self,
+        request: CallerRequest,
+        digest: RequestDigest,
+        route: Route,
+        service: ServiceName,
+    ) -> Refusal:
+        self.metrics.requests.observe(
+            labels(route=route.name, code=CRASHES_UPSTREAMS), 0.0
+        )
+        log_event(
+            "request_refused",
+            request=request.request_id,
+            digest=digest,
+            route=route.name,
+            service=service,
+            config=self._config_version(),
+            attempts=0,
+            outcome=CRASHES_UPSTREAMS,
+        )
+        retry_after_s = self.crashes.reports.blocked_for_s(digest)
+        return Refusal(CRASHES_UPSTREAMS, Ran.NOT_RUN, retry_after_s)
+
+    def _withdraw_blocked(self) -> None:
+        """End the waiting requests that have become blocked."""
+        for work_id, pending in list(self.pending.items()):
+            if not pending.running:
+                self._withdraw_if_blocked(work_id, pending)
+
+    def _withdraw_if_blocked(self, work_id: WorkId, pending: PendingRequest) -> None:
+        if self.crashes.reports.is_blocked(pending.digest):
+            retry_after_s = self.crashes.reports.blocked_for_s(pending.digest)
+            withdrawal = Withdraw(work_id, CRASHES_UPSTREAMS, retry_after_s)
+            self.pools[pending.service].post(withdrawal)
+
     def _config_version(self) -> int:
         routes = self.directory.routes
         return routes.topology.version if routes else 0
@@ -214,7 +255,9 @@
     def _start_attempt(self, action: StartAttempt) -> None:
         pending = self.pending[action.work_id]
         pending.upstream = action.upstream
+        pending.running.add(action.attempt_id)
         task = self.tasks.spawn(self._attempt(action, pending))
+        task.add_done_callback(lambda _: pending.running.discard(action.attempt_id))
         self.attempt_tasks[action.attempt_id] = task
 
     async def _attempt(self, action: StartAttempt, pending: PendingRequest) -> None:
@@ -225,10 +268,12 @@
             # The pool waits for the outcome of each attempt.
             log_failure("attempt_raised", self._call, error, upstream=action.upstream)
             result = Err(UpstreamCallFailure(Failure.BROKEN, "the attempt raised"))
+        pending.running.discard(action.attempt_id)
         self.attempt_tasks.pop(action.attempt_id, None)
         if isinstance(result, Ok):
             response = result.ok_value
             if response.status < MIN_SERVER_ERROR_STATUS:
+                self.crashes.reports.record_completion(pending.digest)
                 pending.responses[action.attempt_id] = response
                 pool.post(AttemptFinished(action.attempt_id, 1))
                 return
@@ -248,6 +293,8 @@
         )
         retry_after_s = failure.retry_after_s
         pool.post(AttemptFailed(action.attempt_id, failure.failure, 0, retry_after_s))
+        if not pending.running:
+            self._withdraw_if_blocked(action.work_id, pending)
 
     async def _call(
         self, action: StartAttempt, pending: PendingRequest
@@ -259,6 +306,14 @@
         held_back = await self.limits.take_shared(entry, self._send_wait_s(pending))
         if held_back is not None:
             return Err(held_back)
+        if self.crashes.reports.is_blocked(pending.digest):
+            reason = "the request crashes upstreams"
+            retry_after_s = self.crashes.reports.blocked_for_s(pending.digest)
+            return Err(
+                UpstreamCallFailure(
+                    Failure.WITHHELD, reason, retry_after_s=retry_after_s
+                )
+            )
         pending.attempts += 1
         result = await self.calls.forward(
             entry, pending.request, self._attempt_timeout_s(pending)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable, Sequence
 from enum import StrEnum
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import msgspec
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -88,6 +88,29 @@
         """Close all connections."""
 
 
+class KeyedValue(NamedTuple):
+    """Hold the value to write for a key; an empty one deletes the key."""
+
+    key: str
+    value: bytes
+
+
+class KeyedLog(Protocol):
+    """Write to topics that keep the newest value of each key."""
+
+    async def put(
+        self, topic: str, values: Sequence[KeyedValue]
+    ) -> Result[int, StoreFailure]:
+        """Write values atomically and return the offset of the first."""
+
+
+class KeyedRecordHandler(Protocol):
+    """Handle the records of a topic that keeps the newest value of each key."""
+
+    def handle_record(self, key: str, value: bytes | None) -> None:
+        """Handle a record; None stands for a deleted key."""
+
+
 class DirectoryListener(Protocol):
     """Receive what operators, trainers and upstreams publish."""
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
@@ -33,6 +33,9 @@
         self.upstream_crashes = self.counter(
             "upstream_crashes", "Crashes of upstreams under requests of this node"
         )
+        self.blocked_requests = self.gauge(
+            "blocked_requests", "Requests that are blocked since they crash upstreams"
+        )
         self.config_version = self.gauge(
             "config_version", "Version of the configuration in force"
         )
--- a/packages/fulmarpulley-node/tests/rollout_settings.py
+++ b/packages/fulmarpulley-node/tests/rollout_settings.py
@@ -5,6 +5,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from result import Err, Result
 
+from fulmarpulley_node.rollout.crash_reports import CrashReports
 from fulmarpulley_node.rollout.interfaces import CallerRequest, LogPage, StoreFailure
 from fulmarpulley_node.rollout.metrics import RolloutMetrics
 from fulmarpulley_node.rollout.rate_limits import RateLimits
@@ -47,10 +48,19 @@
     async def append(self, *_call: object) -> Result[int, StoreFailure]:
         return Err(StoreFailure.UNREACHABLE)
 
+    async def put(self, *_call: object) -> Result[int, StoreFailure]:
+        return Err(StoreFailure.UNREACHABLE)
+
     async def read(self, *_call: object) -> Result[LogPage, StoreFailure]:
         return Err(StoreFailure.UNREACHABLE)
 
 
+def crash_reports() -> CrashReports:
+    """Return reports of crashes that are not shared."""
+    log: Any = UnreachableLog()
+    return CrashReports(settings(), log, RolloutMetrics())
+
+
 def unlimited() -> RateLimits:
     """Return the limits of upstreams that state none."""
     log: Any = UnreachableLog()
--- a/packages/fulmarpulley-node/tests/test_exceptions.py
+++ b/packages/fulmarpulley-node/tests/test_exceptions.py
@@ -8,7 +8,7 @@
 from unittest import mock
 
 from result import Ok, Result
-from rollout_settings import caller_request, settings, unlimited
+from rollout_settings import caller_request, crash_reports, settings, unlimited
 
 from fulmarpulley_core.ids import (
     DataCentre,
@@ -78,7 +78,7 @@
         directory = Directory(RolloutMetrics())
         calls: Any = RaisingCalls()
         metrics = RolloutMetrics()
-        crashes = CrashWatch(directory, calls, metrics)
+        crashes = CrashWatch(directory, calls, crash_reports(), metrics)
         forwarder = Forwarder(
             settings(), directory, calls, unlimited(), crashes, metrics
         )
