Try upstreams that have not failed a request before those that have

Cause: an item avoided only the upstream that failed it last, and upstreams of its own region come first. Change: a request avoids all upstreams that failed it as long as there is another one. Samples keep to the last one, since engines refuse work for a moment while they load.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/attempt_tracker.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/attempt_tracker.py
@@ -103,7 +103,7 @@
 
     def _fail(self, attempt: Attempt, failure: Failure, now: float) -> None:
         item = attempt.item
-        item.avoid_upstream = attempt.upstream.upstream_id
+        item.avoid(attempt.upstream.upstream_id)
         ran = failure in {Failure.BROKEN, Failure.ERRORED}
         if ran:
             item.failures += 1
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/components.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/components.py
@@ -98,7 +98,7 @@
         """Cancel an attempt and requeue its item for another upstream."""
         item = attempt.item
         self.ledger.cancel(attempt)
-        item.avoid_upstream = attempt.upstream.upstream_id
+        item.avoid(attempt.upstream.upstream_id)
         if not item.attempts:
             self.enqueue(item)
 
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/routing.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/routing.py
@@ -88,9 +88,7 @@
         self, item: Item, candidates: Sequence[Upstream], pool: PoolLoad, now: float
     ) -> Upstream:
         """Return the best upstream; other regions, over a paid link, come last."""
-        others = [
-            u for u in candidates if u.upstream_id != item.avoid_upstream
-        ] or candidates
+        others = _without_avoided(item, candidates)
         region = item.work.region
         same_region = [u for u in others if u.entry.region == region] or others
         if len(same_region) == 1:
@@ -182,7 +180,7 @@
             u
             for u in candidates
             if not u.attempts
-            and u.upstream_id != item.avoid_upstream
+            and u.upstream_id not in item.avoided
             and used_at.get(u.upstream_id, -math.inf) > now - CONNECTION_IDLE_S
         ]
         return max(eligible, key=lambda u: used_at[u.upstream_id], default=None)
@@ -191,3 +189,10 @@
         # The order differs by node; nodes that all began with the same upstream would
         # all stay with it.
         return text_hash(f"{self._prefix}{upstream.upstream_id}")
+
+
+def _without_avoided(item: Item, candidates: Sequence[Upstream]) -> Sequence[Upstream]:
+    """Return the upstreams that did not fail the item, else all but the last one."""
+    untried = [u for u in candidates if u.upstream_id not in item.avoided]
+    last = item.avoided[-1] if item.avoided else None
+    return untried or [u for u in candidates if u.upstream_id != last] or candidates
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
@@ -50,7 +50,8 @@
     queued: bool = False
     charge: int = 0
     lane: "Lane | None" = None
-    avoid_upstream: UpstreamId | None = None
+    # Upstreams to avoid, the one to avoid most at the end.
+    avoided: list[UpstreamId] = []
     attempts: list["Attempt"] = []
 
     @property
@@ -58,6 +59,16 @@
         """Tell whether a trainer waits for this item."""
         return self.work.kind is WorkKind.SAMPLE
 
+    def avoid(self, upstream_id: UpstreamId) -> None:
+        """Prefer other upstreams to one that failed this item.
+
+        A sample avoids the last one only, since engines may refuse work for a moment.
+        """
+        self.avoided = [] if self.is_sample else self.avoided
+        if upstream_id in self.avoided:
+            self.avoided.remove(upstream_id)
+        self.avoided.append(upstream_id)
+
     def reserved_tokens(self) -> int:
         """Return the tokens to reserve at an upstream for this item."""
         work = self.work
--- a/packages/fulmarpulley-core/tests/pool/test_retries.py
+++ b/packages/fulmarpulley-core/tests/pool/test_retries.py
@@ -6,7 +6,7 @@
 from fulmarpulley_schema.generated.document import Retries
 from fulmarpulley_schema.generated.http import Ran
 
-from .pool_fixtures import Driver, document, refusals, run, work
+from .pool_fixtures import Driver, document, refusals, run, upstream, work
 
 
 class RetryTest(TestCase):
@@ -20,6 +20,18 @@
         self.assertEqual((again.upstream, again.resume_from), ("u2", 4))
         self.assertTrue(0.05 <= driver.now <= 0.15)
 
+    def test_request_tries_each_upstream_before_one_that_failed_it(self) -> None:
+        listed = [upstream("u1"), upstream("u2"), upstream("u3", region="b")]
+        for routing in ("round_robin", "least_tokens", "open_connection"):
+            driver = Driver(document(listed), routing=routing)
+            (attempt,) = driver.submit(work("a", region="a"))
+            tried = [attempt.upstream]
+            for _ in range(2):
+                driver.fail(attempt.attempt_id, m.Failure.NOT_SENT)
+                (attempt,) = run(driver, 5.0, first=True)
+                tried.append(attempt.upstream)
+            self.assertEqual(sorted(tried), ["u1", "u2", "u3"], routing)
+
     def test_back_off_grows(self) -> None:
         driver = Driver(document(retries=Retries(attempts=9)))
         attempt = driver.submit(work("a"))[0]
