Do not begin an append that a submission has no time left for

Cause: a refused append is repeated every 0.1 s for 0.85 s. With calls of 4 to 6 ms the ninth begins a few ms before the end and is cut off by it, so that it may take effect, and the trainer is told that the outcome is unknown although the store refused every call. Whether it happens depends on the time of a call. Change: the last append begins with at least 0.1 s left.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_frontend.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_frontend.py
@@ -29,6 +29,9 @@
 READ_TIMEOUT_S = 1.2
 END_TIMEOUT_S = 2.5
 RETRY_DELAY_S = 0.1
+# An append that ends with the time of a submission may take effect, so that the trainer
+# can no longer be told that nothing was done.
+MIN_APPEND_S = 0.1
 # Keeps a page of results below the size that clients accept in one response.
 PAGE_BYTES = 900_000
 # Results that any node has returned are visible on this node within this time.
@@ -118,7 +121,7 @@
                         StepOutcome.DONE,
                         "found after an unacknowledged append",
                     )
-            if time.monotonic() + RETRY_DELAY_S >= deadline:
+            if time.monotonic() + RETRY_DELAY_S + MIN_APPEND_S >= deadline:
                 outcome = (
                     StepOutcome.UNKNOWN if may_be_appended else StepOutcome.REFUSED
                 )
