Do not let the HTTP client send a request to an upstream twice

What callers would see: a request that must not be repeated, with the method GET, PUT or DELETE, runs twice if its upstream runs it on a kept connection and the response is lost. If that upstream has crashed, the second send is refused, so the node takes the request for one that was never sent, answers 503 (not run), and does not notice the crash. Cause: aiohttp sends idempotent methods again by itself when a connection that was used before ends without a response. Whether a request may be repeated follows from its route, not from its method. The class of fault: a retry in a library below the layer that counts attempts. Change: sessions to upstreams do not resend. The store's session still does; its GET calls only read. Without the change the whole-path test sees 2 runs of a GET on an unsafe route; with it 1 for each method, and 502.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/connections.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/connections.py
@@ -159,15 +159,21 @@
         await asyncio.gather(*(session.close() for session in sessions))
 
 
-def new_session(idle_timeout_s: float = IDLE_TIMEOUT_S) -> aiohttp.ClientSession:
-    """Return a client session that passes bodies on unchanged."""
+def new_session(
+    idle_timeout_s: float = IDLE_TIMEOUT_S, resend: bool = True
+) -> aiohttp.ClientSession:
+    """Return a client session that passes bodies on unchanged.
+
+    :param resend: whether a GET, PUT or DELETE may be sent a second time after its
+        connection, which had been used before, ended without a response
+    """
     connector = BoundedResponseConnector(
         limit=0,
         keepalive_timeout=idle_timeout_s,
         use_dns_cache=False,
         socket_factory=_create_socket,
     )
-    return aiohttp.ClientSession(
+    session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -175,6 +181,10 @@
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
         read_bufsize=2**16,
     )
+    # The library has no public option for this; test_connections fails if the private
+    # one stops working.
+    session._retry_connection = resend
+    return session
 
 
 def refuse_new_connections(listener: socket.socket) -> None:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
@@ -174,7 +174,8 @@
     @property
     def _session(self) -> aiohttp.ClientSession:
         if self._open_session is None:
-            self._open_session = new_session()
+            # A request that was sent may have run, whatever its method is.
+            self._open_session = new_session(resend=False)
         return self._open_session
 
     def _record_leaving(
--- a/packages/fulmarpulley-node/tests/test_connections.py
+++ b/packages/fulmarpulley-node/tests/test_connections.py
@@ -3,7 +3,12 @@
 import socket
 import unittest
 
-from fulmarpulley_node.platform.connections import refuse_new_connections
+from aiohttp import ClientConnectionError, test_utils, web
+
+from fulmarpulley_node.platform.connections import (
+    new_session,
+    refuse_new_connections,
+)
 
 LOOPBACK = "127.0.0.1"
 WAIT_S = 0.3
@@ -44,3 +49,31 @@
         # The caller gets no connection, so it sends nothing that could be lost.
         with self.assertRaises(TimeoutError):
             self.connect()
+
+
+class ResendTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against the HTTP library running a request twice by itself."""
+
+    async def asyncSetUp(self) -> None:
+        self.runs: list[str] = []
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", self.run_request)
+        self.server = test_utils.TestServer(app)
+        await self.server.start_server()
+        self.addAsyncCleanup(self.server.close)
+
+    async def run_request(self, request: web.Request) -> web.Response:
+        self.runs.append(request.path)
+        if request.path == "/lost" and request.transport is not None:
+            request.transport.abort()
+        return web.Response()
+
+    async def test_request_on_a_kept_connection_is_not_sent_again(self) -> None:
+        for method in ("GET", "POST", "PUT", "DELETE", "PATCH"):
+            async with new_session(resend=False) as session:
+                async with session.request(method, self.server.make_url("/kept")):
+                    pass
+                with self.assertRaises(ClientConnectionError):
+                    await session.request(method, self.server.make_url("/lost"))
+            self.assertEqual(self.runs.count("/lost"), 1, method)
+            self.runs.clear()
--- a/testing/tests/test_platform_desk.py
+++ b/testing/tests/test_platform_desk.py
@@ -55,6 +55,22 @@
         stamps = [server_stamp(run.worker, "q1") for run in runs]
         self.assertIn(answer.headers["server-stamp"], stamps)
 
+    def test_unsafe_request_whose_answer_is_lost_runs_once(self) -> None:
+        # The HTTP client sends some methods again on a kept connection by itself.
+        for method in ("GET", "PUT", "DELETE", "POST"):
+            for number in range(4):
+                node, kept = self.nodes[0], f"{method}{number}"
+                node.call(method, "/once/a", Request_Id=kept, Deadline_Ms="2000")
+            for desk in self.desks:
+                desk.answer_truncation = AnswerTruncation.UNSENT
+            answer = self.nodes[0].call(
+                method, "/once/a", Request_Id=f"{method}-lost", Deadline_Ms="2000"
+            )
+            self.assertEqual(answer.status, 502, method)
+            self.assertEqual(len(self.system.all_runs(f"{method}-lost")), 1, method)
+            for desk in self.desks:
+                desk.answer_truncation = None
+
     def test_request_without_a_route_is_not_found(self) -> None:
         answer = self.nodes[0].call("POST", "/none/", b"", Request_Id="q2")
         self.assertEqual(answer.status, 404)
