Let a slow check of a crashed upstream go on after the retry

Cause: the check whether an upstream refuses connections ended after 0.1 s, so that retries do not wait for it. On a node that is slow or far away the answer comes later, and the crash was recorded by no one. Change: the retry goes ahead after 0.1 s; the check goes on for up to 1 s. Result: the new test fails before.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
@@ -32,8 +32,7 @@
 from .wire import ReportReply, VersionOrder
 
 ORDER_TIMEOUT_S = 2.0
-# A retry waits for this check. A crashed worker refuses within a round trip.
-CONNECTION_CHECK_TIMEOUT_S = 0.1
+CONNECTION_CHECK_TIMEOUT_S = 1.0
 # Loading takes 0.9 s. Waiting for a report instead would leave the engine idle, since
 # reports lag by a few hundred ms. An engine that is still loading refuses its next
 # request, or its response names the old version.
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/crash_watch.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/crash_watch.py
@@ -19,6 +19,9 @@
 # A refused connection shows that an upstream has crashed if it follows the end of a
 # request's connection this soon.
 LOSS_VALIDITY_S = 2.0
+# A retry waits this long for the check of the upstream that failed it. A crashed one
+# refuses within a round trip, and the check goes on if that takes longer.
+MAX_CHECK_WAIT_S = 0.1
 # Bounds the memory while many upstreams lose connections.
 MAX_LOSSES = 1024
 
@@ -68,7 +71,7 @@
             check = self.tasks.spawn(self._check(upstream))
             self._checks[key] = check
             check.add_done_callback(lambda _: self._checks.pop(key, None))
-        await asyncio.shield(self._checks[key])
+        await asyncio.wait({self._checks[key]}, timeout=MAX_CHECK_WAIT_S)
 
     def record_refusal(self, upstream: ListedUpstream) -> None:
         """Record that an upstream refused a new connection."""
--- a/packages/fulmarpulley-node/tests/test_crash_watch.py
+++ b/packages/fulmarpulley-node/tests/test_crash_watch.py
@@ -1,5 +1,6 @@
 """Test which ends of connections count as crashes of upstreams."""
 
+import asyncio
 import unittest
 from typing import Any
 
@@ -33,9 +34,12 @@
     def __init__(self) -> None:
         self.refused = False
         self.checks = 0
+        self.answered = asyncio.Event()
+        self.answered.set()
 
     async def refuses_connections(self, upstream: ListedUpstream) -> bool:
         self.checks += 1
+        await self.answered.wait()
         return self.refused
 
 
@@ -66,6 +70,15 @@
         self.assertTrue(self.crashed())
         self.assertTrue(self.reports.evidence.is_suspected(REQUEST))
 
+    async def test_crash_that_shows_after_the_retry_is_recorded(self) -> None:
+        self.connections.refused = True
+        self.connections.answered.clear()
+        await self.watch.record_loss(LISTED, REQUEST)
+        self.assertFalse(self.crashed())
+        self.connections.answered.set()
+        await asyncio.gather(*self.watch.tasks.tasks)
+        self.assertTrue(self.crashed())
+
     async def test_refusal_of_a_later_request_shows_the_crash(self) -> None:
         await self.watch.record_loss(LISTED, REQUEST)
         self.watch.record_refusal(LISTED)
