Let the soak send requests that crash workers

The soak had no request that ends the worker that runs it. A fault of its own sends one to random nodes for 4 to 9 s; the workers start again 1 s later under another id. One check finds more than 3 runs later than 3 s after the third crash at nodes that no fault kept from knowing, another one finds other requests that are refused for crashes.

--- a/testing/src/fulmarpulley_testing/platform_soak.py
+++ b/testing/src/fulmarpulley_testing/platform_soak.py
@@ -20,7 +20,7 @@
 import msgspec
 
 # Register faults and checks.
-from . import platform_changes, platform_limits  # noqa: F401
+from . import platform_changes, platform_crashes, platform_limits  # noqa: F401
 from .fault_proxy import FaultProxy
 from .findings import Finding
 from .output import print_flushed
@@ -33,6 +33,7 @@
     DESK,
     ENGINES,
     MODEL,
+    RESTART_S,
     NodeProcess,
     PlatformSystem,
 )
@@ -78,6 +79,7 @@
         self.history = PlatformHistory()
         self.store_proxies: dict[str, FaultProxy] = {}
         self.worker_proxies: dict[str, FaultProxy] = {}
+        self.worker_listeners: dict[str, asyncio.Server] = {}
         self.entries: dict[str, Any] = {}
         self.workers_started = 0
         self.version = 1
@@ -125,13 +127,28 @@
         worker.events_per_item = EVENTS_PER_ITEM
         worker.event_s = EVENT_S
         worker.load_s = WEIGHT_LOAD_S
+        worker.deadly_bodies = self.platform.deadly_bodies
+        worker.crash = lambda: self._crash_worker(name, service)
         port = self.platform.serve(worker.app())
         self.workers[name] = worker
-        self.worker_proxies[name] = proxy = self._proxy(port)
+        proxy, listener = self._proxy(port)
+        self.worker_proxies[name], self.worker_listeners[name] = proxy, listener
         address = f"{LOOPBACK}:{proxy.port}"
         self.update_entry(name, worker.entry(service, address, "a1", worker.slots))
         return name
 
+    def _crash_worker(self, name: str, service: str) -> None:
+        """Close the sockets of a worker and start another one in its place."""
+        listener = self.worker_listeners.pop(name, None)
+        if listener is not None:
+            listener.close()
+            self.worker_proxies[name].abort_connections()
+            threading.Timer(RESTART_S, self._replace_worker, (name, service)).start()
+
+    def _replace_worker(self, name: str, service: str) -> None:
+        self.update_entry(name, None)
+        self.add_worker(service)
+
     def update_entry(self, name: str, entry: Any) -> None:
         """Write the entry of a worker to the store; None removes it."""
         if entry is None:
@@ -167,18 +184,18 @@
             await self.platform.store.put(OPERATOR_TOPIC, f"version/{MODEL}", value)
 
     def _add_node(self, name: str) -> None:
-        proxy = self._proxy(self.platform.store_port)
+        proxy, _ = self._proxy(self.platform.store_port)
         self.store_proxies[name] = proxy
         lease_ms = self.settings.lease_ms
         node = NodeProcess(name, self.folder, proxy.port, lease_ms)
         self.platform.nodes.append(node)
         node.start()
 
-    def _proxy(self, target_port: int) -> FaultProxy:
+    def _proxy(self, target_port: int) -> tuple[FaultProxy, asyncio.Server]:
         (port,) = free_ports(1)
         proxy = FaultProxy(port, target_port)
-        self.platform.run(asyncio.start_server(proxy.accept, LOOPBACK, port))
-        return proxy
+        listener = self.platform.run(asyncio.start_server(proxy.accept, LOOPBACK, port))
+        return proxy, listener
 
 
 class Soak:
--- a/testing/src/fulmarpulley_testing/platform_worker.py
+++ b/testing/src/fulmarpulley_testing/platform_worker.py
@@ -42,6 +42,8 @@
     versions: list[int] = []
     complete: bool = False
     ended: bool = False
+    # Whether the run crashed the worker.
+    crashed: bool = False
 
 
 class Order(msgspec.Struct):
@@ -197,6 +199,7 @@
         )
         self.runs.append(run)
         if run.body in self.deadly_bodies:
+            run.crashed = True
             self.crash()
         try:
             return await self._answer(request, run, model)
--- a/testing/tests/test_platform_checks.py
+++ b/testing/tests/test_platform_checks.py
@@ -5,7 +5,11 @@
 
 import msgspec
 
-from fulmarpulley_testing import platform_changes, platform_limits  # noqa: F401
+from fulmarpulley_testing import (  # noqa: F401
+    platform_changes,
+    platform_crashes,
+    platform_limits,
+)
 from fulmarpulley_testing.findings import Fault
 from fulmarpulley_testing.platform_checks import CheckContext, check_all
 from fulmarpulley_testing.platform_history import (
@@ -310,3 +314,45 @@
         )
         self.history.windows.append(freeze)
         self.assertEqual(self.faults(), set())
+
+
+class CrashCheckTest(CheckCase):
+    """Guards against a check that misses requests that go on to crash workers."""
+
+    def add_deadly_runs(self, times: list[float]) -> None:
+        for number, after in enumerate(times):
+            request = self.add_request(
+                repeatable=True, status=502, body=b"deadly 1", request_id=f"x{number}"
+            )
+            self.history.requests[f"x{number}"] = request
+            self.add_run(
+                f"x{number}",
+                started=self.now + after,
+                crashed=True,
+                body=request.body,
+            )
+        self.history.requests.pop("r1", None)
+
+    def test_more_late_runs_than_tolerated_are_found(self) -> None:
+        self.add_deadly_runs([0.0, 0.1, 0.2, 3.3, 3.4, 3.5, 3.6])
+        self.assertEqual(self.faults(), {Fault.LATE_RUN})
+
+    def test_tolerated_and_early_runs_are_no_finding(self) -> None:
+        self.add_deadly_runs([0.0, 0.1, 0.2, 3.1, 3.1, 3.3, 3.4, 3.5])
+        self.assertEqual(self.faults(), set())
+
+    def test_suspended_node_excuses_its_late_runs(self) -> None:
+        self.add_deadly_runs([0.0, 0.1, 0.2, 3.3, 3.4, 3.5, 3.6])
+        window = FaultWindow(
+            kind=WindowKind.PROCESS, subject="n0", begin=self.now, end=self.now + 1.0
+        )
+        self.history.windows.append(window)
+        self.assertEqual(self.faults(), set())
+
+    def test_innocent_request_refused_as_crashing_is_found(self) -> None:
+        self.add_request(
+            repeatable=True,
+            status=503,
+            answer=b"the request was refused: crashes_upstreams",
+        )
+        self.assertEqual(self.faults(), {Fault.LOST_ANSWER})
