Show the crashes that a refused request caused in its trace

From the id of a request that was refused with crashes_upstreams, fulmarpulley trace prints the crashes under its like on all nodes, too; ids in lists are found. Two tests, which fail before.

--- a/packages/fulmarpulley-cli/src/fulmarpulley_cli/trace.py
+++ b/packages/fulmarpulley-cli/src/fulmarpulley_cli/trace.py
@@ -34,6 +34,11 @@
         "version_named",
     }
 )
+# What nodes found out about the requests that crash upstreams.
+CRASH_EVENTS = frozenset(
+    {"crash_learned", "request_blocked", "request_unblocked", "upstream_crashed"}
+)
+BLOCKED_OUTCOME = "crashes_upstreams"
 _FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 
 
@@ -49,21 +54,22 @@
 def trace(work: str, *logs: Path, around: float = 0.0) -> ExitCode:
     """Print all log lines of a request, step, item or upstream, sorted by time.
 
-    :param work: id of the request, step, item or upstream
+    For a request that was refused because it crashes upstreams, print these crashes,
+    too.
+
+    :param work: id of the request, step, item or upstream, or digest of a request
     :param logs: log files, or directories with files that end in .log
     :param around: also print events about the store, the configuration and partitions
         on the same nodes, up to this many seconds before the first and after the
         last of these lines
     """
     lines = [line for path in _log_files(logs) for line in _read_log(path)]
-    matching = [line for line in lines if work in line.fields.values()]
+    matching = [line for line in lines if _names(line, work)]
     if not matching:
         raise CommandError(ExitCode.FINDINGS, f"no log line contains the id {work}")
-    selected = (
-        matching
-        if around <= 0
-        else matching + list(_context_lines(lines, matching, around))
-    )
+    selected = matching + list(_crash_lines(lines, matching))
+    if around > 0:
+        selected += _context_lines(lines, matching, around)
     for _, text in sorted({(line.at, line.text) for line in selected}):
         print_line(text)
     return ExitCode.OK
@@ -90,6 +96,27 @@
                 continue
 
 
+def _names(line: LogLine, work: str) -> bool:
+    """Tell whether a field of a line is an id, or a list that contains it."""
+    values = line.fields.values()
+    return work in values or any(work in value.split(",") for value in values)
+
+
+def _crash_lines(
+    lines: Sequence[LogLine], matching: Sequence[LogLine]
+) -> Iterator[LogLine]:
+    """Yield the lines on crashes under the blocked ones of some requests."""
+    digests = {
+        line.fields["digest"]
+        for line in matching
+        if line.fields.get("outcome") == BLOCKED_OUTCOME and "digest" in line.fields
+    }
+    for line in lines:
+        is_crash_event = line.fields.get("event") in CRASH_EVENTS
+        if is_crash_event and any(_names(line, digest) for digest in digests):
+            yield line
+
+
 def _context_lines(
     lines: Sequence[LogLine], matching: Sequence[LogLine], around: float
 ) -> Iterator[LogLine]:
--- a/packages/fulmarpulley-cli/tests/test_trace.py
+++ b/packages/fulmarpulley-cli/tests/test_trace.py
@@ -22,6 +22,14 @@
 event=item_ended node=n2 step=s1 item=i1 upstream=u1 at=12.000
 event=store_lost node=n3 topic=steps reason=refused at=10.000
 """
+N3 = """\
+event=upstream_crashed node=n3 upstream=d1 service=desk requests=f1,f2 at=40.000
+event=crash_learned node=n1 upstream=d1 reporter=n3 requests=f1,f2 at=40.100
+event=upstream_crashed node=n3 upstream=d2 service=desk requests=f2 at=41.000
+event=request_blocked node=n3 digest=f1 crashed=d1,d3 at=42.000
+event=request_refused node=n3 request=q1 digest=f1 outcome=crashes_upstreams at=43.000
+event=request_refused node=n3 request=q2 digest=f2 outcome=deadline_passed at=44.000
+"""
 
 
 class TraceTest(TestCase):
@@ -29,6 +37,7 @@
         self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
         (self.folder / "n1.log").write_text(N1)
         (self.folder / "n2.log").write_text(N2)
+        (self.folder / "n3.log").write_text(N3)
 
     def trace(self, work: str, *options: str) -> list[str]:
         output = io.StringIO()
@@ -47,6 +56,15 @@
         found = self.trace("s1", "--around", "1")
         self.assertEqual(found, ["8.500", "9.000", "10.500", "12.000"])
 
+    def test_trace_of_a_blocked_request_shows_the_crashes(self) -> None:
+        found = ["40.000", "40.100", "42.000", "43.000"]
+        self.assertEqual(self.trace("q1"), found)
+        self.assertEqual(self.trace("f1"), found)
+        self.assertEqual(self.trace("q2"), ["44.000"])
+
+    def test_trace_finds_ids_in_lists(self) -> None:
+        self.assertEqual(self.trace("d3"), ["42.000"])
+
     def test_trace_fails_when_id_is_unknown(self) -> None:
         with contextlib.redirect_stderr(io.StringIO()) as error_output:
             code = main(["trace", "nothing", str(self.folder)])
