Bound the requests that an upstream lost

Cause: the requests whose connections to an upstream had ended were kept for as long as such ends followed each other within 2 s, so an upstream that resets each request made them grow without end, and a crash made suspects of requests that were lost long before it. Change: requests lost more than 2 s before are forgotten, and 64 kept at most. Result: two new tests fail before.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/crash_watch.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/crash_watch.py
@@ -22,17 +22,34 @@
 # A retry waits this long for the check of the upstream that failed it. A crashed one
 # refuses within a round trip, and the check goes on if that takes longer.
 MAX_CHECK_WAIT_S = 0.1
-# Bounds the memory while many upstreams lose connections.
+# These bound the memory while many upstreams lose connections, or one loses many.
 MAX_LOSSES = 1024
+MAX_REQUESTS_PER_LOSS = 64
 
 
 class Loss(msgspec.Struct):
-    """Hold the requests whose connections to one start of an upstream have ended."""
+    """Hold the requests whose connections to one start of an upstream have ended.
 
-    requests: dict[RequestDigest, None]
-    at_s: float
+    :param requests: when each connection ended, the last one at the end
+    """
+
+    requests: dict[RequestDigest, float] = {}
+    at_s: float = 0.0
     crashed: bool = False
 
+    def add(self, request: RequestDigest, now_s: float) -> None:
+        """Add a request and forget those that were lost long before."""
+        self.at_s = now_s
+        self.requests.pop(request, None)
+        self.requests[request] = now_s
+        oldest, lost_at_s = next(iter(self.requests.items()))
+        while (
+            lost_at_s + LOSS_VALIDITY_S < now_s
+            or len(self.requests) > MAX_REQUESTS_PER_LOSS
+        ):
+            del self.requests[oldest]
+            oldest, lost_at_s = next(iter(self.requests.items()))
+
 
 class CrashWatch:
     """Find out which upstreams crash, and under which requests.
@@ -62,8 +79,7 @@
         """Record that a connection ended under a request, and check its upstream."""
         key = incarnation_of(upstream)
         loss = self._recent_loss(key) or self._add_loss(key)
-        loss.requests[request] = None
-        loss.at_s = elapsed_s()
+        loss.add(request, elapsed_s())
         if loss.crashed:
             self._record_crash(upstream, loss)
             return
@@ -107,7 +123,7 @@
 
     def _add_loss(self, key: Incarnation) -> Loss:
         self.losses.pop(key, None)
-        self.losses[key] = Loss({}, elapsed_s())
+        self.losses[key] = Loss()
         if len(self.losses) > MAX_LOSSES:
             del self.losses[next(iter(self.losses))]
         return self.losses[key]
--- a/packages/fulmarpulley-node/tests/test_crash_watch.py
+++ b/packages/fulmarpulley-node/tests/test_crash_watch.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from typing import Any
+from unittest import mock
 
 from rollout_settings import crash_reports
 
@@ -14,6 +15,7 @@
 )
 from fulmarpulley_core.rollout.stated_limits import incarnation_of
 from fulmarpulley_core.rollout.upstreams import ListedState, ListedUpstream
+from fulmarpulley_node.rollout import crash_watch
 from fulmarpulley_node.rollout.crash_watch import CrashWatch
 from fulmarpulley_node.rollout.directory import Directory
 from fulmarpulley_node.rollout.metrics import RolloutMetrics
@@ -97,6 +99,27 @@
         for request in others:
             self.assertTrue(self.reports.evidence.is_suspected(request))
 
+    async def test_requests_lost_long_before_a_crash_are_not_suspected(self) -> None:
+        await self.watch.record_loss(LISTED, REQUEST)
+        later_s = crash_watch.elapsed_s() + 2 * crash_watch.LOSS_VALIDITY_S
+        latest = RequestDigest("latest")
+        with mock.patch.object(crash_watch, "elapsed_s", return_value=later_s):
+            await self.watch.record_loss(LISTED, latest)
+            self.watch.record_refusal(LISTED)
+        self.assertFalse(self.reports.evidence.is_suspected(REQUEST))
+        self.assertTrue(self.reports.evidence.is_suspected(latest))
+
+    async def test_requests_of_an_upstream_that_resets_all_of_them_are_bounded(
+        self,
+    ) -> None:
+        begun_s = crash_watch.elapsed_s()
+        for number in range(500):
+            now_s = begun_s + number * crash_watch.LOSS_VALIDITY_S / 100
+            with mock.patch.object(crash_watch, "elapsed_s", return_value=now_s):
+                await self.watch.record_loss(LISTED, RequestDigest(str(number)))
+        (loss,) = self.watch.losses.values()
+        self.assertLessEqual(len(loss.requests), crash_watch.MAX_REQUESTS_PER_LOSS)
+
     async def test_upstream_that_drains_or_is_unlisted_has_not_crashed(self) -> None:
         self.connections.refused = True
         draining = ListedUpstream(
