Do not delay removals of upstreams after an outage of the crash topic

Cause: the end of an outage of any topic, that of crashes too, counted as the return of the store, after which upstreams that are no longer listed are used for up to 2 s more. The store may lose some partitions only. Change: the crash topic tells its outages to the crash reports, which log them. Result: the new test fails before.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/topic_watcher.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/topic_watcher.py
@@ -38,6 +38,7 @@
     DirectoryListener,
     KeyedRecordHandler,
     StoreFailure,
+    TopicListener,
 )
 from ..rollout.metrics import RolloutMetrics, labels
 from . import wire
@@ -112,7 +113,9 @@
 class RecordHandler(Protocol):
     """Handle the records of a keyed topic."""
 
-    listener: DirectoryListener
+    @property
+    def listener(self) -> TopicListener:
+        """Return the listener that is told of outages of the topic."""
 
     def handle_record(self, key: str, value: bytes | None) -> None:
         """Handle a record; None stands for a deleted key."""
@@ -164,12 +167,11 @@
     """Pass what nodes share about crashes of upstreams on."""
 
     def __init__(self, watcher: TopicWatcher) -> None:
-        self.listener = watcher.listener
-        self.crashes = watcher.crashes
+        self.listener = watcher.crashes
 
     def handle_record(self, key: str, value: bytes | None) -> None:
         """Handle a record."""
-        self.crashes.handle_record(key, value)
+        self.listener.handle_record(key, value)
 
     def handle_snapshot(self, items: list[wire.KeyedItem]) -> None:
         """Handle a listing in the order in which its records were written."""
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/crash_reports.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/crash_reports.py
@@ -137,6 +137,14 @@
             self._remember_sharing(request)
             self._update(self.evidence.record_completion(request, at_s))
 
+    def store_lost(self, topic: str, reason: str) -> None:
+        """Log that the topic cannot be read."""
+        log_event("store_lost", topic=topic, reason=reason)
+
+    def store_regained(self, topic: str, outage_s: float) -> None:
+        """Log the end of an outage."""
+        log_event("store_regained", topic=topic, outage_s=outage_s)
+
     def _apply_report(self, report: CrashReport, at_s: float) -> None:
         upstream, requests = incarnation_in(report), requests_in(report)
         if report.node_id != self.node_id:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
@@ -104,14 +104,24 @@
         """Write values atomically and return the offset of the first."""
 
 
-class KeyedRecordHandler(Protocol):
+class TopicListener(Protocol):
+    """Receive outages of a topic."""
+
+    def store_lost(self, topic: str, reason: str) -> None:
+        """Handle the start of an outage of a topic."""
+
+    def store_regained(self, topic: str, outage_s: float) -> None:
+        """Handle the end of an outage of a topic."""
+
+
+class KeyedRecordHandler(TopicListener, Protocol):
     """Handle the records of a topic that keeps the newest value of each key."""
 
     def handle_record(self, key: str, value: bytes | None) -> None:
         """Handle a record; None stands for a deleted key."""
 
 
-class DirectoryListener(Protocol):
+class DirectoryListener(TopicListener, Protocol):
     """Receive what operators, trainers and upstreams publish."""
 
     def topology_changed(self, topology: Topology) -> None:
@@ -129,12 +139,6 @@
     def upstreams_replaced(self, entries: list[ListedUpstream]) -> None:
         """Handle a full list of upstream entries."""
 
-    def store_lost(self, topic: str, reason: str) -> None:
-        """Handle the start of an outage of a topic."""
-
-    def store_regained(self, topic: str, outage_s: float) -> None:
-        """Handle the end of an outage of a topic."""
-
 
 class CallerRequest(msgspec.Struct, frozen=True, kw_only=True):
     """Hold a caller's request; `target` is the unmodified path and query.
--- a/packages/fulmarpulley-node/tests/test_topic_watcher.py
+++ b/packages/fulmarpulley-node/tests/test_topic_watcher.py
@@ -4,10 +4,19 @@
 from typing import Any
 
 from result import Ok, Result
+from rollout_settings import crash_reports
 
+from fulmarpulley_core.ids import DataCentre, ServiceName, UpstreamId
+from fulmarpulley_core.rollout.upstreams import ListedUpstream
 from fulmarpulley_node.background_tasks import BackgroundTasks
 from fulmarpulley_node.platform.store import Listing
-from fulmarpulley_node.platform.topic_watcher import SERVER_TOPIC, TopicTail
+from fulmarpulley_node.platform.topic_watcher import (
+    SERVER_TOPIC,
+    CrashRecordHandler,
+    TopicTail,
+    TopicWatcher,
+)
+from fulmarpulley_node.rollout.directory import Directory
 from fulmarpulley_node.rollout.interfaces import LogPage, StoreFailure
 from fulmarpulley_node.rollout.metrics import RolloutMetrics
 
@@ -131,3 +140,29 @@
         async with asyncio.timeout(30.0):
             await handler.listed.wait()
         await tasks.stop()
+
+
+class CrashTopicTest(unittest.TestCase):
+    """Guards against an outage of one topic that changes how others are read."""
+
+    def test_outage_of_the_crash_topic_delays_no_removal_of_an_upstream(self) -> None:
+        directory, store = Directory(RolloutMetrics()), BusyStore(reads=1)
+        watcher = TopicWatcher(
+            store,  # type: ignore[arg-type]
+            directory,
+            crash_reports(),
+            RolloutMetrics(),
+        )
+        directory.upstream_put(
+            ListedUpstream(
+                upstream_id=UpstreamId("d0"),
+                service=ServiceName("desk"),
+                address="127.0.0.1:9",
+                data_centre=DataCentre("a1"),
+            )
+        )
+        listener = CrashRecordHandler(watcher).listener
+        listener.store_lost("keyed.crashes", "refused")
+        listener.store_regained("keyed.crashes", 5.0)
+        directory.upstream_removed(UpstreamId("d0"))
+        self.assertIsNone(directory.upstream(UpstreamId("d0")))
