Tell the cause of two crashes from a request that shared one

Another request was at the second upstream that crashed. The deadly one was no longer the only suspect of both crashes, so all nodes unblocked it within 8 to 30 ms, and its next arrival ended the third upstream (front-palermo-1, 24.258 s). Cause: two crashes blocked a request only if it was the sole suspect of both, whatever else the others had shared. Change: two crashes block a request if no other suspect of them is as likely, by the number of its crashes, then by those that suspect it alone. Requests that shared the same crashes are still blocked after three only.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/crash_evidence.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/crash_evidence.py
@@ -12,9 +12,9 @@
 from ..ids import RequestDigest
 from .stated_limits import Incarnation
 
-# Crashes after which a request is blocked: the first number if it was the only suspect
-# each time, the second one if other requests were suspected as well.
-MIN_CRASHES_ALONE = 2
+# Crashes after which a request is blocked: the first number if no other suspect is as
+# likely to have caused them, the second one in any case.
+MIN_CLEAR_CRASHES = 2
 MIN_CRASHES = 3
 # A request that has completed this recently is not suspected beside one that has not.
 COMPLETION_VALIDITY_S = 60.0
@@ -53,7 +53,7 @@
     ) -> set[RequestDigest]:
         """Record that an upstream crashed while it had these requests.
 
-        Return all requests that are known to have shared this crash.
+        Return all requests whose state this may change.
         """
         crash = self.crashes.get(upstream)
         if crash is None:
@@ -68,14 +68,14 @@
             self._crashes_of.setdefault(request, set()).add(upstream)
             recent = self._has_completed(request, crash.at_s)
             (crash.completed if recent else crash.suspects).add(request)
-        return crash.suspects | crash.completed
+        return self._affected_by(crash.suspects | crash.completed)
 
     def record_completion(
         self, request: RequestDigest, at_s: float
     ) -> set[RequestDigest]:
         """Record that an upstream answered a request, which caused no crash before.
 
-        Return all requests that shared a crash with it; none if it was not suspected.
+        Return all requests whose state this may change; none if it was not suspected.
         """
         at_s = max(at_s, self._completed_at_s.pop(request, at_s))
         self._completed_at_s[request] = at_s
@@ -84,10 +84,9 @@
         shared = self._crashes_of.get(request)
         if not shared:
             return set()
-        affected = {request}
+        affected = self._affected_by({request})
         for upstream in list(shared):
             crash = self.crashes[upstream]
-            affected |= crash.suspects | crash.completed
             crash.suspects.discard(request)
             crash.completed.discard(request)
             if crash.at_s <= at_s:
@@ -114,8 +113,10 @@
             return False
         crashes = [self.crashes[upstream] for upstream in shared]
         suspected = [crash for crash in crashes if request in crash.suspects]
-        alone = sum(len(crash.suspects) == 1 for crash in suspected)
-        if len(suspected) >= MIN_CRASHES or alone >= MIN_CRASHES_ALONE:
+        if len(suspected) >= MIN_CRASHES:
+            return True
+        clear = sum(not self._has_rival(request, crash) for crash in suspected)
+        if clear >= MIN_CLEAR_CRASHES:
             return True
         # A crash that another request explains says nothing about a completed one.
         unexplained = [
@@ -151,6 +152,29 @@
             if at_s > oldest_s
         }
 
+    def _has_rival(self, request: RequestDigest, crash: Crash) -> bool:
+        """Tell whether another suspect of a crash is as likely to have caused it."""
+        suspicion = self._suspicion(request)
+        return any(
+            other != request and self._suspicion(other) >= suspicion
+            for other in crash.suspects
+        )
+
+    def _suspicion(self, request: RequestDigest) -> tuple[int, int]:
+        """Return how many crashes suspect a request, and how many only this one."""
+        shared = [self.crashes[u] for u in self._crashes_of.get(request, ())]
+        suspected = [crash for crash in shared if request in crash.suspects]
+        return len(suspected), sum(len(crash.suspects) == 1 for crash in suspected)
+
+    def _affected_by(self, requests: set[RequestDigest]) -> set[RequestDigest]:
+        """Return the requests that shared a crash with any of these."""
+        affected = set(requests)
+        for request in requests:
+            for upstream in self._crashes_of.get(request, ()):
+                crash = self.crashes[upstream]
+                affected |= crash.suspects | crash.completed
+        return affected
+
     def _has_completed(self, request: RequestDigest, before_s: float) -> bool:
         at_s = self._completed_at_s.get(request)
         return at_s is not None and at_s > before_s - COMPLETION_VALIDITY_S
--- a/packages/fulmarpulley-core/tests/rollout/test_crash_evidence.py
+++ b/packages/fulmarpulley-core/tests/rollout/test_crash_evidence.py
@@ -35,12 +35,29 @@
         self.evidence.record_crash(upstream(2), [DEADLY], 0.1)
         self.assertTrue(self.evidence.is_blocked(DEADLY))
 
-    def test_request_that_shares_three_crashes_with_others_is_blocked(self) -> None:
+    def test_only_request_that_two_crashes_have_in_common_is_blocked(self) -> None:
+        for number in range(2):
+            self.assertFalse(self.evidence.is_blocked(DEADLY))
+            bystander = RequestDigest(f"bystander {number}")
+            self.evidence.record_crash(upstream(number), [DEADLY, bystander], 0.1)
+            self.assertFalse(self.evidence.is_blocked(bystander))
+        self.assertTrue(self.evidence.is_blocked(DEADLY))
+
+    def test_crash_that_only_one_of_two_suspects_shared_tells_them_apart(self) -> None:
+        for number in range(2):
+            self.evidence.record_crash(upstream(number), [DEADLY, INNOCENT], 0.1)
+            self.assertFalse(self.evidence.is_blocked(DEADLY))
+        self.evidence.record_crash(upstream(2), [DEADLY, OTHER], 0.2)
+        self.assertTrue(self.evidence.is_blocked(DEADLY))
+        self.assertFalse(self.evidence.is_blocked(INNOCENT))
+        self.assertFalse(self.evidence.is_blocked(OTHER))
+
+    def test_requests_that_share_three_crashes_are_both_blocked(self) -> None:
         for number in range(3):
             self.assertFalse(self.evidence.is_blocked(DEADLY))
-            requests = [DEADLY, RequestDigest(f"bystander {number}")]
-            self.evidence.record_crash(upstream(number), requests, number * 0.1)
+            self.evidence.record_crash(upstream(number), [DEADLY, OTHER], 0.1)
         self.assertTrue(self.evidence.is_blocked(DEADLY))
+        self.assertTrue(self.evidence.is_blocked(OTHER))
 
     def test_starts_of_one_upstream_crash_separately(self) -> None:
         self.evidence.record_crash(upstream(1, started_ms=1), [DEADLY], 0.0)
@@ -80,6 +97,18 @@
             self.evidence.record_crash(upstream(number), [DEADLY], 0.0)
         self.assertFalse(self.evidence.is_blocked(INNOCENT))
 
+    def test_bystander_of_two_culprits_is_unblocked_by_their_next_crashes(
+        self,
+    ) -> None:
+        self.evidence.record_crash(upstream(1), [DEADLY, INNOCENT], 0.0)
+        self.evidence.record_crash(upstream(2), [OTHER, INNOCENT], 0.0)
+        self.evidence.record_crash(upstream(3), [DEADLY], 0.1)
+        affected = self.evidence.record_crash(upstream(4), [OTHER], 0.1)
+        self.assertFalse(self.evidence.is_blocked(INNOCENT))
+        self.assertIn(INNOCENT, affected)
+        self.assertTrue(self.evidence.is_blocked(DEADLY))
+        self.assertTrue(self.evidence.is_blocked(OTHER))
+
     def test_same_report_again_counts_once(self) -> None:
         for _ in range(3):
             self.evidence.record_crash(upstream(1), [INNOCENT], 0.0)
