--- a/packages/fulmarpulley-node/tests/test_forwarder.py
+++ b/packages/fulmarpulley-node/tests/test_forwarder.py
@@ -33,6 +33,10 @@
 from fulmarpulley_schema.generated.http import Ran
 
 TIMEOUT_S = 30.0
+# Body of requests that their upstream never answers.
+BUSY = b"busy"
+SLOTS = 2
+UPSTREAMS = 4
 DESK = ServiceName("desk")
 LOST = UpstreamCallFailure(Failure.BROKEN, "reset", connection=ConnectionFault.LOST)
 NOT_SENT = UpstreamCallFailure(Failure.NOT_SENT, "no answer")
@@ -51,6 +55,8 @@
     ) -> Result[UpstreamResponse, UpstreamCallFailure]:
         self.sent += 1
         self.on_sent()
+        if request.body == BUSY:
+            await asyncio.Event().wait()
         return Err(self.failure)
 
     async def refuses_connections(self, upstream: ListedUpstream) -> bool:
@@ -85,13 +91,14 @@
         directory.topology_changed(
             Topology(version=1, routes=(self.route,), services=services)
         )
-        for number in range(4):
+        for number in range(UPSTREAMS):
             directory.upstream_put(
                 ListedUpstream(
                     upstream_id=UpstreamId(f"d{number}"),
                     service=DESK,
                     address="127.0.0.1:9",
                     data_centre=DataCentre("a1"),
+                    slots=SLOTS,
                 )
             )
         return forwarder
@@ -132,6 +139,30 @@
         self.assertEqual((refusal.code, refusal.ran), (CRASHES_UPSTREAMS, Ran.NOT_RUN))
         self.assertEqual(calls.sent, 1)
 
+    async def test_queued_request_is_refused_at_once_when_blocked(self) -> None:
+        calls = CrashedUpstreams(LOST)
+        forwarder = self.forwarder(calls)
+        fields = {n: getattr(self.request, n) for n in self.request.__struct_fields__}
+        busy = CallerRequest(**{**fields, "body": BUSY})
+        others = [
+            asyncio.create_task(forwarder.forward(self.route, busy))
+            for _ in range(SLOTS * UPSTREAMS)
+        ]
+        all_busy = asyncio.Event()
+        calls.on_sent = lambda: calls.sent == len(others) and all_busy.set()
+        outcome = asyncio.create_task(forwarder.forward(self.route, self.request))
+        await all_busy.wait()
+        self.block()
+        async with asyncio.timeout(self.route.timeout_s / 2):
+            refusal = await outcome
+        assert isinstance(refusal, Refusal)
+        self.assertEqual((refusal.code, refusal.ran), (CRASHES_UPSTREAMS, Ran.NOT_RUN))
+        self.assertEqual(calls.sent, len(others))
+        for other in others:
+            other.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+        await forwarder.tasks.stop()
+
     async def test_request_that_is_blocked_while_it_waits_for_its_turn_is_not_sent(
         self,
     ) -> None:
