Let a request that comes again wait for the outcome of a retry

A second arrival of the deadly request reached front-chipre-2 150 ms after the first crash was known there, while front-cuba-1 was about to retry the first arrival; both ended an upstream, within 0.1 s. Cause: a request under whose like an upstream has just crashed is tested by several nodes at the same time. Change: a request that arrives within 0.3 s after a crash that suspects it waits until its like is blocked or completes, or until that time is over. Result: the new test of this fails before.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/crash_evidence.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/crash_evidence.py
@@ -130,6 +130,13 @@
         """Return the upstreams that crashed while they had a request."""
         return sorted(self._crashes_of.get(request, ()))
 
+    def last_crash_at_s(self, request: RequestDigest) -> float:
+        """Return when the last crash happened that suspects a request."""
+        shared = self._crashes_of.get(request, ())
+        crashes = [self.crashes[upstream] for upstream in shared]
+        times = [crash.at_s for crash in crashes if request in crash.suspects]
+        return max(times, default=float("-inf"))
+
     def blocked_until_s(self, request: RequestDigest) -> float:
         """Return when the first crash under a request is forgotten."""
         shared = self._crashes_of.get(request, ())
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/crash_reports.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/crash_reports.py
@@ -1,6 +1,7 @@
 """Share between nodes which requests crash upstreams, by records on the log."""
 
 import asyncio
+import contextlib
 import hashlib
 import random
 from collections.abc import Callable, Iterable
@@ -31,6 +32,9 @@
 US_PER_S = 1_000_000
 RETRY_DELAY_S = 0.25
 EXPIRY_INTERVAL_S = 5.0
+# A request that comes again this soon after a crash under its like waits for the
+# outcome of the retry, which shows whether it is the cause.
+VERDICT_WAIT_S = 0.3
 # Nodes that know a completion share it after a random delay, so that most of them see
 # the record of another node first.
 MAX_SHARING_DELAY_S = 0.05
@@ -63,6 +67,8 @@
         # Called after the set of blocked requests has changed.
         self.listeners: list[Callable[[], None]] = []
         self.tasks = BackgroundTasks()
+        # Set and replaced whenever the evidence has changed.
+        self._changed = asyncio.Event()
         self._unwritten: dict[str, bytes] = {}
         self._has_unwritten = asyncio.Event()
         # When to delete the records of the topic.
@@ -86,6 +92,20 @@
         """Return how long a blocked request stays blocked."""
         return max(0.0, self.evidence.blocked_until_s(request) - elapsed_s())
 
+    async def wait_for_verdict(self, request: RequestDigest) -> None:
+        """Wait until a request that just shared a crash is blocked or cleared.
+
+        It waits for a short time only, and not at all if it shared none.
+        """
+        while self.evidence.is_suspected(request) and not self.is_blocked(request):
+            waited_until_s = self.evidence.last_crash_at_s(request) + VERDICT_WAIT_S
+            remaining_s = waited_until_s - elapsed_s()
+            if remaining_s <= 0:
+                return
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(remaining_s):
+                    await self._changed.wait()
+
     def report_crash(
         self, upstream: Incarnation, requests: Iterable[RequestDigest]
     ) -> None:
@@ -161,6 +181,9 @@
 
     def _update(self, requests: set[RequestDigest]) -> None:
         """Log which of these requests are blocked or no longer blocked."""
+        if requests:
+            self._changed.set()
+            self._changed = asyncio.Event()
         changed = False
         for request in requests:
             blocked = self.evidence.is_blocked(request)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
@@ -138,6 +138,7 @@
         started_at = loop.time()
         name = choose_service(route, text_hash(request.request_id))
         digest = request_digest(request)
+        await self.crashes.reports.wait_for_verdict(digest)
         if self.crashes.reports.is_blocked(digest):
             return self._refuse_blocked(request, digest, route, name)
         pool = self.pools.open(name)
--- a/packages/fulmarpulley-node/tests/test_forwarder.py
+++ b/packages/fulmarpulley-node/tests/test_forwarder.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import Callable
 from typing import Any
+from unittest import mock
 
 from result import Err, Result
 from rollout_settings import caller_request, crash_reports, settings, unlimited
@@ -19,6 +20,7 @@
     WeightedService,
 )
 from fulmarpulley_core.rollout.upstreams import ListedUpstream
+from fulmarpulley_node.rollout import crash_reports as crash_reports_module
 from fulmarpulley_node.rollout.crash_watch import CrashWatch
 from fulmarpulley_node.rollout.directory import Directory
 from fulmarpulley_node.rollout.forwarder import Forwarder, Refusal
@@ -124,6 +126,53 @@
         assert refusal.retry_after_s is not None
         self.assertGreater(refusal.retry_after_s, 0.0)
 
+    async def test_request_that_comes_again_waits_for_the_outcome_of_a_retry(
+        self,
+    ) -> None:
+        calls = CrashedUpstreams(LOST)
+        forwarder = self.forwarder(calls)
+        self.reports.report_crash(Incarnation(UpstreamId("first"), 1), [self.digest])
+        second = Incarnation(UpstreamId("second"), 1)
+        with mock.patch.object(crash_reports_module, "VERDICT_WAIT_S", TIMEOUT_S):
+            outcome = asyncio.create_task(self.forward(forwarder))
+            await asyncio.sleep(0)
+            self.reports.report_crash(second, [self.digest])
+            refusal = await outcome
+        self.assertEqual((refusal.code, refusal.ran), (CRASHES_UPSTREAMS, Ran.NOT_RUN))
+        self.assertEqual(calls.sent, 0)
+
+    async def test_request_that_comes_again_is_sent_once_its_like_completed(
+        self,
+    ) -> None:
+        calls = CrashedUpstreams(NOT_SENT)
+        forwarder = self.forwarder(calls)
+        sent = asyncio.Event()
+        calls.on_sent = sent.set
+        self.reports.report_crash(Incarnation(UpstreamId("first"), 1), [self.digest])
+        with mock.patch.object(crash_reports_module, "VERDICT_WAIT_S", 2 * TIMEOUT_S):
+            outcome = asyncio.create_task(forwarder.forward(self.route, self.request))
+            await asyncio.sleep(0)
+            self.assertEqual(calls.sent, 0)
+            self.reports.record_completion(self.digest)
+            async with asyncio.timeout(TIMEOUT_S):
+                await sent.wait()
+        outcome.cancel()
+        await asyncio.gather(outcome, return_exceptions=True)
+        await forwarder.tasks.stop()
+
+    async def test_request_is_sent_if_no_retry_tells_about_its_like(self) -> None:
+        calls = CrashedUpstreams(NOT_SENT)
+        forwarder = self.forwarder(calls)
+        sent = asyncio.Event()
+        calls.on_sent = sent.set
+        self.reports.report_crash(Incarnation(UpstreamId("first"), 1), [self.digest])
+        outcome = asyncio.create_task(forwarder.forward(self.route, self.request))
+        async with asyncio.timeout(TIMEOUT_S):
+            await sent.wait()
+        outcome.cancel()
+        await asyncio.gather(outcome, return_exceptions=True)
+        await forwarder.tasks.stop()
+
     async def test_retries_end_with_the_second_crash(self) -> None:
         calls = CrashedUpstreams(LOST)
         refusal = await self.forward(self.forwarder(calls))
