Move the documents of the platform's stand-ins out of platform_system

The configurations, submissions and reward calls, with the names that they use, are in platform_documents.py now; only import lines differ elsewhere.

--- a/testing/src/fulmarpulley_testing/odd_entries.py
+++ b/testing/src/fulmarpulley_testing/odd_entries.py
@@ -2,7 +2,7 @@
 
 import json
 
-from .platform_system import configuration
+from .platform_documents import configuration
 
 DEEP = "[" * 100_000 + "]" * 100_000
 LARGE = "9" * 400
--- a/testing/src/fulmarpulley_testing/platform_changes.py
+++ b/testing/src/fulmarpulley_testing/platform_changes.py
@@ -11,10 +11,10 @@
     CheckContext,
     checks,
 )
+from .platform_documents import DESK, ENGINES, MODEL
 from .platform_faults import FaultContext, platform_faults
 from .platform_history import RequestSeen, WindowKind
 from .platform_store import OPERATOR_TOPIC, SERVER_TOPIC
-from .platform_system import DESK, ENGINES, MODEL
 from .platform_worker import server_stamp
 
 # The platform's limit on how late a configuration may be in force.
--- a/testing/src/fulmarpulley_testing/platform_checks.py
+++ b/testing/src/fulmarpulley_testing/platform_checks.py
@@ -8,8 +8,8 @@
 from fulmarpulley_core.registry import Registry
 
 from .findings import Fault, Finding
+from .platform_documents import ENGINES, reward_id
 from .platform_history import PlatformHistory, RequestSeen, StepSeen, WindowKind
-from .platform_system import ENGINES, reward_id
 from .platform_worker import PlatformWorker, Run, server_stamp
 
 # Statuses that guarantee that the request has not run and never will.
--- a/testing/src/fulmarpulley_testing/platform_clients.py
+++ b/testing/src/fulmarpulley_testing/platform_clients.py
@@ -9,15 +9,15 @@
 
 import aiohttp
 
-from .platform_history import RequestSeen, StepSeen
-from .platform_system import (
+from .platform_documents import (
     DESK_PREFIX,
     HOST,
     ROLLOUT_PREFIX,
     UNSAFE_PREFIX,
-    NodeProcess,
     submission,
 )
+from .platform_history import RequestSeen, StepSeen
+from .platform_system import NodeProcess
 from .serving import LOOPBACK
 
 if TYPE_CHECKING:
--- a/testing/src/fulmarpulley_testing/platform_crashes.py
+++ b/testing/src/fulmarpulley_testing/platform_crashes.py
@@ -7,9 +7,9 @@
 
 from .findings import Fault, Finding
 from .platform_checks import FAULT_AFTEREFFECT_S, CheckContext, checks
+from .platform_documents import DESK_PREFIX, UNSAFE_PREFIX
 from .platform_faults import FaultContext, platform_faults
 from .platform_history import RequestSeen, WindowKind
-from .platform_system import DESK_PREFIX, UNSAFE_PREFIX
 
 # Each node must know what crashed three workers within this time, and this many runs
 # are tolerated afterwards.
--- a/testing/src/fulmarpulley_testing/platform_faults.py
+++ b/testing/src/fulmarpulley_testing/platform_faults.py
@@ -12,9 +12,10 @@
 from fulmarpulley_core.registry import Registry
 
 from .fault_proxy import Direction, FaultProxy
+from .platform_documents import DESK, ENGINES
 from .platform_history import FaultWindow, WindowKind
 from .platform_store import StoreMode
-from .platform_system import DESK, ENGINES, NodeProcess
+from .platform_system import NodeProcess
 from .platform_worker import AnswerTruncation, PlatformWorker
 from .processes import wait_for
 
--- a/testing/src/fulmarpulley_testing/platform_soak.py
+++ b/testing/src/fulmarpulley_testing/platform_soak.py
@@ -26,17 +26,11 @@
 from .output import print_flushed
 from .platform_checks import CheckContext, check_all
 from .platform_clients import CallerClient, Client, Trainer
+from .platform_documents import DESK, ENGINES, MODEL
 from .platform_faults import FaultContext, platform_faults
 from .platform_history import PlatformHistory
 from .platform_store import OPERATOR_TOPIC
-from .platform_system import (
-    DESK,
-    ENGINES,
-    MODEL,
-    RESTART_S,
-    NodeProcess,
-    PlatformSystem,
-)
+from .platform_system import RESTART_S, NodeProcess, PlatformSystem
 from .platform_worker import PlatformWorker
 from .ports import free_ports
 from .processes import NotReadyError, exit_on_sigterm, wait_for
--- a/testing/src/fulmarpulley_testing/platform_system.py
+++ b/testing/src/fulmarpulley_testing/platform_system.py
@@ -1,7 +1,6 @@
 """Run nodes as processes against stand-ins of the platform within this process."""
 
 import asyncio
-import base64
 import json
 import os
 import signal
@@ -17,6 +16,15 @@
 import msgspec
 from aiohttp import web
 
+from .platform_documents import (
+    DESK,
+    ENGINES,
+    HOST,
+    MODEL,
+    ROLLOUT_PREFIX,
+    configuration,
+    submission,
+)
 from .platform_store import OPERATOR_TOPIC, SERVER_TOPIC, PlatformStore
 from .platform_worker import PlatformWorker
 from .ports import free_ports
@@ -27,15 +35,8 @@
 PARTITIONS = 4
 MEMBER_TTL_MS = 600
 CALL_TIMEOUT_S = 10.0
-MODEL = "m0"
-ENGINES = "engines"
-DESK = "desk"
-HOST = "host.example"
-ROLLOUT_PREFIX = "/lot/"
-DESK_PREFIX = "/desk/"
 # Workers that crashed start again under another id after this time.
 RESTART_S = 1.0
-UNSAFE_PREFIX = "/once/"
 SETTINGS_VARIABLE = "FULMARPULLEY_NODE_FILE"
 
 
@@ -317,106 +318,6 @@
     await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def configuration(version: int) -> dict[str, Any]:
-    """Return a configuration with an engine service and a desk service."""
-    rollout = {
-        "Name": "r-lot",
-        "Host": HOST,
-        "PathPrefix": ROLLOUT_PREFIX,
-        "RouteKind": "rollout",
-        "TimeoutMs": 10000,
-        "TargetLatencyMs": 500,
-        "Priority": 1,
-        "Service": ENGINES,
-        "MaxAttempts": 3,
-        "RetentionS": 40.0,
-        "ResultDeadlineMs": 7500,
-        "StickySessions": True,
-        "Resumable": True,
-    }
-    desk = {
-        "Name": "r-desk",
-        "Host": HOST,
-        "PathPrefix": DESK_PREFIX,
-        "RouteKind": "safe",
-        "TimeoutMs": 3000,
-        "TargetLatencyMs": 200,
-        "Priority": 2,
-        "Service": DESK,
-        "MaxAttempts": 2,
-    }
-    unsafe = {
-        **desk,
-        "Name": "r-once",
-        "PathPrefix": UNSAFE_PREFIX,
-        "RouteKind": "unsafe",
-    }
-    engine = {
-        "Slots": 4,
-        "KvCacheTokens": 10000,
-        "Stride": 10,
-        "Models": [{"Name": MODEL}],
-    }
-    services = [
-        {"Name": ENGINES, "HealthPath": "/health", "Engine": engine},
-        {"Name": DESK, "HealthPath": "/health"},
-    ]
-    return {
-        "Version": version,
-        "Routes": [rollout, desk, unsafe],
-        "Services": services,
-        "Limits": {},
-    }
-
-
-def reward_id(item: str) -> str:
-    """Return the request id of an item's reward call."""
-    return f"{item}-reward"
-
-
-def reward_call(item: str) -> dict[str, str]:
-    """Return the reward call of an item, routed to the desk service."""
-    return {
-        "Id": reward_id(item),
-        "Host": HOST,
-        "Path": f"{DESK_PREFIX}score/{item}",
-        "Body": base64.b64encode(f"score {item}".encode()).decode(),
-    }
-
-
-def submission(
-    step: str,
-    items: int,
-    min_version: int = 1,
-    number: int = 0,
-    rewards: bool = False,
-) -> bytes:
-    """Return the body of a step submission with groups of two items."""
-    entries: list[dict[str, Any]] = [
-        {
-            "Id": f"{step}-{index}",
-            "Path": f"{ROLLOUT_PREFIX}run/{index}",
-            "Headers": {"Model": MODEL, "Token-Counts": "10,100"},
-            "Body": base64.b64encode(f"body {index}".encode()).decode(),
-            "Tokens": 110,
-            "Group": f"{step}-g{index // 2}",
-        }
-        for index in range(items)
-    ]
-    if rewards:
-        for entry in entries:
-            entry["ScoringEndpoint"] = reward_call(entry["Id"])
-    return msgspec.json.encode(
-        {
-            "Step": number,
-            "Model": MODEL,
-            "MinVersion": min_version,
-            "TargetGroups": items // 2,
-            "Items": entries,
-        }
-    )
-
-
 def submit(
     node: NodeProcess,
     step: str,
--- a/testing/tests/platform_case.py
+++ b/testing/tests/platform_case.py
@@ -5,11 +5,8 @@
 from pathlib import Path
 from typing import Any
 
-from fulmarpulley_testing.platform_system import (
-    DESK,
-    NodeProcess,
-    PlatformSystem,
-)
+from fulmarpulley_testing.platform_documents import DESK
+from fulmarpulley_testing.platform_system import NodeProcess, PlatformSystem
 from fulmarpulley_testing.processes import wait_for
 
 
--- a/testing/tests/test_platform_config.py
+++ b/testing/tests/test_platform_config.py
@@ -13,13 +13,11 @@
     odd_configuration,
     odd_worker,
 )
+from fulmarpulley_testing.platform_documents import DESK, ENGINES, configuration
 from fulmarpulley_testing.platform_store import OPERATOR_TOPIC, SERVER_TOPIC
 from fulmarpulley_testing.platform_system import (
-    DESK,
-    ENGINES,
     Answer,
     NodeProcess,
-    configuration,
     settle,
     submit,
     wait_results,
--- a/testing/tests/test_platform_crashes.py
+++ b/testing/tests/test_platform_crashes.py
@@ -7,13 +7,12 @@
 
 from platform_case import PlatformCase
 
+from fulmarpulley_testing.platform_documents import DESK, reward_call
 from fulmarpulley_testing.platform_store import StoreMode
 from fulmarpulley_testing.platform_system import (
-    DESK,
     RESTART_S,
     Answer,
     NodeProcess,
-    reward_call,
     settle,
     submit,
 )
--- a/testing/tests/test_platform_desk.py
+++ b/testing/tests/test_platform_desk.py
@@ -4,12 +4,9 @@
 
 from platform_case import PlatformCase
 
+from fulmarpulley_testing.platform_documents import DESK
 from fulmarpulley_testing.platform_store import StoreMode
-from fulmarpulley_testing.platform_system import (
-    DESK,
-    NodeProcess,
-    settle,
-)
+from fulmarpulley_testing.platform_system import NodeProcess, settle
 from fulmarpulley_testing.platform_worker import AnswerTruncation, server_stamp
 from fulmarpulley_testing.processes import wait_for
 
--- a/testing/tests/test_platform_drain.py
+++ b/testing/tests/test_platform_drain.py
@@ -4,11 +4,11 @@
 
 from platform_case import PlatformCase
 
+from fulmarpulley_testing.platform_documents import reward_id
 from fulmarpulley_testing.platform_store import StoreMode
 from fulmarpulley_testing.platform_system import (
     Answer,
     NodeProcess,
-    reward_id,
     settle,
     submit,
     wait_results,
--- a/testing/tests/test_platform_owner.py
+++ b/testing/tests/test_platform_owner.py
@@ -9,9 +9,8 @@
 from fulmarpulley_core.rollout.step_records import encode
 from fulmarpulley_node.rollout.partitions import partition_of
 from fulmarpulley_schema.generated.steps import OwnerFence
+from fulmarpulley_testing.platform_documents import ENGINES, MODEL
 from fulmarpulley_testing.platform_system import (
-    ENGINES,
-    MODEL,
     PARTITIONS,
     results,
     settle,
--- a/testing/tests/test_platform_rewards.py
+++ b/testing/tests/test_platform_rewards.py
@@ -6,15 +6,17 @@
 
 from platform_case import PlatformCase, expected_text
 
-from fulmarpulley_testing.platform_system import (
+from fulmarpulley_testing.platform_documents import (
     HOST,
-    NodeProcess,
     configuration,
-    results,
     reward_call,
     reward_id,
-    settle,
     submission,
+)
+from fulmarpulley_testing.platform_system import (
+    NodeProcess,
+    results,
+    settle,
     submit,
     wait_results,
 )
--- a/testing/tests/test_platform_stops.py
+++ b/testing/tests/test_platform_stops.py
@@ -6,7 +6,8 @@
 
 from platform_case import PlatformCase
 
-from fulmarpulley_testing.platform_system import HOST, NodeProcess
+from fulmarpulley_testing.platform_documents import HOST
+from fulmarpulley_testing.platform_system import NodeProcess
 from fulmarpulley_testing.processes import wait_for
 from fulmarpulley_testing.serving import LOOPBACK
 
