--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/crash_reports.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/crash_reports.py
@@ -180,7 +180,7 @@
         self._update(self.evidence.record_crash(upstream, requests, at_s))
 
     def _update(self, requests: set[RequestDigest]) -> None:
-        """Log which of these requests are blocked or no longer blocked."""
+        """Announce which of these requests have become blocked or unblocked."""
         if requests:
             self._changed.set()
             self._changed = asyncio.Event()
@@ -190,7 +190,10 @@
             if blocked == (request in self.blocked):
                 continue
             changed = True
-            (self.blocked.add if blocked else self.blocked.discard)(request)
+            if blocked:
+                self.blocked.add(request)
+            else:
+                self.blocked.remove(request)
             crashed = self.evidence.crashed_upstreams(request)
             log_event(
                 "request_blocked" if blocked else "request_unblocked",
