--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,11 @@
+#!/bin/sh
+# Checks that every stand-in of the scripts can be loaded with what deploy/build.sh built.
+# The stand-ins are Python sources: those of testing/src and those in this folder.
+set -eu
+cd "$(dirname "$0")/.."
+export PYTHONPATH="$PWD/target/deps:$PWD/testing/src:$PWD/review"
+export PYTHONDONTWRITEBYTECODE=1
+python3 -c "
+import harness
+import fulmarpulley_testing.platform_store, fulmarpulley_testing.platform_worker
+"
