--- a/review/harness.py
+++ b/review/harness.py
@@ -146,7 +146,9 @@
 
     async def start_nodes(self, count: int) -> None:
         for number in range(count):
-            node = NodeProcess(f"front-chipre-{number + 1}", self.folder, self.store_port)
+            node = NodeProcess(
+                f"front-chipre-{number + 1}", self.folder, self.store_port
+            )
             self.nodes.append(node)
             node.start()
         for node in self.nodes:
@@ -197,7 +199,9 @@
 
 
 async def wait_for(
-    condition: Callable[[], Awaitable[bool]], what: str, timeout_s: float = START_TIMEOUT_S
+    condition: Callable[[], Awaitable[bool]],
+    what: str,
+    timeout_s: float = START_TIMEOUT_S,
 ) -> None:
     deadline = time.monotonic() + timeout_s
     while not await condition():
@@ -212,12 +216,16 @@
     store: PlatformStore | None = None,
 ) -> None:
     """Run a case, which returns the breaks of its rule, and exit with its result."""
+    # A case that is stopped from outside ends its processes too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     record = Record(case_folder)
     record(f"trouble={'yes' if trouble() else 'no'}")
 
     async def play() -> list[str]:
         with tempfile.TemporaryDirectory() as name:
-            deployment = Deployment(record, Path(name), store or PlatformStore(PARTITIONS))
+            deployment = Deployment(
+                record, Path(name), store or PlatformStore(PARTITIONS)
+            )
             try:
                 await deployment.start_store()
                 async with asyncio.timeout(105.0):
