--- a/review/4/case.py
+++ b/review/4/case.py
@@ -27,8 +27,8 @@
 CLIENTS = 32
 PAUSE_S = 0.1
 DEADLINE_MS = 1000
-# `garble` of the sheet: share 0.6 of the servers, x 0.03 of their answers.
-EXTRA_SHARE = 0.03
+# `garble` of the sheet: share 0.6 of the servers, x 0.03 of their answers at most.
+EXTRA_SHARE = 0.025
 
 
 def route() -> dict[str, Any]:
