--- a/review/1/case.py
+++ b/review/1/case.py
@@ -31,7 +31,7 @@
 # The configuration changes at some time within the freeze.
 CONFIG_AFTER_S = (0.1, 0.3)
 # The client waits for this time after the acknowledgement of the configuration.
-SUBMIT_AFTER_S = 0.05
+SUBMIT_AFTER_S = 0.2
 READ_FOR_S = 4.0
 READ_EACH_S = 0.2
 
