--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import os
 import random
 import signal
 from pathlib import Path
@@ -17,9 +18,10 @@
     Record,
     new_session,
     run_case,
-    trouble,
 )
 
+# With TROUBLE=0 the same happens without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MODEL = "daka510000"
 SERVICE = "comfort-llm"
 ROUNDS = 50
@@ -141,7 +143,7 @@
         frozen = owner(deployment)
         entry_node = next(n for n in deployment.nodes if n is not frozen)
         thaw = None
-        if trouble():
+        if TROUBLE:
             frozen.signal(signal.SIGSTOP)
             record(f"froze {frozen.name} for {FREEZE_S} s")
             loop = asyncio.get_running_loop()
@@ -181,4 +183,4 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).resolve().parent, case)
+    run_case(Path(__file__).resolve().parent, TROUBLE, case)
--- a/review/harness.py
+++ b/review/1/harness.py
@@ -21,7 +21,7 @@
 )
 from fulmarpulley_testing.ports import free_ports
 
-ROOT = Path(__file__).resolve().parent.parent
+ROOT = Path(__file__).resolve().parents[2]
 LOOPBACK = "127.0.0.1"
 HOST = "ficu95.example"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -38,11 +38,6 @@
 START_TIMEOUT_S = 30.0
 
 
-def trouble() -> bool:
-    """Tell whether the disruption takes place."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 class Record:
     """Write what was sent, answered and run, with seconds since the start."""
 
@@ -212,6 +207,7 @@
 
 def run_case(
     case_folder: Path,
+    trouble: bool,
     case: Callable[[Deployment, Record], Awaitable[list[str]]],
     store: PlatformStore | None = None,
 ) -> None:
@@ -219,7 +215,7 @@
     # A case that is stopped from outside ends its processes too.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     record = Record(case_folder)
-    record(f"trouble={'yes' if trouble() else 'no'}")
+    record(f"trouble={'yes' if trouble else 'no'}")
 
     async def play() -> list[str]:
         with tempfile.TemporaryDirectory() as name:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import os
 import random
 from pathlib import Path
 from typing import Any
@@ -18,9 +19,10 @@
     Record,
     new_session,
     run_case,
-    trouble,
 )
 
+# With TROUBLE=0 the same happens without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MODEL = "daka510000"
 OLD_SERVICE = "comfort-llm"
 NEW_SERVICE = "comfort-llm-west"
@@ -171,7 +173,7 @@
     reader = Reader([first, second], record)
     await asyncio.sleep(1.0)
     await reader.read_all()
-    if trouble():
+    if TROUBLE:
         await deployment.configure([route(NEW_SERVICE)], SERVICES)
     for _ in range(int(CONFIG_APPLY_S / 0.5) + 1):
         await asyncio.sleep(0.5)
@@ -200,4 +202,4 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).resolve().parent, case)
+    run_case(Path(__file__).resolve().parent, TROUBLE, case)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
 """An extra response with `Not-Executed` arrives late, in place of the next response."""
 
 import asyncio
+import os
 import random
 import time
 from collections import Counter
@@ -15,10 +16,11 @@
     NodeProcess,
     Record,
     run_case,
-    trouble,
 )
 from plain_worker import PlainWorker, entry
 
+# With TROUBLE=0 the same happens without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SERVICE = "trial-desk"
 PREFIX = "/lohu930/"
 WORK_S = 0.0375
@@ -106,7 +108,7 @@
     await asyncio.sleep(3.0)
     # Share 0.6 of five servers.
     faulty = workers[:3]
-    if trouble():
+    if TROUBLE:
         for worker in faulty:
             worker.extra_late_share = EXTRA_SHARE
         record(
@@ -147,4 +149,4 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).resolve().parent, case)
+    run_case(Path(__file__).resolve().parent, TROUBLE, case)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,7 @@
 """A node is stopped as planned while requests wait in it for a free worker."""
 
 import asyncio
+import os
 import signal
 import time
 from collections import Counter
@@ -16,10 +17,11 @@
     NodeProcess,
     Record,
     run_case,
-    trouble,
 )
 from plain_worker import PlainWorker, entry
 
+# With TROUBLE=0 the same happens without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SERVICE = "trial-desk"
 PREFIX = "/lohu930/"
 SLOTS = 6
@@ -113,7 +115,7 @@
     clients = [asyncio.create_task(client(n)) for n in range(CLIENTS)]
     await asyncio.sleep(SIGTERM_AT_S)
     stopped_at = time.monotonic()
-    if trouble():
+    if TROUBLE:
         node.signal(signal.SIGTERM)
         record(f"SIGTERM to {node.name}")
         # The platform sends SIGKILL after GraceS.
@@ -144,4 +146,4 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).resolve().parent, case)
+    run_case(Path(__file__).resolve().parent, TROUBLE, case)
