Review case 4: extra answers in spells of 5 s, as the site file has it

They came through the whole 50 s; the site file has for_s = 5.0. Now they come in spells of 5 s with 1 s between them.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -31,6 +31,9 @@
 DEADLINE_MS = 1000
 # `garble` of the sheet: share 0.6 of the servers, x 0.03 of their answers at most.
 EXTRA_SHARE = 0.025
+# It lasts 5 s there, and may come more than once.
+EXTRA_FOR_S = 5.0
+CALM_S = 1.0
 
 
 def route() -> dict[str, Any]:
@@ -94,6 +97,17 @@
         await asyncio.sleep(0.3)
 
 
+async def send_extras(workers: list[PlainWorker]) -> None:
+    """Let the workers send extra answers in spells of the length that is allowed."""
+    while True:
+        for worker in workers:
+            worker.extra_late_share = EXTRA_SHARE
+        await asyncio.sleep(EXTRA_FOR_S)
+        for worker in workers:
+            worker.extra_late_share = 0.0
+        await asyncio.sleep(CALM_S)
+
+
 async def case(deployment: Deployment, record: Record) -> list[str]:
     rng = random.Random(1)
     workers = [PlainWorker(f"i-desk-{n}", SLOTS, WORK_S, seed=n) for n in range(5)]
@@ -108,9 +122,9 @@
     await asyncio.sleep(3.0)
     # Share 0.6 of five servers.
     faulty = workers[:3]
+    spells = None
     if TROUBLE:
-        for worker in faulty:
-            worker.extra_late_share = EXTRA_SHARE
+        spells = asyncio.create_task(send_extras(faulty))
         record(
             f"of {len(faulty)} of 5 workers, {EXTRA_SHARE} of the answers come twice"
         )
@@ -121,8 +135,8 @@
     until = time.monotonic() + TRAFFIC_S
     await asyncio.gather(*(client.run(until) for client in clients))
     await asyncio.sleep(1.5)
-    for filler in fillers:
-        filler.cancel()
+    for task in [*fillers, *([spells] if spells else [])]:
+        task.cancel()
     runs = [run for worker in workers for run in worker.runs]
     for run in sorted(runs, key=lambda run: run.at):
         record(f"ran {run.request_id} at {run.worker}")
