Decide on items only by a configuration as new as the one that accepted them

Cause: the configuration and the partition of the steps are read by two independent long polls. After a pause the owner may read a submission before the configuration that has its route. It took "no route" for "the route has ended". An owner that was behind also ran items where their route led before it moved.

Change: a record of an accepted step names the version of the configuration that accepted it. An owner that does not know this version yet leaves the step alone. Records of older builds name none, so an item without a route, or past its retention, is withdrawn, and is given up only once a read of the configuration that began after the step was read has ended.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
@@ -171,7 +171,8 @@
             return _error_response(404, "no route matches")
         body = await request.read()
         if route.kind is RouteKind.ROLLOUT and request.method == "POST":
-            return await self._submit(request, route, path, body)
+            version = routes.topology.version
+            return await self._submit(request, route, version, path, body)
         return await self._forward(request, route, body)
 
     async def _handle_step_request(
@@ -217,14 +218,19 @@
         return self.drain_deadline is None or now + longest_s <= self.drain_deadline
 
     async def _submit(
-        self, request: web.BaseRequest, route: Route, path: str, body: bytes
+        self,
+        request: web.BaseRequest,
+        route: Route,
+        config_version: int,
+        path: str,
+        body: bytes,
     ) -> web.Response:
         if not self._can_answer_within(STEP_CALL_S):
             return _stopping_response()
         step_id = request.headers.get("Request-Id", "")
         try:
             submission = from_json(body, wire.Submission)
-            step = to_step(submission, step_id, request.host, path)
+            step = to_step(submission, step_id, request.host, path, config_version)
         except (msgspec.DecodeError, ValueError) as error:
             log_event("step_unreadable", step=step_id, error=str(error))
             return _error_response(400, f"the submission cannot be read: {error}")
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/step_messages.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/step_messages.py
@@ -14,9 +14,16 @@
 
 
 def to_step(
-    submission: wire.Submission, step_id: str, host: str, path: str
+    submission: wire.Submission,
+    step_id: str,
+    host: str,
+    path: str,
+    config_version: int,
 ) -> StepAccepted:
-    """Convert a submission; raise ValueError for missing or duplicate ids."""
+    """Convert a submission; raise ValueError for missing or duplicate ids.
+
+    :param config_version: version of the configuration that has the step's route
+    """
     if not step_id or not step_id.isascii():
         raise ValueError("the submission has no valid Request-Id")
     if len({item.item_id for item in submission.items}) < len(submission.items):
@@ -30,6 +37,7 @@
         model=submission.model or _find_model(submission),
         min_version=submission.min_version,
         target_groups=submission.target_groups,
+        config_version=config_version,
         items=[_to_item(item) for item in submission.items],
     )
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/topic_watcher.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/topic_watcher.py
@@ -33,6 +33,7 @@
 
 from ..background_tasks import BackgroundTasks
 from ..observe.events import log_event
+from ..rollout.clock import elapsed_s
 from ..rollout.crash_reports import CRASHES_TOPIC
 from ..rollout.interfaces import (
     DirectoryListener,
@@ -123,6 +124,12 @@
     def handle_snapshot(self, items: list[wire.KeyedItem]) -> None:
         """Handle a listing of the newest record of each key."""
 
+    def handle_end(self, read_at_s: float) -> None:
+        """Handle that all records written before a time have been handled.
+
+        :param read_at_s: seconds of the clock that counts suspended time
+        """
+
 
 class OperatorRecordHandler:
     """Pass configurations and announced weight versions to the listener."""
@@ -142,6 +149,10 @@
         for item in items:
             self.handle_record(item.key, item.value)
 
+    def handle_end(self, read_at_s: float) -> None:
+        """Record that the node knows all configurations written before a time."""
+        self.listener.operator_records_read(read_at_s)
+
 
 class ServerRecordHandler:
     """Pass the entries of workers to the listener."""
@@ -162,6 +173,9 @@
         entries = [decode_upstream(item.key, item.value) for item in items]
         self.listener.upstreams_replaced([e for e in entries if e is not None])
 
+    def handle_end(self, read_at_s: float) -> None:
+        """Do nothing: entries of workers are valid until they are changed."""
+
 
 class CrashRecordHandler:
     """Pass what nodes share about crashes of upstreams on."""
@@ -178,6 +192,9 @@
         for item in sorted(items, key=lambda item: item.offset):
             self.handle_record(item.key, item.value)
 
+    def handle_end(self, read_at_s: float) -> None:
+        """Do nothing: crashes are reported as they are read."""
+
 
 class TopicTail:
     """List a keyed topic, then read the records that follow.
@@ -211,11 +228,13 @@
         # After an exception, records of the last read may not have been handled.
         self.offset = None
         while True:
+            started_at_s = elapsed_s()
             result = await (self._list() if self.offset is None else self._read())
             if isinstance(result, Ok):
                 self._record_contact()
                 result.ok_value()
                 if not self.has_backlog:
+                    self.handler.handle_end(started_at_s)
                     await asyncio.sleep(self.batch_interval_s)
                 continue
             if not self.contact_lost:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/directory.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/directory.py
@@ -27,6 +27,9 @@
         self.metrics = metrics
         self.routes: RouteTable | None = None
         self.upstreams = UpstreamDirectory()
+        # Time, by the clock that counts suspended time, before which all written
+        # configurations are known.
+        self.config_current_as_of_s = float("-inf")
         self.versions: dict[ModelName, Version] = {}
         self.listeners: list[Callable[[], None]] = []
         self.tasks = BackgroundTasks()
@@ -64,6 +67,10 @@
         )
         self._notify()
 
+    def operator_records_read(self, read_at_s: float) -> None:
+        """Record that all configurations written before a time are known."""
+        self.config_current_as_of_s = max(self.config_current_as_of_s, read_at_s)
+
     def version_announced(self, model: ModelName, version: Version) -> None:
         """Record a weight version that a trainer announced."""
         if version > self.versions.get(model, Version(0)):
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
@@ -127,6 +127,12 @@
     def topology_changed(self, topology: Topology) -> None:
         """Handle a version of the configuration."""
 
+    def operator_records_read(self, read_at_s: float) -> None:
+        """Handle that all configurations written before a time are known.
+
+        :param read_at_s: seconds of the clock that counts suspended time
+        """
+
     def version_announced(self, model: ModelName, version: Version) -> None:
         """Handle a weight version that a trainer announced."""
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/item_runs.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/item_runs.py
@@ -61,6 +61,9 @@
     # The complete text while its reward call is pending.
     generated: PendingResult | None = None
     scoring_task: asyncio.Task[None] | None = None
+    # Since when the configuration that this node knows gives a reason to end the item,
+    # by the clock that counts suspended time.
+    end_due_since_s: float | None = None
     ended: bool = False
 
     @property
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_home.py
@@ -47,6 +47,7 @@
 from .age_marks import AgeMarkWriter
 from .attempts import ItemAttemptRunner
 from .clock import unix_ms
+from .config_gate import ConfigGate
 from .directory import Directory
 from .interfaces import ITEM_FAILURE_STATUS, UpstreamCallFailure, UpstreamCalls
 from .item_runs import ItemRun, PendingResult, work_id_of
@@ -108,6 +109,8 @@
         self.recovered: dict[WorkId, SavedEvents] = {}
         self.ranks: dict[StepId, Mapping[ItemId, int]] = {}
         self.service_by_work: dict[WorkId, ServiceName] = {}
+        self.config_gate = ConfigGate(directory)
+        self.config_version = 0
         self.attempts = ItemAttemptRunner(directory, calls, limits, metrics, self.tasks)
         self.attempts.on_failed = self._attempt_failed
         self.orders = OrderIssuer(directory, calls, ownership, tenure)
@@ -157,6 +160,11 @@
         """Update the pools after the configuration, upstreams or versions changed."""
         self._open_pools()
         self.pools.directory_changed()
+        routes = self.directory.routes
+        if routes is not None and routes.topology.version != self.config_version:
+            self.config_version = routes.topology.version
+            # Items may have a route now, or none any more.
+            self.follower.notify()
 
     def _open_pools(self) -> None:
         # Engines load announced versions even while no step is open.
@@ -198,10 +206,13 @@
         now_ms = unix_ms()
         steps = self.follower.fold.steps
         self.ranks = {k: v for k, v in self.ranks.items() if k in steps}
+        self.config_gate.forget_all_but(steps.keys())
         for run in list(self.runs.values()):
             if run.step.ended or ItemId(run.item.item_id) not in run.step.open_items:
                 self._remove_run(run)
         for step in list(self.follower.fold.open_steps()):
+            if not self.config_gate.admits(step):
+                continue
             for item in list(step.open_items.values()):
                 try:
                     self._schedule_item(step, item, now_ms)
@@ -232,14 +243,22 @@
             if generated is not None:
                 run.generated = PendingResult(step.step_id, generated, listed=False)
         if route is None:
-            self._give_up(run, "no route matches the item any more")
-        elif now_ms > step.accepted.submitted_ms + route.retention_s * 1000:
-            self._give_up(run, "the retention time of the route has expired")
-        elif run.generated is not None:
+            self._end_by_config(run, "no route matches the item any more")
+            return
+        if now_ms > step.accepted.submitted_ms + route.retention_s * 1000:
+            self._end_by_config(run, "the retention time of the route has expired")
+            return
+        run.end_due_since_s = None
+        if run.generated is not None:
             self._start_scoring(run, route)
         else:
             self._submit(run, route)
 
+    def _end_by_config(self, run: ItemRun, reason: str) -> None:
+        self._withdraw(run)
+        if self.config_gate.confirms_end(run):
+            self._give_up(run, reason)
+
     def _submit(self, run: ItemRun, route: Route) -> None:
         name = choose_service(route, text_hash(run.item.item_id))
         previous = self.service_by_work.get(run.work_id)
--- a/packages/fulmarpulley-node/tests/test_platform_decoding.py
+++ b/packages/fulmarpulley-node/tests/test_platform_decoding.py
@@ -91,13 +91,13 @@
         body = msgspec.json.encode({"Items": [item, item]})
         submission = msgspec.json.decode(body, type=wire.Submission)
         with self.assertRaisesRegex(ValueError, "the same Id"):
-            to_step(submission, "s", "h", "/p")
+            to_step(submission, "s", "h", "/p", 1)
 
     def test_to_step_rejects_request_id_that_no_record_can_hold(self) -> None:
         submission = msgspec.json.decode(b'{"Items":[]}', type=wire.Submission)
         for step_id in ("", "s\udcff"):
             with self.assertRaisesRegex(ValueError, "Request-Id"):
-                to_step(submission, step_id, "h", "/p")
+                to_step(submission, step_id, "h", "/p", 1)
 
 
 class FrameTest(unittest.TestCase):
--- a/packages/fulmarpulley-node/tests/test_topic_watcher.py
+++ b/packages/fulmarpulley-node/tests/test_topic_watcher.py
@@ -37,6 +37,9 @@
     def handle_snapshot(self, items: list[Any]) -> None:
         pass
 
+    def handle_end(self, read_at_s: float) -> None:
+        pass
+
 
 class FailingHandler(RecordingHandler):
     """Fails to handle a key, and the first listings of the topic."""
--- a/testing/src/fulmarpulley_testing/platform_store.py
+++ b/testing/src/fulmarpulley_testing/platform_store.py
@@ -47,6 +47,8 @@
         self.partition_count = partitions
         self.mode = StoreMode.UP
         self.delay_s = 0.0
+        # Topics whose reads get no answer, for callers of an app that may lag.
+        self.held_topics: set[str] = set()
         self.rejected_members: set[str] = set()
         self.partitions: dict[tuple[str, int], list[bytes]] = defaultdict(list)
         self.first_offset: dict[tuple[str, int], int] = defaultdict(int)
@@ -54,10 +56,15 @@
         self.changed = asyncio.Condition()
         self.late_writes: set[asyncio.Task[None]] = set()
 
-    def app(self) -> web.Application:
-        """Return the application that serves the store."""
+    def app(self, may_lag: bool = False) -> web.Application:
+        """Return the application that serves the store, for some or all nodes.
+
+        :param may_lag: whether answers on held topics wait until these are released
+        """
+        faults = [self._hold_answers] if may_lag else []
         app = web.Application(
-            middlewares=[self._inject_fault], client_max_size=64 * 1024 * 1024
+            middlewares=[*faults, self._inject_fault],
+            client_max_size=64 * 1024 * 1024,
         )
         app.router.add_post(APPEND_PATH, self.append)
         app.router.add_get("/-/log-read", self.read)
@@ -86,6 +93,12 @@
             self.changed.notify_all()
         return offset
 
+    async def release_topics(self) -> None:
+        """Send the answers on held topics."""
+        self.held_topics.clear()
+        async with self.changed:
+            self.changed.notify_all()
+
     def expire_records(self, topic: str, partition: int) -> None:
         """Delete all records of a partition, as the end of their retention does."""
         stored = self.partitions[topic, partition]
@@ -124,6 +137,16 @@
             return abort_connection(request)
         return answer
 
+    @web.middleware
+    async def _hold_answers(
+        self, request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        answer: web.StreamResponse = await handler(request)
+        topic = request.query.get("Topic")
+        async with self.changed:
+            await self.changed.wait_for(lambda: topic not in self.held_topics)
+        return answer
+
     async def append(self, request: web.Request) -> web.Response:
         """Append the records of a request body."""
         partition = int(request.query["part"])
--- a/testing/tests/platform_case.py
+++ b/testing/tests/platform_case.py
@@ -23,11 +23,12 @@
         self.engines = [self.system.add_worker(f"e{n}") for n in range(2)]
         self.desks = [self.system.add_worker(f"d{n}", DESK) for n in range(2)]
         self.system.configure()
-        self.nodes = [
-            self.system.add_node(f"n{n}", lease_ms=self.lease_ms) for n in range(2)
-        ]
+        self.nodes = self.start_nodes()
         wait_for(lambda: self.system.owner() is not None, "an owner")
 
+    def start_nodes(self) -> list[NodeProcess]:
+        return [self.system.add_node(f"n{n}", lease_ms=self.lease_ms) for n in range(2)]
+
     def owner(self) -> NodeProcess:
         owner = self.system.owner()
         assert owner is not None
