Answer 503 instead of 404 while the configuration may be outdated

A node that was paused, or that the store does not answer, answered requests under a route it had not read yet with 404. That is final for clients, so a submission was lost that any other node accepts.

Cause: the route table was consulted without looking at its age.

Evidence: LaggingNodeTest in test_platform_config_lag (404 instead of 503 on the code before).

Change: a node whose last read of the configuration began more than 2 s ago refuses such requests with 503 and Retry-After. The time counts pauses of the process. The log line of a request without a route names the age.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
@@ -41,6 +41,10 @@
 # Requests that clients send while the last responses go out arrive within this time.
 QUIET_PERIOD_S = 0.25
 DRAIN_POLL_INTERVAL_S = 0.05
+# A node that has not read the configuration for longer, for example after a pause,
+# cannot tell that a route does not exist. Shorter than the time within which an
+# acknowledged configuration must be in force.
+MAX_CONFIG_AGE_S = 2.0
 # Longest time of a trainer's call, including the wait for a result.
 STEP_CALL_S = 2.0
 
@@ -161,13 +165,17 @@
             return await self._handle_step_request(request, path)
         route = routes.find(request.host.partition(":")[0], path)
         if route is None:
+            config_age_s = self.directory.config_age_s()
             log_event(
                 "request_without_route",
                 request=request.headers.get("Request-Id", ""),
                 host=request.host,
                 path=path,
                 config=routes.topology.version,
+                config_age_s=config_age_s,
             )
+            if config_age_s > MAX_CONFIG_AGE_S:
+                return _unavailable_response("the configuration may be outdated")
             return _error_response(404, "no route matches")
         body = await request.read()
         if route.kind is RouteKind.ROLLOUT and request.method == "POST":
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/directory.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/directory.py
@@ -12,6 +12,7 @@
 
 from ..background_tasks import BackgroundTasks, notify_all
 from ..observe.events import log_event
+from .clock import elapsed_s
 from .metrics import RolloutMetrics
 
 EXPIRY_INTERVAL_S = 0.25
@@ -71,6 +72,10 @@
         """Record that all configurations written before a time are known."""
         self.config_current_as_of_s = max(self.config_current_as_of_s, read_at_s)
 
+    def config_age_s(self) -> float:
+        """Return for how long configurations may have been written unnoticed."""
+        return elapsed_s() - self.config_current_as_of_s
+
     def version_announced(self, model: ModelName, version: Version) -> None:
         """Record a weight version that a trainer announced."""
         if version > self.versions.get(model, Version(0)):
--- a/testing/tests/test_platform_config_lag.py
+++ b/testing/tests/test_platform_config_lag.py
@@ -30,6 +30,9 @@
 ADDED_PREFIX = "/added/"
 # The owner reads the step well within this time.
 LAG_S = 1.5
+# A configuration must be in force after 2.5 s, so that a node which has read none for
+# this long may not know the newest one.
+OUTDATED_S = 3.0
 ITEMS = 4
 EVENTS = 5
 
@@ -39,18 +42,15 @@
     return {**configuration(0)["Routes"][0], **changes}
 
 
-class LaggingOwnerTest(PlatformCase):
-    """Guards against work that is decided on an older configuration than accepted it.
-
-    The owner of all partitions gets no configuration for a while, but reads steps.
-    """
+class LaggingNodeCase(PlatformCase):
+    """Starts an owner of all partitions that gets no configuration for a while."""
 
     def start_nodes(self) -> list[NodeProcess]:
         system = self.system
         port = system.store_port
         system.store_port = system.serve(system.store.app(may_lag=True))
-        lagging = system.add_node("lagging")
-        wait_for(lambda: system.owner(OTHER_ENGINES) is lagging, "an owner")
+        self.lagging = system.add_node("lagging")
+        wait_for(lambda: system.owner(OTHER_ENGINES) is self.lagging, "an owner")
         system.store_port = port
         # Partitions stay with their owner when another node joins.
         return [system.add_node("n0")]
@@ -61,6 +61,14 @@
     def release_configuration(self) -> None:
         self.system.run(self.system.store.release_topics())
 
+    def add_route(self) -> None:
+        added = rollout_route(Name="r-added", PathPrefix=ADDED_PREFIX)
+        self.system.configure(Routes=[*configuration(0)["Routes"], added])
+
+
+class LaggingOwnerTest(LaggingNodeCase):
+    """Guards against work decided by an older configuration than accepted it."""
+
     def submit_added(self, step: str) -> None:
         """Submit a step under the added route as soon as a node has the route."""
         body = submission(step, ITEMS).replace(b"/lot/", ADDED_PREFIX.encode())
@@ -80,8 +88,7 @@
 
     def test_items_of_a_route_that_the_owner_does_not_know_yet_are_run(self) -> None:
         self.hold_configuration()
-        added = rollout_route(Name="r-added", PathPrefix=ADDED_PREFIX)
-        self.system.configure(Routes=[*configuration(0)["Routes"], added])
+        self.add_route()
         self.submit_added("s1")
         self.assert_completed_after_release("s1")
 
@@ -89,8 +96,7 @@
         # Records of an older build do not say which configuration accepted the step.
         self.hold_configuration()
         settle(LAG_S)
-        added = rollout_route(Name="r-added", PathPrefix=ADDED_PREFIX)
-        self.system.configure(Routes=[*configuration(0)["Routes"], added])
+        self.add_route()
         items = [
             ItemSpec(
                 item_id=f"s1-{number}",
@@ -138,3 +144,19 @@
         self.system.configure(Routes=configuration(0)["Routes"][1:])
         found = wait_results(self.nodes[0], "s1", ITEMS)
         self.assertEqual({result["State"] for result in found}, {"dead"})
+
+
+class LaggingNodeTest(LaggingNodeCase):
+    """Guards against a final 404 from a node that missed the configuration."""
+
+    def test_unknown_route_is_unavailable_while_the_configuration_is_old(self) -> None:
+        def status() -> int:
+            return self.lagging.call("POST", f"{ADDED_PREFIX}x", b"").status
+
+        self.assertEqual(status(), 404)
+        self.hold_configuration()
+        self.add_route()
+        settle(OUTDATED_S)
+        self.assertEqual(status(), 503)
+        self.release_configuration()
+        wait_for(lambda: status() == 400, "the added route")
