Keep a step in one partition whatever its route leads to

Cause: the partition of a step, within which duplicates are recognised, was derived from the first service of its route at the moment of the call. A move of the route, or a split that lists its services in another order, sent the second submission to another partition.

Change: before a step is accepted, a record in the topic `placements` assigns it to the partition of its service. The first record of a step counts for all nodes, whichever configuration they know. The topic's partition follows from the id of the step alone. A placement accepts nothing, so a submission that gets no further is still refused as not run. Older builds place no steps: all partitions are searched for the step meanwhile, which finds what was accepted before an upgrade. Placing takes one more round trip to the log.

Ruled out: a search of all partitions alone, since two nodes with different configurations can search at the same time and both find nothing.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/follower.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/follower.py
@@ -81,6 +81,23 @@
             return False
         return True
 
+    async def read_to_end(self, timeout_s: float) -> bool:
+        """Read all records appended before the call, without following the partition.
+
+        Return False if the log cannot be read or does not answer in time.
+        """
+        if self._follow_task is not None and not self._follow_task.done():
+            return await self.sync(timeout_s)
+        required_as_of = time.monotonic()
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self.current_as_of < required_as_of:
+                    if await self._read(0.0) is not None:
+                        return False
+        except TimeoutError:
+            return False
+        return True
+
     async def _await_read(self) -> None:
         """Wait for a read to end; concurrent callers share it."""
         if self._behind:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/partitions.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/partitions.py
@@ -15,10 +15,14 @@
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 
 from ..background_tasks import BackgroundTasks
+from ..observe.events import log_event
 from .follower import STEPS_TOPIC, PartitionFollower
 from .interfaces import DurableLog, StoreFailure
+from .step_placements import StepPlacements
 from .text_store import TextStore
 
+SEARCH_TIMEOUT_S = 0.3
+
 
 class Partitions(Service):
     """Own the followers of all partitions of step records."""
@@ -28,6 +32,7 @@
         self.settings = settings
         self.log = log
         self.texts = TextStore(settings, log)
+        self.placements = StepPlacements(settings, log)
         self.tasks = BackgroundTasks()
         self.followers = [
             PartitionFollower(settings, log, Partition(number), self.tasks)
@@ -40,6 +45,7 @@
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop all reads."""
         await self.tasks.stop()
+        await self.placements.tasks.stop()
 
     def follower_for_service(self, service: ServiceName) -> PartitionFollower:
         """Return the follower of the partition that holds a service's steps."""
@@ -95,6 +101,35 @@
                 return Err(StoreFailure.UNREACHABLE)
         return Ok(None)
 
+    async def locate(
+        self, step_id: StepId, preferred: Partition
+    ) -> tuple[Partition, bool]:
+        """Return the partition of a step, and whether the step was accepted before.
+
+        The call tries until it is cancelled.
+
+        :param preferred: partition of the step if it is new
+        """
+        partition, found = await asyncio.gather(
+            self.placements.place(step_id, preferred), self._search(step_id)
+        )
+        return (partition, False) if found is None else (found.partition, True)
+
+    async def _search(self, step_id: StepId) -> PartitionFollower | None:
+        """Look for a step that an older build accepted, which places no steps.
+
+        Partitions that cannot be read soon are left out: the log may be away in part,
+        and only steps accepted within an upgrade are found by this search alone.
+        """
+        read = await asyncio.gather(
+            *(follower.read_to_end(SEARCH_TIMEOUT_S) for follower in self.followers)
+        )
+        known = self.find_loaded(step_id)
+        if known is None and not all(read):
+            unread = [str(number) for number, done in enumerate(read) if not done]
+            log_event("partitions_not_searched", partitions=",".join(unread))
+        return None if known is None else known[0]
+
     def find_loaded(self, step_id: StepId) -> tuple[PartitionFollower, Step] | None:
         """Find a step among the records read so far."""
         for follower in self.followers:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_frontend.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_frontend.py
@@ -29,6 +29,8 @@
 READ_TIMEOUT_S = 1.2
 END_TIMEOUT_S = 2.5
 RETRY_DELAY_S = 0.1
+# Leaves time for the append that accepts the step.
+LOCATE_TIMEOUT_S = 0.6
 # An append that ends with the time of a submission may take effect, so that the trainer
 # can no longer be told that nothing was done.
 MIN_APPEND_S = 0.1
@@ -105,8 +107,19 @@
         step_id = StepId(step.step_id)
         if self.partitions.find_loaded(step_id) is not None:
             return StepOutcome.DONE, "accepted before"
-        follower = self.partitions.follower_for_service(route.services[0].service)
         deadline = time.monotonic() + SUBMIT_TIMEOUT_S
+        follower = self.partitions.follower_for_service(route.services[0].service)
+        try:
+            async with asyncio.timeout(LOCATE_TIMEOUT_S):
+                partition, accepted = await self.partitions.locate(
+                    step_id, follower.partition
+                )
+        except TimeoutError:
+            # Nothing was accepted yet.
+            return StepOutcome.REFUSED, "the nodes could not agree on a partition"
+        if accepted:
+            return StepOutcome.DONE, f"accepted before in partition {partition}"
+        follower = self.partitions.followers[partition]
         may_be_appended = False
         while True:
             result = await self._append(follower, step, deadline)
--- a/packages/fulmarpulley-node/tests/test_submissions.py
+++ b/packages/fulmarpulley-node/tests/test_submissions.py
@@ -8,7 +8,7 @@
 from result import Err, Result
 from rollout_settings import settings
 
-from fulmarpulley_core.ids import RouteName, ServiceName
+from fulmarpulley_core.ids import Partition, RouteName, ServiceName
 from fulmarpulley_core.rollout.topology import Route, RouteKind, WeightedService
 from fulmarpulley_node.rollout import step_frontend
 from fulmarpulley_node.rollout.directory import Directory
@@ -43,6 +43,10 @@
         self.now_s += seconds
 
 
+async def locate(*_step: object) -> tuple[Partition, bool]:
+    return Partition(0), False
+
+
 class RefusedSubmissionTest(unittest.IsolatedAsyncioTestCase):
     """Guards against an append that is begun too late to be answered."""
 
@@ -67,6 +71,7 @@
             mock.patch.object(step_frontend, "time", clock),
             mock.patch.object(step_frontend, "asyncio", sleep),
             mock.patch.object(partitions, "append", log.append),
+            mock.patch.object(partitions, "locate", locate),
         ):
             outcome = await frontend.submit(route, step)
         self.assertIs(outcome, StepOutcome.REFUSED)
--- a/testing/tests/platform_case.py
+++ b/testing/tests/platform_case.py
@@ -5,7 +5,8 @@
 from pathlib import Path
 from typing import Any
 
-from fulmarpulley_testing.platform_documents import DESK
+from fulmarpulley_schema.generated.steps import ItemSpec, StepAccepted
+from fulmarpulley_testing.platform_documents import DESK, HOST, MODEL
 from fulmarpulley_testing.platform_system import NodeProcess, PlatformSystem
 from fulmarpulley_testing.processes import wait_for
 
@@ -14,6 +15,30 @@
     return "\n".join(f"{item_id}:{number}" for number in range(1, events + 1))
 
 
+def accepted_step(step: str, items: int, prefix: str) -> StepAccepted:
+    """Return the record of a step that an older build accepted."""
+    specs = [
+        ItemSpec(
+            item_id=f"{step}-{number}",
+            path=f"{prefix}{number}",
+            headers={"Model": MODEL},
+            body=b"",
+            prompt_tokens=1,
+            max_tokens=100,
+        )
+        for number in range(items)
+    ]
+    return StepAccepted(
+        step_id=step,
+        host=HOST,
+        path=prefix,
+        # Far in the future, so that no retention time ends.
+        submitted_ms=2**50,
+        model=MODEL,
+        items=specs,
+    )
+
+
 class PlatformCase(unittest.TestCase):
     lease_ms = 100.0
 
--- a/testing/tests/test_platform_config_lag.py
+++ b/testing/tests/test_platform_config_lag.py
@@ -2,16 +2,13 @@
 
 from typing import Any
 
-from platform_case import PlatformCase
+from platform_case import PlatformCase, accepted_step
 
 from fulmarpulley_core.ids import ServiceName
 from fulmarpulley_core.rollout.step_records import encode
 from fulmarpulley_node.rollout.partitions import partition_of
-from fulmarpulley_schema.generated.steps import ItemSpec, StepAccepted
 from fulmarpulley_testing.platform_documents import (
     ENGINES,
-    HOST,
-    MODEL,
     configuration,
     submission,
 )
@@ -97,25 +94,7 @@
         self.hold_configuration()
         settle(LAG_S)
         self.add_route()
-        items = [
-            ItemSpec(
-                item_id=f"s1-{number}",
-                path=f"{ADDED_PREFIX}{number}",
-                headers={"Model": MODEL},
-                body=b"",
-                prompt_tokens=1,
-                max_tokens=100,
-            )
-            for number in range(ITEMS)
-        ]
-        record = StepAccepted(
-            step_id="s1",
-            host=HOST,
-            path=ADDED_PREFIX,
-            submitted_ms=2**50,
-            model=MODEL,
-            items=items,
-        )
+        record = accepted_step("s1", ITEMS, ADDED_PREFIX)
         partition = partition_of(ServiceName(ENGINES), PARTITIONS)
         self.system.run(self.system.store.add("steps", partition, [encode(record)]))
         self.assert_completed_after_release("s1")
