Judge a response of an upstream only once it is known whose it is

Cause: `Not-Executed` and status 421 were looked at before the request id. The copy of a refusal of another request was taken to say that the present one had not run. In the same way the headers of a copy marked an upstream as leaving or limited, and a copy of another answer confirmed an order.

Evidence: test_foreign_answers; on the code before, four of its six tests fail, among them each kind of copy for requests and for items.

Change: a response counts only with the id of its request. Any other is a broken attempt, which may have run, and its connection is closed, since the answer to the request is still to come on it. Reports and orders have no id: a response that has one is not theirs, and a body is not the answer to an order. The stand-in for upstreams states the id in refusals, as the platform does.

Result: the six tests pass.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/connections.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/connections.py
@@ -187,6 +187,18 @@
     return session
 
 
+def close_connection(response: aiohttp.ClientResponse) -> None:
+    """Close the connection of a response, even if it was released already.
+
+    The library releases a connection as soon as the body is complete and has no public
+    way back to it; test_foreign_answers fails if the private one stops working.
+    """
+    response.close()
+    protocol = response._protocol
+    if protocol is not None:
+        protocol.close()
+
+
 def refuse_new_connections(listener: socket.socket) -> None:
     """Make a listening socket drop new connections and keep those already begun.
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
@@ -26,7 +26,7 @@
     UpstreamResponse,
 )
 from ..rollout.rate_limits import RateLimits
-from .connections import new_session
+from .connections import close_connection, new_session
 from .generation_stream import EventParser
 from .headers import end_to_end_headers, parse_int
 from .wire import ReportReply, VersionOrder
@@ -77,8 +77,9 @@
                     allow_redirects=False,
                 ) as response,
             ):
-                self._record_leaving(upstream, response)
-                self._record_limit(upstream, response, request.request_id, sent_at)
+                if _belongs_to(response, request.request_id):
+                    self._record_leaving(upstream, response)
+                    self._record_limit(upstream, response, sent_at)
                 body = await response.read()
                 failure = _check_response(response, request.request_id)
                 if failure is not None:
@@ -118,8 +119,9 @@
             async with self._session.post(
                 url, headers=headers, data=item.body, allow_redirects=False
             ) as response:
-                self._record_leaving(upstream, response)
-                self._record_limit(upstream, response, item.item_id, sent_at)
+                if _belongs_to(response, item.item_id):
+                    self._record_leaving(upstream, response)
+                    self._record_limit(upstream, response, sent_at)
                 failure = _check_response(response, item.item_id) or _check_stream(
                     response, min_version
                 )
@@ -191,7 +193,6 @@
         self,
         upstream: ListedUpstream,
         response: aiohttp.ClientResponse,
-        request_id: str,
         sent_at: float,
     ) -> None:
         """Record the rate limit in the head of a response."""
@@ -199,8 +200,7 @@
             return
         text = response.headers.get("Server-Limit")
         if text is None:
-            is_own = response.headers.get("Request-Id") == request_id
-            if is_own and "Not-Executed" not in response.headers:
+            if "Not-Executed" not in response.headers:
                 self.limits.record_response(upstream, None, sent_at)
             return
         requests_per_s = _parse_limit(text)
@@ -220,6 +220,7 @@
             asyncio.timeout(ORDER_TIMEOUT_S),
             self._session.get(url, headers=headers) as response,
         ):
+            _check_control_response(response)
             self._record_leaving(upstream, response)
             if response.status != 200:
                 raise ValueError(f"the report has status {response.status}")
@@ -246,8 +247,11 @@
             asyncio.timeout(ORDER_TIMEOUT_S),
             self._session.post(url, headers=headers, data=body) as response,
         ):
+            _check_control_response(response)
             self._record_leaving(upstream, response)
-            await response.read()
+            if await response.read() and response.status in (200, ACCEPTED):
+                # A late copy of a report would state that the order already holds.
+                raise ValueError("the response is not that to an order")
             return response.status
 
 
@@ -285,18 +289,39 @@
     return Ok(None)
 
 
+def _belongs_to(response: aiohttp.ClientResponse, request_id: str) -> bool:
+    """Tell whether a response is that to a request.
+
+    A late copy of the response to an earlier request on the connection has its id.
+    """
+    return response.headers.get("Request-Id", "") == request_id
+
+
+def _check_control_response(response: aiohttp.ClientResponse) -> None:
+    """Raise ValueError for a late copy of the response to a caller's request.
+
+    Reports and orders have no request id, so that their responses have none.
+    """
+    if "Request-Id" in response.headers:
+        close_connection(response)
+        raise ValueError("the response belongs to another request")
+
+
 def _check_response(
     response: aiohttp.ClientResponse, request_id: str
 ) -> UpstreamCallFailure | None:
     """Return why a response is invalid or says that the request was not run."""
     status = response.status
-    if "Not-Executed" in response.headers or status == MISDIRECTED:
+    # A response to another request says nothing about this one, which may have run.
+    if not _belongs_to(response, request_id):
+        # The response to this request is still to come.
+        close_connection(response)
         return UpstreamCallFailure(
-            Failure.REFUSED, f"request not run, status {status}", status
+            Failure.BROKEN, "the response belongs to another request"
         )
-    if response.headers.get("Request-Id") != request_id:
+    if "Not-Executed" in response.headers or status == MISDIRECTED:
         return UpstreamCallFailure(
-            Failure.BROKEN, "the response belongs to another request"
+            Failure.REFUSED, f"request not run, status {status}", status
         )
     signature = response.headers.get("Server-Stamp")
     if 200 <= status < 300 and signature is None:
--- a/testing/src/fulmarpulley_testing/platform_worker.py
+++ b/testing/src/fulmarpulley_testing/platform_worker.py
@@ -176,14 +176,16 @@
     async def run(self, request: web.Request) -> web.StreamResponse:
         """Run a request; answer with an event stream if it names a model."""
         headers = request.headers
+        echo = {"Request-Id": headers.get("Request-Id", "")}
         if headers.get("Expected-Instance") != self.name:
-            return web.Response(status=421)
+            return web.Response(status=421, headers={"Not-Executed": "1", **echo})
         self.arrivals.append(time.monotonic())
         model = headers.get("Model")
         running = sum(not run.ended for run in self.runs)
         if running >= self.slots or (model is not None and self.loading):
             refused = {
                 "Not-Executed": "1",
+                **echo,
                 **self._limit_headers(),
                 **self._leaving_headers(),
             }
