Answer every request before a stopping node closes its connection

A closed connection promises nothing, so requests that must not be repeated were lost.

Cause: the node set the time by which it ends only 2.5 s after the signal, and only for requests that arrived later. Nothing ended the requests that still waited when that time came; their handlers were cancelled.

Evidence: test_requests_that_wait_for_a_free_upstream_are_answered in test_platform_stops fails on the code before (closed connection) and passes now.

Change: from the signal on, pools know when the node stops. A request that, by the queue before it and the longest recent attempt, cannot end by then is refused at once as not run, with 503. The queue is looked at again every 50 ms. No attempt, retry or hedge starts later than that, and a wait for a rate-limited turn ends then. What still runs at the end is answered 504. Requests that can end in time are served whatever their deadline; before, one was refused if its deadline was later than the end. Every other call of clients has the same end. Saving and leaving the group run beside it, so that a store that does not answer takes no time from callers.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/admission.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/admission.py
@@ -95,15 +95,16 @@
         now: float,
     ) -> Refusal | None:
         slots = sum(u.slots for u in upstreams)
-        wait = self._duration(queue.desk_tokens, slots)
+        wait = self.duration_s(queue.desk_tokens, slots)
         if queue.desk_waiting >= self.document.limits.queue:
             return Refusal("overloaded", self._retry_after(wait / 2))
         if not queue.desk_waiting or item.deadline is None:
             return None
-        late = now + wait + self._duration(charge, 1) - item.deadline
+        late = now + wait + self.duration_s(charge, 1) - item.deadline
         return Refusal("overloaded", self._retry_after(late)) if late > 0 else None
 
-    def _duration(self, tokens: int, slots: int) -> float:
+    def duration_s(self, tokens: int, slots: int) -> float:
+        """Return how long a number of slots takes for tokens at the mean pace."""
         return (self._seconds_per_token or 0.0) * tokens / max(1, slots)
 
     def _retry_after(self, wait: float) -> float:
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/attempt_tracker.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/attempt_tracker.py
@@ -50,6 +50,7 @@
             return
         self._record_tokens(attempt, event.tokens)
         self._components.admission.record_finished(attempt, now)
+        self._components.stopping.record_finished(attempt, now)
         self._components.lengths.record_finished(attempt, now)
         self._components.retries.budget.deposit()
         self._components.hedges.budget.deposit()
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/components.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/components.py
@@ -14,6 +14,7 @@
 from .retries import RetryQueue
 from .routing import ROUTING
 from .state import Attempt, Item, Upstream
+from .stopping import StopPlanner
 from .timers import Timers
 from .weights import WeightUpdater
 
@@ -37,6 +38,7 @@
         self.lengths = LengthEstimator()
         self.freshness = Freshness(document, self.ledger, self.lengths)
         self.admission = Admission(document, self.jitter)
+        self.stopping = StopPlanner(self.ledger, self.admission)
         self.retries = RetryQueue(
             document, self.timers, self.ledger, self.jitter, self.enqueue
         )
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
@@ -6,10 +6,12 @@
 from fulmarpulley_schema.generated.document import ServiceDocument
 from fulmarpulley_schema.generated.http import Ran
 
+from ..ids import WorkId
 from .admission import longest_send_wait_s
 from .attempt_tracker import AttemptTracker
 from .components import PoolComponents
 from .messages import (
+    STOPPING,
     Action,
     AttemptFailed,
     AttemptFinished,
@@ -22,6 +24,7 @@
     OrderFinished,
     PoolSettings,
     PoolView,
+    StopAt,
     Submit,
     UpstreamState,
     VersionAnnounced,
@@ -35,6 +38,9 @@
 # Smaller items could keep every upstream too full for a large one, so after this wait
 # a large item gets an upstream reserved for it.
 RESERVE_AFTER_S = 5.0
+# Requests that turn out to wait too long to be answered before the node stops are
+# refused within this time.
+STOP_CHECK_INTERVAL_S = 0.05
 
 
 class Reservation(NamedTuple):
@@ -70,6 +76,7 @@
             VersionReport: reports.on_version_report,
             VersionAnnounced: reports.on_version_announced,
             DocumentChanged: reports.on_document_changed,
+            StopAt: self._stop_at,
         }
 
     def handle(self, event: Event, now: float) -> list[Action]:
@@ -117,11 +124,15 @@
     def _admit(self, work: Work, now: float) -> None:
         components, ledger = self.components, self.components.ledger
         item = ledger.add(work, now)
+        self._limit_to_stop(item)
         if item.ran_before is not Ran.NOT_RUN and not work.repeatable:
             ledger.refuse(item, "upstream_broken")
             return
         upstreams = ledger.upstreams.values()
         charge = components.expected_tokens(item)
+        if components.stopping.is_unservable(item, components.queue.desk_tokens, now):
+            ledger.refuse(item, STOPPING)
+            return
         refusal = components.admission.check(
             item, charge, components.queue, upstreams, now
         )
@@ -144,7 +155,40 @@
         if item is not None:
             self.components.refuse(item, event.code, event.retry_after)
 
+    def latest_start(self, work_id: WorkId) -> float:
+        """Return the time after which no attempt of a work item may start."""
+        item = self.components.ledger.items.get(work_id)
+        return self.components.stopping.latest_start(item) if item else float("inf")
+
+    def _stop_at(self, event: StopAt, now: float) -> None:
+        self.components.stopping.stop_at = event.at
+        for item in list(self.components.ledger.items.values()):
+            self._limit_to_stop(item)
+        self._check_stop(now)
+
+    def _limit_to_stop(self, item: Item) -> None:
+        stop_at = self.components.stopping.stop_at
+        if stop_at is None or item.is_sample:
+            return
+        if item.deadline is None or item.deadline > stop_at:
+            item.deadline = stop_at
+            self.components.timers.at(
+                stop_at, lambda _: self._refuse_past_deadline(item)
+            )
+
+    def _check_stop(self, now: float) -> None:
+        """Refuse what cannot be answered before the node stops."""
+        components = self.components
+        self._refuse_unservable(now)
+        if now < (components.stopping.stop_at or now):
+            components.timers.at(now + STOP_CHECK_INTERVAL_S, self._check_stop)
+
+    def _refuse_unservable(self, now: float) -> None:
+        for item in list(self.components.stopping.find_unservable(now)):
+            self.components.refuse(item, STOPPING)
+
     def _dispatch(self) -> None:
+        self._refuse_unservable(self.components.now)
         self.components.dispatch_needed = False
         self.components.weights.plan(self.components.now)
         while self.components.queue.waiting and self._start_next():
@@ -202,6 +246,8 @@
         return self.reservation
 
     def _start_hedge(self, item: Item, excluded: set[Upstream]) -> bool:
+        if self.components.now >= self.components.stopping.latest_start(item):
+            return False
         upstreams = self.components.ledger.upstreams.values()
         now = self.components.now
         free = [u for u in upstreams if u.is_free() and u.keeps_pace(now)]
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
@@ -22,6 +22,8 @@
 
 # Code of refused work that must not be sent to any upstream.
 CRASHES_UPSTREAMS = "crashes_upstreams"
+# Code of refused work that would not end before the node stops.
+STOPPING = "stopping"
 
 
 class WorkKind(StrEnum):
@@ -189,6 +191,12 @@
     document: ServiceDocument
 
 
+class StopAt(msgspec.Struct, frozen=True):
+    """End all desk requests before a time, at which the node stops."""
+
+    at: float
+
+
 class Tick(msgspec.Struct, frozen=True):
     """Run the timers that are due."""
 
@@ -207,6 +215,7 @@
     | VersionAnnounced
     | OrderFinished
     | DocumentChanged
+    | StopAt
     | Tick
 )
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
@@ -107,15 +107,20 @@
         await stop_requested.wait()
         started_at = loop.time()
         log_event("shutdown_started", open_requests=self.ingress.open_requests)
-        self.ingress.shutting_down = True
-        await self.homes.save()
-        await self.ownership.leave()
+        deadline = started_at + self.settings.bounds.grace_s * DRAIN_GRACE_FRACTION
+        self.ingress.stop_by(deadline)
+        # Requests are answered in time even if the store does not answer.
+        hand_over = asyncio.create_task(self._hand_over())
         await asyncio.sleep(BALANCER_REMOVAL_DELAY_S)
-        await self.ingress.drain(
-            started_at + self.settings.bounds.grace_s * DRAIN_GRACE_FRACTION
-        )
+        await self.ingress.drain(deadline)
+        await asyncio.wait({hand_over}, timeout=max(0.0, deadline - loop.time()))
         log_event("shutdown_finished", open_requests=self.ingress.open_requests)
 
+    async def _hand_over(self) -> None:
+        """Save the events of unfinished items and release all partitions."""
+        await self.homes.save()
+        await self.ownership.leave()
+
     async def close(self) -> None:
         """Close the connections to the workers and the store."""
         await self.workers.close()
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
@@ -21,7 +21,7 @@
 from ..rollout.forwarder import Forwarder, Refusal
 from ..rollout.interfaces import CallerRequest
 from ..rollout.metrics import RolloutMetrics
-from ..rollout.step_frontend import StepFrontend, StepOutcome
+from ..rollout.step_frontend import SUBMIT_TIMEOUT_S, StepFrontend, StepOutcome
 from . import wire
 from .connections import refuse_new_connections
 from .headers import caller_credentials, end_to_end_headers, parse_int
@@ -45,8 +45,11 @@
 # cannot tell that a route does not exist. Shorter than the time within which an
 # acknowledged configuration must be in force.
 MAX_CONFIG_AGE_S = 2.0
-# Longest time of a trainer's call, including the wait for a result.
-STEP_CALL_S = 2.0
+# Trainers' calls other than submissions are begun as long as this time is left; apart
+# from the wait for a result, few take longer.
+STEP_CALL_S = 0.4
+# Time between the last decision on a request and the end of its response.
+RESPONSE_MARGIN_S = 0.1
 
 STEPS_PATH = "/-/lots/"
 ITEMS_PATH = "/-/items/"
@@ -75,8 +78,11 @@
         self.forwarder = forwarder
         self.metrics = metrics
         self.shutting_down = False
-        # Event loop time at which the node stops to wait for answers.
-        self.drain_deadline: float | None = None
+        # Event loop time by which all requests must be answered.
+        self.answer_by: float | None = None
+        # Whether connections are closed after the next response.
+        self.closing = False
+        self.time_limits: set[asyncio.Timeout] = set()
         self.open_requests = 0
         self.last_request_at = float("-inf")
         self.runners: list[web.ServerRunner] = []
@@ -92,13 +98,24 @@
         await listen(self.settings.readiness, self.handle_readiness)
         await listen(self.settings.metrics, self.handle_metrics)
 
+    def stop_by(self, deadline: float) -> None:
+        """Report the node as not ready and answer all requests before a time.
+
+        :param deadline: event loop time
+        """
+        self.shutting_down = True
+        self.answer_by = deadline - RESPONSE_MARGIN_S
+        for time_limit in self.time_limits:
+            time_limit.reschedule(self.answer_by)
+        self.forwarder.stop_by(self.answer_by - RESPONSE_MARGIN_S)
+
     async def drain(self, deadline: float) -> None:
         """Refuse new connections and wait until all requests are answered.
 
         :param deadline: event loop time at which to stop waiting
         """
         loop = asyncio.get_running_loop()
-        self.drain_deadline = deadline
+        self.closing = True
         if self.callers_socket is not None and self.callers_site is not None:
             try:
                 refuse_new_connections(self.callers_socket)
@@ -142,7 +159,7 @@
         self.open_requests += 1
         self.last_request_at = asyncio.get_running_loop().time()
         try:
-            response = await self._handle(request)
+            response = await self._handle_in_time(request)
         except (asyncio.CancelledError, ConnectionError):
             raise
         except web.HTTPRequestEntityTooLarge:
@@ -152,10 +169,25 @@
             response = _error_response(502, "the node failed to handle the request")
         finally:
             self.open_requests -= 1
-        if self.drain_deadline is not None:
+        if self.closing:
             response.force_close()
         return response
 
+    async def _handle_in_time(self, request: web.BaseRequest) -> web.Response:
+        """Handle a request, and give it an answer before the node stops."""
+        try:
+            async with asyncio.timeout_at(self.answer_by) as time_limit:
+                self.time_limits.add(time_limit)
+                try:
+                    return await self._handle(request)
+                finally:
+                    self.time_limits.discard(time_limit)
+        except TimeoutError:
+            if not time_limit.expired():
+                raise
+            log_event("request_ended_by_stop", path=request.path)
+            return _error_response(504, "the node stops before the request ended")
+
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         routes = self.directory.routes
         if routes is None:
@@ -199,11 +231,6 @@
     ) -> web.Response:
         loop = asyncio.get_running_loop()
         deadline_ms = parse_int(request.headers.get("Deadline-Ms"))
-        longest_s = route.timeout_s
-        if deadline_ms is not None:
-            longest_s = min(longest_s, deadline_ms / 1000)
-        if not self._can_answer_within(longest_s):
-            return _stopping_response()
         caller_request = CallerRequest(
             request_id=request.headers.get("Request-Id", ""),
             method=request.method,
@@ -220,10 +247,15 @@
         headers = end_to_end_headers(response.headers)
         return web.Response(status=response.status, headers=headers, body=response.body)
 
-    def _can_answer_within(self, longest_s: float) -> bool:
+    def remaining_s(self) -> float:
+        """Return the time in which a request must be answered."""
+        if self.answer_by is None:
+            return float("inf")
+        return max(0.0, self.answer_by - asyncio.get_running_loop().time())
+
+    def _can_answer_within(self, usual_s: float) -> bool:
         """Tell whether a request that takes this long ends before the node does."""
-        now = asyncio.get_running_loop().time()
-        return self.drain_deadline is None or now + longest_s <= self.drain_deadline
+        return usual_s <= self.remaining_s()
 
     async def _submit(
         self,
@@ -233,7 +265,7 @@
         path: str,
         body: bytes,
     ) -> web.Response:
-        if not self._can_answer_within(STEP_CALL_S):
+        if not self._can_answer_within(SUBMIT_TIMEOUT_S):
             return _stopping_response()
         step_id = request.headers.get("Request-Id", "")
         try:
@@ -280,7 +312,8 @@
     if after is None:
         return _error_response(400, "After must be a whole number")
     wait_ms = parse_int(request.headers.get("Wait-Ms")) or 0
-    wait_s = min(MAX_RESULT_WAIT_S, wait_ms / 1000)
+    longest_s = max(0.0, ingress.remaining_s() - STEP_CALL_S)
+    wait_s = min(MAX_RESULT_WAIT_S, wait_ms / 1000, longest_s)
     result = await ingress.steps.results(request.host, step_id, after, wait_s)
     if isinstance(result, Err):
         return _step_error_response(result.err_value)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
@@ -29,6 +29,7 @@
     PoolSettings,
     Refuse,
     StartAttempt,
+    StopAt,
     Submit,
     Withdraw,
     Work,
@@ -51,6 +52,7 @@
     UpstreamResponse,
 )
 from .metrics import RolloutMetrics, labels
+from .pool_driver import PoolDriver
 from .rate_limits import RateLimits
 from .request_digest import request_digest
 from .service_pools import DocumentTransform, ServicePools, identity
@@ -123,6 +125,10 @@
         self.pending: dict[WorkId, PendingRequest] = {}
         self.attempt_tasks: dict[AttemptId, asyncio.Task[None]] = {}
         self.sequence = 0
+        # Event loop time by which all requests must have an outcome.
+        self.stop_at: float | None = None
+        # Limits of the waits for a turn at an upstream, by work item.
+        self.turn_waits: dict[asyncio.Timeout, WorkId] = {}
         directory.listeners.append(self.pools.directory_changed)
         limits.listeners.append(self._limit_reported)
         crashes.reports.listeners.append(self._withdraw_blocked)
@@ -141,7 +147,7 @@
         await self.crashes.reports.wait_for_verdict(digest)
         if self.crashes.reports.is_blocked(digest):
             return self._refuse_blocked(request, digest, route, name)
-        pool = self.pools.open(name)
+        pool = self._open_pool(name)
         if pool is None:
             return Refusal("no_upstream", Ran.NOT_RUN, 0.5)
         deadline = started_at + route.timeout_s
@@ -168,6 +174,28 @@
         self._log_outcome(pending, outcome, loop.time() - started_at)
         return outcome
 
+    def stop_by(self, stop_at: float) -> None:
+        """Give all requests an outcome before a time, at which the node stops.
+
+        Those that would end too late are refused as soon as this is known.
+
+        :param stop_at: event loop time
+        """
+        self.stop_at = stop_at
+        for pool in self.pools.pools.values():
+            pool.post(StopAt(stop_at))
+        for wait, work_id in self.turn_waits.items():
+            pending = self.pending.get(work_id)
+            if pending is not None:
+                wait.reschedule(self.pools[pending.service].latest_start(work_id))
+
+    def _open_pool(self, name: ServiceName) -> PoolDriver | None:
+        is_new = name not in self.pools.pools
+        pool = self.pools.open(name)
+        if pool is not None and is_new and self.stop_at is not None:
+            pool.post(StopAt(self.stop_at))
+        return pool
+
     def _refuse_blocked(
         self,
         request: CallerRequest,
@@ -304,7 +332,7 @@
         if entry is None:
             reason = "the upstream is no longer listed"
             return Err(UpstreamCallFailure(Failure.NOT_SENT, reason))
-        held_back = await self.limits.take_shared(entry, self._send_wait_s(pending))
+        held_back = await self._take_turn(entry, action.work_id, pending)
         if held_back is not None:
             return Err(held_back)
         if self.crashes.reports.is_blocked(pending.digest):
@@ -326,6 +354,26 @@
                 self.crashes.record_refusal(entry)
         return result
 
+    async def _take_turn(
+        self, upstream: ListedUpstream, work_id: WorkId, pending: PendingRequest
+    ) -> UpstreamCallFailure | None:
+        """Wait until the upstream's rate limit allows the request to be sent."""
+        latest = self.pools[pending.service].latest_start(work_id)
+        try:
+            async with asyncio.timeout_at(
+                None if latest == float("inf") else latest
+            ) as wait:
+                self.turn_waits[wait] = work_id
+                try:
+                    return await self.limits.take_shared(
+                        upstream, self._send_wait_s(pending)
+                    )
+                finally:
+                    del self.turn_waits[wait]
+        except TimeoutError:
+            reason = "the node stops before the turn of the request"
+            return UpstreamCallFailure(Failure.NOT_SENT, reason)
+
     def _send_wait_s(self, pending: PendingRequest) -> float:
         pool = self.pools[pending.service]
         usable = [self.directory.upstream(name) for name in pool.usable()]
@@ -341,7 +389,10 @@
             pool.post(LimitReport(upstream.upstream_id, limited))
 
     def _attempt_timeout_s(self, pending: PendingRequest) -> float:
-        remaining_s = pending.deadline - asyncio.get_running_loop().time()
+        deadline = pending.deadline
+        if self.stop_at is not None:
+            deadline = min(deadline, self.stop_at)
+        remaining_s = deadline - asyncio.get_running_loop().time()
         is_last = pending.attempts >= pending.route.attempts
         if is_last or pending.route.kind is not RouteKind.SAFE:
             return remaining_s
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/pool_driver.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/pool_driver.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from fulmarpulley_core.ids import UpstreamId
+from fulmarpulley_core.ids import UpstreamId, WorkId
 from fulmarpulley_core.pool.dispatcher import Pool
 from fulmarpulley_core.pool.messages import (
     Action,
@@ -54,6 +54,10 @@
         """Return the upstreams that accept new attempts."""
         return [upstream.upstream_id for upstream in self.pool.usable()]
 
+    def latest_start(self, work_id: WorkId) -> float:
+        """Return the time after which no attempt of a work item may start."""
+        return self.pool.latest_start(work_id)
+
     def close(self) -> None:
         """Stop the timer and ignore further events."""
         self.closed = True
--- a/testing/tests/test_platform_stops.py
+++ b/testing/tests/test_platform_stops.py
@@ -6,8 +6,8 @@
 
 from platform_case import PlatformCase
 
-from fulmarpulley_testing.platform_documents import HOST
-from fulmarpulley_testing.platform_system import NodeProcess
+from fulmarpulley_testing.platform_documents import HOST, configuration
+from fulmarpulley_testing.platform_system import NodeProcess, settle, submit
 from fulmarpulley_testing.processes import wait_for
 from fulmarpulley_testing.serving import LOOPBACK
 
@@ -111,6 +111,117 @@
         self.assertTrue(answers[0].startswith(b"HTTP/1.1 200"))
 
 
+class WaitingRequestTest(PlatformCase):
+    """Guards against requests that wait in a node until it closes their connections."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.node = self.non_owner()
+        self.answers: list[tuple[float, str, bytes]] = []
+        # Requests may wait for longer than the node has left.
+        routes = configuration(0)["Routes"]
+        self.system.configure(Routes=[{**r, "TimeoutMs": 10000} for r in routes])
+
+    async def ask(self, number: int) -> None:
+        """Send a request and record when it ended, its id and its status line."""
+        name = f"q{number}"
+        streams = await asyncio.open_connection(LOOPBACK, self.node.caller_port)
+        head = f"POST /once/a HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 0\r\n"
+        fields = f"Request-Id: {name}\r\nDeadline-Ms: 10000\r\n\r\n"
+        streams[1].write(f"{head}{fields}".encode())
+        try:
+            answer = await streams[0].readuntil(b"\r\n\r\n")
+        except (OSError, asyncio.IncompleteReadError) as fault:
+            answer = repr(fault).encode()
+        status = answer.partition(b"\r\n")[0]
+        self.answers.append((time.monotonic(), name, status))
+        streams[1].close()
+
+    async def stop_among(self, count: int, signals: int = 1) -> float:
+        """Send requests, stop the node meanwhile, and return when it was stopped."""
+        asks = []
+        stopped_at = 0.0
+        for number in range(count):
+            asks.append(asyncio.create_task(self.ask(number)))
+            await asyncio.sleep(0.05)
+            if number == count // 2:
+                stopped_at = time.monotonic()
+                for _ in range(signals):
+                    self.node.signal(signal.SIGTERM)
+                    await asyncio.sleep(0.01)
+        await asyncio.gather(*asks)
+        return stopped_at
+
+    def assert_answered_truly(self) -> None:
+        """Assert that each request got an answer that tells whether it ran."""
+        for _, name, status in self.answers:
+            runs = self.system.all_runs(name)
+            self.assertRegex(status, rb"HTTP/1.1 (200|503|504|502)", name)
+            if status.startswith(b"HTTP/1.1 503"):
+                self.assertEqual(runs, [], name)
+        wait_for(lambda: not self.node.running, "the end of the node")
+        assert self.node.process is not None
+        self.assertEqual(self.node.process.returncode, 0)
+
+    def statuses(self, code: int) -> list[float]:
+        prefix = f"HTTP/1.1 {code}".encode()
+        return [at for at, _, status in self.answers if status.startswith(prefix)]
+
+    def test_requests_that_wait_for_a_free_upstream_are_answered(self) -> None:
+        for desk in self.desks:
+            desk.event_s = WORK_S
+            desk.slots = 2
+            entry = {**self.system.entries[desk.name], "Slots": 2}
+            self.system.put_worker_entry(desk.name, entry)
+        settle(0.5)
+        stopped_at = asyncio.run(self.stop_among(40))
+        self.assert_answered_truly()
+        self.assertGreaterEqual(len(self.statuses(200)), 8)
+        refused = self.statuses(503)
+        self.assertGreater(len(refused), 0)
+        # Of 40 requests on 4 slots, most cannot be served, which is known at once.
+        early = [at for at in refused if at < stopped_at + 4.0]
+        self.assertGreater(len(early), len(refused) / 2)
+
+    def test_requests_that_wait_for_a_turn_are_answered(self) -> None:
+        for desk in self.desks:
+            desk.rate_limit = 0.5
+        asyncio.run(self.stop_among(30))
+        self.assert_answered_truly()
+
+    def test_second_stop_signal_changes_nothing(self) -> None:
+        for desk in self.desks:
+            desk.event_s = 0.5
+        asyncio.run(self.stop_among(20, signals=3))
+        self.assert_answered_truly()
+        self.assertGreaterEqual(len(self.statuses(200)), 10)
+
+    def test_requests_are_answered_while_the_store_is_silent(self) -> None:
+        for desk in self.desks:
+            desk.event_s = WORK_S
+        self.system.store.delay_s = 60.0
+        asyncio.run(self.stop_among(20))
+        self.assert_answered_truly()
+        self.assertGreaterEqual(len(self.statuses(200)), 10)
+
+    def test_trainer_that_waits_for_results_is_answered(self) -> None:
+        for engine in self.engines:
+            engine.event_s = 30.0
+        submit(self.node, "s1", 2)
+        began = time.monotonic()
+        self.node.signal(signal.SIGTERM)
+        while time.monotonic() < began + 6.0:
+            path = "/-/lots/s1?After=0"
+            try:
+                status = self.node.call("GET", path, Wait_Ms="1000").status
+            except ConnectionRefusedError:
+                break
+            except TimeoutError:
+                break
+            self.assertEqual(status, 200)
+        self.assertGreater(time.monotonic(), began + 2.0)
+
+
 class StopTest(PlatformCase):
     """Guards against requests that get no answer because their node stops."""
 
