Bound the memory and the time that all responses under way take together

Reported by operators of similar systems: a faulty upstream sent bytes without end; the node that had called it kept them all, ran out of memory, and the requests of other clients on it ended with it.

It can happen here. Each response was bounded (8 MiB), their sum was not. Exceptions of the HTTP library are kept in reference cycles, and with them the bodies that had been read when a response failed.

Change: bodies above 64 KiB share 4 MiB, besides the oldest one, which may always grow to its limit of 8 MiB, so that each of them ends. Others are not read meanwhile. A body counts until it has been sent to the caller. Connections to upstreams hold little unread. A length above the limit fails at once; a head is parsed in pieces and has at most 16 interim responses; chunks may not be mostly framing or lines; an event has at most 256 KiB. The store's responses have memory of their own.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/connections.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/connections.py
@@ -15,6 +15,9 @@
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from .headers import parse_int
+from .response_memory import MAX_RESPONSE_BYTES
+
 # A connection is closed when sent bytes stay unacknowledged for this long.
 USER_TIMEOUT_MS = 2000
 KEEPALIVE_IDLE_S = 2
@@ -24,14 +27,29 @@
 # Workers close idle connections after 10 s. A shorter timeout here makes it unlikely
 # that a request is sent on a connection that is just being closed.
 IDLE_TIMEOUT_S = 9.0
-# Worker responses have a few KB, streams a few hundred KB, and store pages up to 2 MB.
-# A node with 128 MB of memory survives several responses of this size at a time.
-MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 # Covers interim responses and the final head together; the HTTP library limits only
 # single lines and header fields.
 MAX_HEAD_BYTES = 128 * 1024
+# A head is parsed in pieces of this size, so that few of the objects that the library
+# makes of it exist before a limit ends it.
+HEAD_PIECE_BYTES = 4096
 # Responses with a lower status are interim responses.
 MIN_FINAL_STATUS = 200
+MAX_INTERIM_RESPONSES = 16
+# Each line of a chunked body takes far more time to parse than a byte. A body may have
+# this many lines at once, and more with its size and with the time that it takes, so
+# that large bodies and long streams of small events pass.
+MAX_LINES_AT_ONCE = 8192
+MIN_BYTES_PER_LINE = 64
+MAX_LINES_PER_S = 5000
+# Bytes between the chunks, beyond as many as the body has. A part of the body that is
+# not parsed yet counts, too.
+MAX_FRAMING_BYTES = 512 * 1024
+# The library stops reading a connection when twice this much waits for the reader.
+READ_BUFFER_BYTES = 64 * 1024
+SMALL_READ_BUFFER_BYTES = 16 * 1024
+# Received bytes that the kernel holds count as memory of the process.
+SMALL_RECEIVE_BUFFER_BYTES = 64 * 1024
 # Classic BPF program that drops TCP SYN segments and accepts all others: load the TCP
 # flags, test SYN, return 0 or the whole packet. Python's socket module has no constant
 # for the Linux option that attaches it.
@@ -58,6 +76,10 @@
         self.byte_limit = MAX_HEAD_BYTES
         self.awaiting_response = False
         self.response_body: StreamReader | None = None
+        self.interim_responses = 0
+        self.is_chunked = False
+        self.lines = 0
+        self.requested_at = 0.0
 
     def set_response_params(self, **params: Any) -> None:
         """Reset the counters for the response to a new request."""
@@ -65,6 +87,10 @@
         self.byte_limit = MAX_HEAD_BYTES
         self.awaiting_response = True
         self.response_body = None
+        self.interim_responses = 0
+        self.is_chunked = False
+        self.lines = 0
+        self.requested_at = self._loop.time()
         super().set_response_params(**params)
 
     def data_received(self, data: bytes) -> None:
@@ -74,10 +100,38 @@
             # The previous response is complete, and its caller may still be reading it.
             self._abort()
             return
+        while data and self.awaiting_response and self.response_body is None:
+            piece, data = data[:HEAD_PIECE_BYTES], data[HEAD_PIECE_BYTES:]
+            self._parse(piece)
+            if not data or self._is_closing():
+                return
+        self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
         self.received_bytes += len(data)
+        if self.is_chunked:
+            self.lines += data.count(b"\n")
         super().data_received(data)
         if self.received_bytes > self.byte_limit:
             self._fail_response(f"the response has more than {self.byte_limit} bytes")
+        elif self.interim_responses > MAX_INTERIM_RESPONSES:
+            self._fail_response("the response has too many interim responses")
+        elif self.is_chunked and self.response_body is not None:
+            self._check_chunks(self.response_body)
+
+    def _check_chunks(self, body: StreamReader) -> None:
+        allowed_lines = (
+            MAX_LINES_AT_ONCE
+            + self.received_bytes / MIN_BYTES_PER_LINE
+            + (self._loop.time() - self.requested_at) * MAX_LINES_PER_S
+        )
+        if self.lines > allowed_lines:
+            self._fail_response("the chunks of the response are too small")
+        elif self.received_bytes > 2 * body.total_bytes + MAX_FRAMING_BYTES:
+            self._fail_response("the response has more framing than content")
+
+    def _is_closing(self) -> bool:
+        return self.transport is None or self.transport.is_closing()
 
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
@@ -90,7 +144,15 @@
         if message.code >= MIN_FINAL_STATUS:
             self.byte_limit = MAX_RESPONSE_BYTES
             self.response_body = payload
+            length = parse_int(message.headers.get("Content-Length"))
+            if length is not None and length > MAX_RESPONSE_BYTES:
+                super().feed_data(data, size)
+                self._fail_response(f"the response announces {length} bytes")
+                return
+            self.is_chunked = message.chunked
             payload.on_eof(self._on_response_end)
+        else:
+            self.interim_responses += 1
         super().feed_data(data, size)
 
     def _on_response_end(self) -> None:
@@ -160,18 +222,22 @@
 
 
 def new_session(
-    idle_timeout_s: float = IDLE_TIMEOUT_S, resend: bool = True
+    idle_timeout_s: float = IDLE_TIMEOUT_S,
+    resend: bool = True,
+    small_buffers: bool = False,
 ) -> aiohttp.ClientSession:
     """Return a client session that passes bodies on unchanged.
 
     :param resend: whether a GET, PUT or DELETE may be sent a second time after its
         connection, which had been used before, ended without a response
+    :param small_buffers: whether to hold little of what servers send unasked for
     """
+    read_buffer_bytes = SMALL_READ_BUFFER_BYTES if small_buffers else READ_BUFFER_BYTES
     connector = BoundedResponseConnector(
         limit=0,
         keepalive_timeout=idle_timeout_s,
         use_dns_cache=False,
-        socket_factory=_create_socket,
+        socket_factory=functools.partial(_create_socket, small_buffers),
     )
     session = aiohttp.ClientSession(
         connector=connector,
@@ -179,7 +245,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-        read_bufsize=2**16,
+        read_bufsize=read_buffer_bytes,
     )
     # The library has no public option for this; test_connections fails if the private
     # one stops working.
@@ -212,9 +278,11 @@
     listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
 
 
-def _create_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+def _create_socket(small_buffers: bool, address: aiohttp.AddrInfoType) -> socket.socket:
     family, kind, protocol = address[0], address[1], address[2]
     sock = socket.socket(family=family, type=kind, proto=protocol)
+    if small_buffers:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER_BYTES)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/generation_stream.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/generation_stream.py
@@ -27,6 +27,11 @@
         *blocks, self._rest = (self._rest + data).split(b"\n\n")
         return [_event(block) for block in blocks if block]
 
+    @property
+    def rest_bytes(self) -> int:
+        """Return the size of the incomplete event."""
+        return len(self._rest)
+
     @property
     def inside_event(self) -> bool:
         """Tell whether the data so far ends within an event; comments are none."""
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/ingress.py
@@ -245,7 +245,12 @@
         if isinstance(response, Refusal):
             return _refusal_response(response)
         headers = end_to_end_headers(response.headers)
-        return web.Response(status=response.status, headers=headers, body=response.body)
+        answer = web.Response(
+            status=response.status, headers=headers, body=response.body
+        )
+        # The body takes memory until it has been sent.
+        answer["lease"] = response.lease
+        return answer
 
     def remaining_s(self) -> float:
         """Return the time in which a request must be answered."""
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/store.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/store.py
@@ -16,6 +16,7 @@
 from ..rollout.interfaces import KeyedValue, LogPage, Membership, StoreFailure
 from ..rollout.metrics import RolloutMetrics, labels
 from .connections import RenewableSession
+from .response_memory import ResponseMemory, read_body
 from .wire import (
     AppendedReply,
     ExpiredReply,
@@ -63,6 +64,8 @@
         # Consecutive calls that ended without a response.
         self.unanswered_calls = 0
         self.session = RenewableSession()
+        # Apart from that of upstreams, whose responses must not hold up the store's.
+        self.memory = ResponseMemory()
 
     async def append(
         self, topic: str, partition: int, records: Sequence[bytes]
@@ -235,7 +238,9 @@
                     allow_redirects=False,
                 ) as response,
             ):
-                store_response = StoreResponse(response.status, await response.read())
+                with self.memory.lease() as lease:
+                    content = bytes(await read_body(response, lease))
+                store_response = StoreResponse(response.status, content)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return Err(StoreFailure.UNREACHABLE)
         except (TimeoutError, aiohttp.ClientError, OSError):
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
@@ -29,6 +29,7 @@
 from .connections import close_connection, new_session
 from .generation_stream import EventParser
 from .headers import end_to_end_headers, parse_int
+from .response_memory import ResponseMemory, read_body
 from .wire import ReportReply, VersionOrder
 
 ORDER_TIMEOUT_S = 2.0
@@ -42,6 +43,10 @@
 ACCEPTED = 202
 MISDIRECTED = 421
 MAX_LOGGED_LIMIT_LENGTH = 40
+# Reports list the models and runs of an engine in some KB.
+MAX_REPORT_BYTES = 256 * 1024
+# Events have a few hundred bytes.
+MAX_EVENT_BYTES = 256 * 1024
 SWITCH_MODE_RETAIN = "retain"
 
 
@@ -51,6 +56,7 @@
     def __init__(self, settings: RolloutSettings, limits: RateLimits) -> None:
         self.node_id = settings.node_id
         self.limits = limits
+        self.memory = ResponseMemory()
         # Called for each response of an upstream that is about to leave.
         self.on_leaving: Callable[[ListedUpstream], None] = lambda upstream: None
         self._open_session: aiohttp.ClientSession | None = None
@@ -80,11 +86,16 @@
                 if _belongs_to(response, request.request_id):
                     self._record_leaving(upstream, response)
                     self._record_limit(upstream, response, sent_at)
-                body = await response.read()
                 failure = _check_response(response, request.request_id)
-                if failure is not None:
+                if failure is not None and failure.failure is not Failure.REFUSED:
                     response.close()
                     return Err(failure)
+                with self.memory.lease() as lease:
+                    # Also that of a refusal, after which the connection is used again.
+                    body = await read_body(response, lease)
+                    if failure is not None:
+                        return Err(failure)
+                    lease.keep()
                 response_headers = CIMultiDict(end_to_end_headers(response.headers))
                 return Ok(
                     UpstreamResponse(
@@ -92,6 +103,7 @@
                         signature=response.headers.get("Server-Stamp", ""),
                         headers=response_headers,
                         body=body,
+                        lease=lease,
                     )
                 )
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
@@ -176,7 +188,7 @@
     def _session(self) -> aiohttp.ClientSession:
         if self._open_session is None:
             # A request that was sent may have run, whatever its method is.
-            self._open_session = new_session(resend=False)
+            self._open_session = new_session(resend=False, small_buffers=True)
         return self._open_session
 
     def _record_leaving(
@@ -224,7 +236,12 @@
             self._record_leaving(upstream, response)
             if response.status != 200:
                 raise ValueError(f"the report has status {response.status}")
-            return from_json(await response.read(), ReportReply)
+            body = await self._read_short_body(response)
+            return from_json(bytes(body), ReportReply)
+
+    async def _read_short_body(self, response: aiohttp.ClientResponse) -> bytearray:
+        with self.memory.lease() as lease:
+            return await read_body(response, lease, MAX_REPORT_BYTES)
 
     async def _send_order(
         self, upstream: ListedUpstream, order: LoadOrder, expected_orders: int
@@ -249,7 +266,8 @@
         ):
             _check_control_response(response)
             self._record_leaving(upstream, response)
-            if await response.read() and response.status in (200, ACCEPTED):
+            content = await self._read_short_body(response)
+            if content and response.status in (200, ACCEPTED):
                 # A late copy of a report would state that the order already holds.
                 raise ValueError("the response is not that to an order")
             return response.status
@@ -282,6 +300,10 @@
                 return Err(UpstreamCallFailure(Failure.BROKEN, reason, version=version))
             sink(event.data, version)
             expected += 1
+        if parser.rest_bytes > MAX_EVENT_BYTES:
+            response.close()
+            reason = f"event {expected} has more than {MAX_EVENT_BYTES} bytes"
+            return Err(UpstreamCallFailure(Failure.BROKEN, reason))
     if parser.inside_event:
         response.close()
         reason = f"the stream ends within event {expected}"
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
@@ -163,12 +163,16 @@
 
 
 class UpstreamResponse(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold a complete upstream response, and its signature if it has one."""
+    """Hold a complete upstream response, and its signature if it has one.
+
+    The memory of its body counts as used for as long as something refers to the lease.
+    """
 
     status: int
     signature: str = ""
     headers: CIMultiDict[str]
-    body: bytes
+    body: bytes | bytearray
+    lease: object = None
 
 
 class UpstreamCallFailure(msgspec.Struct, frozen=True):
--- a/packages/fulmarpulley-node/tests/test_endless_answers.py
+++ b/packages/fulmarpulley-node/tests/test_endless_answers.py
@@ -14,10 +14,8 @@
 from fulmarpulley_core.ids import DataCentre, ServiceName, UpstreamId
 from fulmarpulley_core.pool.messages import Failure
 from fulmarpulley_core.rollout.upstreams import ListedUpstream
-from fulmarpulley_node.platform.connections import (
-    MAX_RESPONSE_BYTES,
-    BoundedResponseHandler,
-)
+from fulmarpulley_node.platform.connections import BoundedResponseHandler
+from fulmarpulley_node.platform.response_memory import MAX_RESPONSE_BYTES
 from fulmarpulley_node.platform.store import StoreClient
 from fulmarpulley_node.platform.workers import WorkerClient
 from fulmarpulley_node.rollout.interfaces import (
@@ -89,6 +87,14 @@
         SIGNED_HEAD + b"Content-Length: 99999999999\r\n\r\n",
         endless(b"a"),
     ),
+    "chunks of a byte": (
+        SIGNED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        endless(b"1\r\na\r\n"),
+    ),
+    "extensions of chunks": (
+        SIGNED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        endless(b"1;" + b"x" * 60 + b"\r\na\r\n"),
+    ),
     "the size of a chunk": (
         SIGNED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
         endless(b"0"),
@@ -110,6 +116,15 @@
 }
 
 
+def upstream(address: str) -> ListedUpstream:
+    return ListedUpstream(
+        upstream_id=UpstreamId("u"),
+        service=ServiceName("s"),
+        address=address,
+        data_centre=DataCentre("a1"),
+    )
+
+
 class EndlessCase(unittest.IsolatedAsyncioTestCase):
     @asynccontextmanager
     async def server(
@@ -131,22 +146,12 @@
 class EndlessUpstreamTest(EndlessCase):
     """Guards against a node that reads a response until memory runs out."""
 
-    def upstream(self, address: str) -> ListedUpstream:
-        return ListedUpstream(
-            upstream_id=UpstreamId("u"),
-            service=ServiceName("s"),
-            address=address,
-            data_centre=DataCentre("a1"),
-        )
-
     async def forward(
         self, address: str
     ) -> Result[UpstreamResponse, UpstreamCallFailure]:
         client = WorkerClient(rollout_settings(), unlimited())
         try:
-            return await client.forward(
-                self.upstream(address), caller_request(), DEADLINE_S
-            )
+            return await client.forward(upstream(address), caller_request(), DEADLINE_S)
         finally:
             await client.close()
 
@@ -158,7 +163,7 @@
         try:
             async with asyncio.timeout(DEADLINE_S):
                 return await client.generate(
-                    self.upstream(address), "h", item, 0, 0, lambda data, version: None
+                    upstream(address), "h", item, 0, 0, lambda data, version: None
                 )
         finally:
             await client.close()
@@ -190,6 +195,75 @@
             await self.assert_bounded(server)
 
 
+class LongAnswerTest(EndlessCase):
+    """Guards against sound answers that are cut off as endless."""
+
+    async def test_long_answers_pass(self) -> None:
+        chunked = SIGNED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        size = 6 * 1024 * 1024
+        length = f"Content-Length: {size}\r\n\r\n".encode()
+        answers = {
+            "with a length": (SIGNED_HEAD + length, [b"a" * size]),
+            "in chunks": (
+                chunked,
+                [b"400\r\n" + b"a" * 1024 + b"\r\n"] * (size // 1024),
+            ),
+            "of lines": (SIGNED_HEAD + length, [b"\r\n" * (size // 2)]),
+        }
+        for name, (head, parts) in answers.items():
+            with self.subTest(name):
+                end = [] if "Content-Length" in head.decode() else [b"0\r\n\r\n"]
+                async with self.server(head, [*parts, *end]) as (_, address):
+                    client = WorkerClient(rollout_settings(), unlimited())
+                    result = await client.forward(
+                        upstream(address), caller_request(), DEADLINE_S
+                    )
+                    await client.close()
+                    self.assertEqual(result.map(lambda r: len(r.body)), Ok(size))
+
+    async def test_stream_of_many_small_events_passes(self) -> None:
+        events = 6000
+        batch = 100
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(SIGNED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+            for number in range(1, events + 1):
+                event = f"id: {number}\ndata: x\n\n"
+                writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
+                if number % batch == 0:
+                    await writer.drain()
+                    # Several times faster than engines generate.
+                    await asyncio.sleep(0.1)
+            writer.write(b"0\r\n\r\n")
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        client = WorkerClient(rollout_settings(), unlimited())
+        received: list[bytes] = []
+        item = ItemSpec(
+            item_id="r1",
+            path="/p",
+            headers={},
+            body=b"",
+            prompt_tokens=1,
+            max_tokens=events,
+        )
+        result = await client.generate(
+            upstream(f"{host}:{port}"),
+            "h",
+            item,
+            0,
+            0,
+            lambda data, version: received.append(data),
+        )
+        await client.close()
+        server.close()
+        self.assertEqual((result, len(received)), (Ok(None), events))
+
+
 class EndlessStoreTest(EndlessCase):
     """Guards against a node that reads an endless response of the log store."""
 
--- a/testing/src/fulmarpulley_testing/platform_worker.py
+++ b/testing/src/fulmarpulley_testing/platform_worker.py
@@ -95,6 +95,8 @@
         self.born = 1
         # Requests per second that responses state as the limit of the worker.
         self.rate_limit: float | None = None
+        # Size of the answers to plain requests; 0 for short ones.
+        self.answer_bytes = 0
         self.limit_periods: list[LimitPeriod] = []
         # Times of all requests, including refused ones.
         self.arrivals: list[float] = []
@@ -222,9 +224,8 @@
         if self.answer_truncation is not None:
             return await self._truncate_answer(request, run, self.answer_truncation)
         run.complete = True
-        return web.Response(
-            body=b"answer " + run.body, headers=self._response_headers(run)
-        )
+        body = b"a" * self.answer_bytes or b"answer " + run.body
+        return web.Response(body=body, headers=self._response_headers(run))
 
     async def _stream(
         self, request: web.Request, run: Run, model: str
