Count the intents of an owner whose fence has expired from the log

Cause: an intent counted only if its tenure was that of the newest fence that the node had read. A node that first reads the partition after the owner's fence has expired has read none. It ignored all intents of the present owner and ordered at once as its successor.

Change: as long as a node has read no fence, all intents count; at the next fence they are those of others.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/order_history.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/order_history.py
@@ -35,6 +35,7 @@
     """Track the newest tenure and the intents of it and of earlier ones."""
 
     def __init__(self) -> None:
+        # Empty as long as this node has read no fence.
         self.tenure = ""
         # Time in seconds at which the next record to apply was read, and its offset.
         self.record_read_at_s = 0.0
@@ -56,8 +57,12 @@
         self.own_intents = {}
 
     def apply_intent(self, record: OrderIntent) -> None:
-        """Record an intent unless a newer tenure has started."""
-        if record.tenure == self.tenure:
+        """Record an intent unless a newer tenure has started.
+
+        A node that first reads the log after the fence of its owner has expired cannot
+        tell whose intents are void, so all of them count until the next fence.
+        """
+        if self.tenure in {"", record.tenure}:
             self.own_intents[UpstreamId(record.upstream)] = LatestIntent(
                 self.record_read_at_s, self.offset
             )
--- a/packages/fulmarpulley-core/tests/rollout/test_order_history.py
+++ b/packages/fulmarpulley-core/tests/rollout/test_order_history.py
@@ -94,6 +94,13 @@
         self.intent("old", 90.0)
         self.assertEqual(self.allowed("new"), -math.inf)
 
+    def test_allowed_from_counts_intents_whose_fence_has_expired(self) -> None:
+        # Guards against a successor that orders within the lease, since it first read
+        # the log after the fence of an owner that had held for long.
+        self.intent("old", 10.0)
+        self.fence("new")
+        self.assertEqual(self.allowed("new"), 10.0 + TAKEOVER_WAIT_S)
+
     def test_apply_fence_repeated_changes_nothing(self) -> None:
         # An append without an answer is repeated; own orders are not foreign ones.
         self.fence("new")
--- a/testing/tests/test_platform_owner.py
+++ b/testing/tests/test_platform_owner.py
@@ -127,6 +127,21 @@
         # 3 s would count from the takeover, which comes 0.9 s after the kill.
         self.assertLess(time.monotonic() - killed, 3.9)
 
+    def test_next_owner_waits_for_the_lease_after_the_fence_has_expired(self) -> None:
+        # The next owner reads the partition for the first time when it takes over, and
+        # the last owner has held it for longer than the log keeps records.
+        partition = partition_of(ServiceName(ENGINES), PARTITIONS)
+        wait_for(lambda: bool(self.owner().events("fence_taken")), "a fence")
+        self.system.store.expire_records("steps", partition)
+        self.system.set_target_version(2)
+        wait_for(lambda: all(e.versions["m0"] == 2 for e in self.engines), "loads")
+        self.owner().kill()
+        self.system.set_target_version(3)
+        wait_for(lambda: all(len(e.orders) == 2 for e in self.engines), "orders")
+        for engine in self.engines:
+            first, second = engine.orders
+            self.assertGreater(second.at - first.at, self.lease_ms / 1000)
+
     def test_next_owner_sends_orders_a_lease_after_recent_ones(self) -> None:
         self.system.set_target_version(2)
         wait_for(lambda: all(e.versions["m0"] == 2 for e in self.engines), "loads")
