Keep each request to the number of attempts of its own route

Cause: the pool of a service took the largest number of its routes for all work. For a service of engines it took the practically unlimited number of items.

Evidence: test_routes_of_one_service_have_limits_of_their_own; on the code before a request runs three times where its route allows one run.

Change: work names its own limit, and the smaller one of it and the document's counts.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/attempt_tracker.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/attempt_tracker.py
@@ -126,7 +126,10 @@
             # which is among those that have waited longest.
             self._components.enqueue(item)
             return
-        spent = item.failures >= self._components.document.retries.attempts
+        allowed = self._components.document.retries.attempts
+        if item.work.max_attempts is not None:
+            allowed = min(allowed, item.work.max_attempts)
+        spent = item.failures >= allowed
         if ran and (spent or not item.work.repeatable):
             is_broken = failure is Failure.BROKEN
             self._components.refuse(
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
@@ -64,7 +64,8 @@
     `oldest_version` is that of the `resume_tokens`, which the owner already has. The
     samples of a step start in order of `rank`, then `group`; desk requests of one
     priority in order of `rank`. `length_hint` estimates the generated tokens; it is
-    zero without an estimate.
+    zero without an estimate. `max_attempts` further limits the attempts that may have
+    run.
     """
 
     work_id: WorkId
@@ -78,6 +79,7 @@
     prefix: PrefixId = PrefixId("")
     region: Region = Region("")
     repeatable: bool = True
+    max_attempts: int | None = None
     priority: int = 5
     deadline: float | None = None
     step: StepNumber = StepNumber(0)
--- a/packages/fulmarpulley-core/tests/pool/test_dispatcher.py
+++ b/packages/fulmarpulley-core/tests/pool/test_dispatcher.py
@@ -2,7 +2,12 @@
 
 from fulmarpulley_core.ids import UpstreamId, WorkId
 from fulmarpulley_core.pool import messages as m
-from fulmarpulley_schema.generated.document import AttachState, Limits, ServiceKind
+from fulmarpulley_schema.generated.document import (
+    AttachState,
+    Limits,
+    Retries,
+    ServiceKind,
+)
 from fulmarpulley_schema.generated.http import Ran
 
 from .pool_fixtures import (
@@ -87,6 +92,21 @@
             driver.send(m.DocumentChanged(document(names)))
         self.assertEqual(driver.submit(work("a")), [])
 
+    def test_work_keeps_to_its_own_number_of_attempts(self) -> None:
+        # Guards against routes of one service that share the largest limit.
+        driver = Driver(document(retries=Retries(attempts=3)))
+        for limit in (1, 2):
+            name = f"w{limit}"
+            runs = driver.submit(work(name, max_attempts=limit))
+            while runs:
+                driver.fail(runs[-1].attempt_id, m.Failure.BROKEN)
+                retried = run(driver, 5.0, first=True)
+                if not retried:
+                    break
+                runs += retried
+            self.assertEqual(len(runs), limit)
+            self.assertEqual(refusals(driver.log)[-1].ran, Ran.MAY_HAVE_RUN)
+
     def test_deadline_ends_queued_work_as_not_run(self) -> None:
         driver = Driver(document([upstream("u1", capacity=1)], deadline_s=5.0))
         driver.submit(work("a"), work("b"))
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
@@ -245,6 +245,7 @@
             max_tokens=1,
             region=Region(self.settings.region),
             repeatable=route.kind is RouteKind.SAFE,
+            max_attempts=route.attempts,
             priority=max(0, 9 - route.priority),
             deadline=pending.deadline,
             rank=rank,
--- a/testing/tests/test_platform_desk.py
+++ b/testing/tests/test_platform_desk.py
@@ -4,7 +4,7 @@
 
 from platform_case import PlatformCase
 
-from fulmarpulley_testing.platform_documents import DESK
+from fulmarpulley_testing.platform_documents import DESK, configuration
 from fulmarpulley_testing.platform_store import StoreMode
 from fulmarpulley_testing.platform_system import NodeProcess, settle
 from fulmarpulley_testing.platform_worker import AnswerTruncation, server_stamp
@@ -102,6 +102,34 @@
         self.assertEqual(self.ask(node).status, 503)
 
 
+class AttemptLimitTest(PlatformCase):
+    """Guards against requests that run more often than their route allows."""
+
+    def add_routes(self, *routes: dict[str, Any]) -> None:
+        safe = configuration(0)["Routes"][1]
+        added = [{**safe, "Name": f"r-{n}", **r} for n, r in enumerate(routes)]
+        self.system.configure(Routes=[*configuration(0)["Routes"], *added])
+
+    def ask(self, path: str, name: str) -> int:
+        fields = {"Request_Id": name, "Deadline_Ms": "9000"}
+        return self.nodes[0].call("POST", path, b"text", **fields).status
+
+    def wait_for_route(self, path: str) -> None:
+        wait_for(lambda: self.ask(path, "probe") != 404, "the added routes")
+
+    def test_routes_of_one_service_have_limits_of_their_own(self) -> None:
+        self.add_routes(
+            {"PathPrefix": "/one/", "MaxAttempts": 1},
+            {"PathPrefix": "/three/", "MaxAttempts": 3},
+        )
+        self.wait_for_route("/one/a")
+        for desk in self.desks:
+            desk.answer_truncation = AnswerTruncation.UNSENT
+        for number in range(3):
+            self.assertIn(self.ask("/one/a", f"one-{number}"), (502, 504))
+            self.assertEqual(len(self.system.all_runs(f"one-{number}")), 1)
+
+
 class CutAnswerTest(PlatformCase):
     """Guards against truncated answers that a node accepts or wrongly retries."""
 
