Do not take plain requests to engines for stalled ones

Cause: attempts on engines that send no token for a while are ended as stalled. The answer to a plain request is one whole, so it has no tokens before its end.

Change: work says whether it streams; requests that the node forwards do not.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/attempt_tracker.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/attempt_tracker.py
@@ -29,8 +29,8 @@
         self._components = components
 
     def watch(self, attempt: Attempt) -> None:
-        """Check a started attempt for stalls; plain services send no tokens."""
-        if attempt.upstream.is_engine():
+        """Check a started attempt for stalls, if it sends tokens."""
+        if attempt.upstream.is_engine() and attempt.item.work.streams:
             self._schedule_stall_check(attempt)
 
     def on_progress(self, event: AttemptProgress, now: float) -> None:
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
@@ -65,7 +65,8 @@
     samples of a step start in order of `rank`, then `group`; desk requests of one
     priority in order of `rank`. `length_hint` estimates the generated tokens; it is
     zero without an estimate. `max_attempts` further limits the attempts that may have
-    run.
+    run. Work that does not stream has no tokens before its end, whatever upstream runs
+    it.
     """
 
     work_id: WorkId
@@ -80,6 +81,7 @@
     region: Region = Region("")
     repeatable: bool = True
     max_attempts: int | None = None
+    streams: bool = True
     priority: int = 5
     deadline: float | None = None
     step: StepNumber = StepNumber(0)
--- a/packages/fulmarpulley-core/tests/pool/test_dispatcher.py
+++ b/packages/fulmarpulley-core/tests/pool/test_dispatcher.py
@@ -107,6 +107,13 @@
             self.assertEqual(len(runs), limit)
             self.assertEqual(refusals(driver.log)[-1].ran, Ran.MAY_HAVE_RUN)
 
+    def test_work_that_does_not_stream_is_not_cut_off_for_its_silence(self) -> None:
+        # Guards against plain requests to engines that are taken for stalled ones.
+        driver = Driver(document(stall_s=2.0, deadline_s=30.0))
+        driver.submit(work("a", streams=False, deadline=20.0))
+        self.assertEqual(run(driver, 19.0), [])
+        self.assertEqual(refusals(driver.log), [])
+
     def test_deadline_ends_queued_work_as_not_run(self) -> None:
         driver = Driver(document([upstream("u1", capacity=1)], deadline_s=5.0))
         driver.submit(work("a"), work("b"))
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
@@ -246,6 +246,7 @@
             region=Region(self.settings.region),
             repeatable=route.kind is RouteKind.SAFE,
             max_attempts=route.attempts,
+            streams=False,
             priority=max(0, 9 - route.priority),
             deadline=pending.deadline,
             rank=rank,
--- a/testing/tests/test_platform_desk.py
+++ b/testing/tests/test_platform_desk.py
@@ -4,7 +4,7 @@
 
 from platform_case import PlatformCase
 
-from fulmarpulley_testing.platform_documents import DESK, configuration
+from fulmarpulley_testing.platform_documents import DESK, ENGINES, configuration
 from fulmarpulley_testing.platform_store import StoreMode
 from fulmarpulley_testing.platform_system import NodeProcess, settle
 from fulmarpulley_testing.platform_worker import AnswerTruncation, server_stamp
@@ -129,6 +129,21 @@
             self.assertIn(self.ask("/one/a", f"one-{number}"), (502, 504))
             self.assertEqual(len(self.system.all_runs(f"one-{number}")), 1)
 
+    def test_plain_request_to_engines_runs_once_however_long_it_is_silent(self) -> None:
+        self.add_routes(
+            {
+                "PathPrefix": "/long/",
+                "MaxAttempts": 1,
+                "Service": ENGINES,
+                "TimeoutMs": 8000,
+            }
+        )
+        self.wait_for_route("/long/a")
+        for engine in self.engines:
+            engine.event_s = 3.0
+        self.assertEqual(self.ask("/long/a", "long"), 200)
+        self.assertEqual(len(self.system.all_runs("long")), 1)
+
 
 class CutAnswerTest(PlatformCase):
     """Guards against truncated answers that a node accepts or wrongly retries."""
