--- a/packages/fulmarpulley-node/tests/test_endless_answers.py
+++ b/packages/fulmarpulley-node/tests/test_endless_answers.py
@@ -195,6 +195,39 @@
             await self.assert_bounded(server)
 
 
+class ParsedBytesTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against bytes that take far more time to parse than to receive."""
+
+    async def test_costly_bytes_are_cut_off_long_before_the_limit_of_size(self) -> None:
+        costly = {
+            name: (HEADS | BODIES)[name]
+            for name in (
+                "interim responses",
+                "a body in chunks",
+                "chunks of a byte",
+                "the size of a chunk",
+                "the trailer",
+            )
+        }
+        for name, (head, rest) in costly.items():
+            with self.subTest(name):
+                protocol = BoundedResponseHandler(asyncio.get_running_loop())
+                transport = unittest.mock.Mock(spec=asyncio.Transport)
+                transport.is_closing.return_value = False
+                protocol.connection_made(transport)
+                protocol.set_response_params(read_until_eof=True)
+                received = iter(itertools.chain([head], rest))
+                sent = 0
+                while not transport.abort.called and not transport.close.called:
+                    data = next(received)
+                    protocol.data_received(data)
+                    body = protocol.response_body
+                    if body is not None and body.exception() is None:
+                        body.read_nowait(-1)
+                    sent += len(data)
+                    self.assertLess(sent, MAX_RESPONSE_BYTES / 8)
+
+
 class LongAnswerTest(EndlessCase):
     """Guards against sound answers that are cut off as endless."""
 
