--- a/packages/fulmarpulley-core/src/fulmarpulley_core/ids.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/ids.py
@@ -20,6 +20,7 @@
 ModelName = NewType("ModelName", str)
 PrefixId = NewType("PrefixId", str)
 RequestDigest = NewType("RequestDigest", str)
+AccountName = NewType("AccountName", str)
 
 Offset = NewType("Offset", int)
 Revision = NewType("Revision", int)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/topology.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/topology.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..ids import ModelName, RouteName, ServiceName
+from ..ids import DataCentre, ModelName, RouteName, ServiceName
 
 
 class RouteKind(StrEnum):
@@ -25,12 +25,28 @@
     models: tuple[ModelName, ...]
 
 
+class ScalingLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Bound the upstreams that may be ordered for a service in each data centre.
+
+    :param boot_s: time from an order until a new upstream serves
+    :param spot_price: price of an upstream that may be reclaimed, as a share of others
+    :param prices: price of an upstream and second by data centre
+    """
+
+    minimum: int
+    maximum: int
+    boot_s: float
+    spot_price: float = 1.0
+    prices: dict[DataCentre, float] = {}
+
+
 class Service(msgspec.Struct, frozen=True, kw_only=True):
     """Describe a service; one without an engine answers plain requests."""
 
     name: ServiceName
     connection_limit: int = 0
     engine: EngineLimits | None = None
+    scaling: ScalingLimits | None = None
 
 
 class WeightedService(msgspec.Struct, frozen=True):
@@ -56,6 +72,7 @@
     single_version: bool = False
     retention_s: float = 0.0
     result_deadline_s: float = 0.0
+    anonymous: bool = False
 
 
 class CallerLimits(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/upstreams.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/upstreams.py
@@ -21,7 +21,12 @@
 
 
 class ListedUpstream(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold the entry of an upstream; `started_ms` differs between its starts."""
+    """Hold the entry of an upstream; `started_ms` differs between its starts.
+
+    A spot upstream may be reclaimed, together with all others of its data centre.
+
+    :param leaves_ms: remaining time of an upstream that is being reclaimed
+    """
 
     upstream_id: UpstreamId
     service: ServiceName
@@ -31,6 +36,8 @@
     slots: int = 1
     started_ms: int = 0
     versions: dict[ModelName, Version] = {}
+    spot: bool = False
+    leaves_ms: float | None = None
 
 
 class UpstreamDirectory:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
@@ -1,6 +1,6 @@
 """Define the interfaces between a node and the platform it runs on."""
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
@@ -8,7 +8,15 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from result import Result
 
-from fulmarpulley_core.ids import FenceNumber, ModelName, UpstreamId, Version
+from fulmarpulley_core.ids import (
+    AccountName,
+    DataCentre,
+    FenceNumber,
+    ModelName,
+    ServiceName,
+    UpstreamId,
+    Version,
+)
 from fulmarpulley_core.pool.messages import Failure
 from fulmarpulley_core.rollout.topology import Topology
 from fulmarpulley_core.rollout.upstreams import ListedUpstream
@@ -149,7 +157,9 @@
 class CallerRequest(msgspec.Struct, frozen=True, kw_only=True):
     """Hold a caller's request; `target` is the unmodified path and query.
 
-    :param caller: credentials of the caller; empty if there are none
+    :param caller: what identifies the caller; empty if nothing does
+    :param account: client account of the caller; empty if the deployment has none
+    :param priority: that of the account, before the route's; 0 is the most urgent
     """
 
     request_id: str
@@ -160,6 +170,8 @@
     body: bytes
     deadline: float | None
     caller: str = ""
+    account: AccountName = AccountName("")
+    priority: int | None = None
 
 
 class UpstreamResponse(msgspec.Struct, frozen=True, kw_only=True):
@@ -195,6 +207,35 @@
     permit: Callable[[], Awaitable[bool]]
 
 
+class DutyFailure(StrEnum):
+    """Classify failed duty calls; only an UNKNOWN one may have taken effect."""
+
+    FENCED = "fenced"
+    REJECTED = "rejected"
+    UNAVAILABLE = "unavailable"
+    UNREACHABLE = "unreachable"
+    UNKNOWN = "unknown"
+
+
+class DutyCalls(Protocol):
+    """Make the calls to the platform that are the duty of one node at a time."""
+
+    async def report_usage(
+        self, window: int, counts: Mapping[AccountName, int], fence: FenceNumber
+    ) -> Result[None, DutyFailure]:
+        """Report how many requests of each account began in a window."""
+
+    async def order_upstreams(
+        self,
+        service: ServiceName,
+        data_centre: DataCentre,
+        count: int,
+        spot: bool,
+        fence: FenceNumber,
+    ) -> Result[None, DutyFailure]:
+        """Order the number of upstreams that a service has in a data centre."""
+
+
 EventSink = Callable[[bytes, int], None]
 
 
