Identify client accounts by their keys

A deployment with accounts was served without looking at keys: removed and unknown keys were served, and upstreams saw keys instead of accounts.

Nodes now look keys up by digest, refuse unknown ones, name the account to upstreams and remove the key. With a revocation time, a node that has not read the configuration for nearly as long refuses keys and reports not ready before. Steps keep the account that submitted them, and other accounts get 404.

Route and configuration decoding, checks of responses, trainers' calls and the node's own responses move to modules of their own.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/ids.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/ids.py
@@ -21,6 +21,7 @@
 PrefixId = NewType("PrefixId", str)
 RequestDigest = NewType("RequestDigest", str)
 AccountName = NewType("AccountName", str)
+KeyDigest = NewType("KeyDigest", bytes)
 
 Offset = NewType("Offset", int)
 Revision = NewType("Revision", int)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/topology.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/topology.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..ids import DataCentre, ModelName, RouteName, ServiceName
+from .accounts import AccountTable
 
 
 class RouteKind(StrEnum):
@@ -57,7 +58,10 @@
 
 
 class Route(msgspec.Struct, frozen=True, kw_only=True):
-    """Describe a route, which matches a host and a path prefix."""
+    """Describe a route, which matches a host and a path prefix.
+
+    :param anonymous: whether requests need no key of a client account
+    """
 
     name: RouteName
     host: str
@@ -85,12 +89,16 @@
 
 
 class Topology(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold one version of the configuration as a whole."""
+    """Hold one version of the configuration as a whole.
+
+    :param accounts: None if the deployment has no client accounts
+    """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: dict[ServiceName, Service] = {}
     limits: CallerLimits = CallerLimits()
+    accounts: AccountTable | None = None
 
 
 class RouteTable:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/step_messages.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/step_messages.py
@@ -1,5 +1,6 @@
 """Convert trainers' submissions and the results of their steps."""
 
+from fulmarpulley_core.ids import AccountName
 from fulmarpulley_schema.generated.steps import (
     ItemResult,
     ItemSpec,
@@ -10,7 +11,7 @@
 from ..rollout.clock import unix_ms
 from ..rollout.step_frontend import ResultPage
 from . import wire
-from .headers import parse_int
+from .headers import parse_int, without_identity
 
 
 def to_step(
@@ -19,10 +20,13 @@
     host: str,
     path: str,
     config_version: int,
+    account: AccountName | None = None,
 ) -> StepAccepted:
     """Convert a submission; raise ValueError for missing or duplicate ids.
 
     :param config_version: version of the configuration that has the step's route
+    :param account: client account that submits the step, empty for an anonymous one;
+        None if the deployment has no accounts
     """
     if not step_id or not step_id.isascii():
         raise ValueError("the submission has no valid Request-Id")
@@ -38,7 +42,8 @@
         min_version=submission.min_version,
         target_groups=submission.target_groups,
         config_version=config_version,
-        items=[_to_item(item) for item in submission.items],
+        account=account or "",
+        items=[_to_item(item, account is not None) for item in submission.items],
     )
 
 
@@ -58,7 +63,9 @@
     )
 
 
-def _to_item(item: wire.ItemEntry) -> ItemSpec:
+def _to_item(item: wire.ItemEntry, has_accounts: bool) -> ItemSpec:
+    # Keys among the headers of an item must not get onto the log.
+    kept = dict(without_identity(item.headers)) if has_accounts else item.headers
     headers = {name.lower(): value for name, value in item.headers.items()}
     prompt, _, output = headers.get("token-counts", "").partition(",")
     prompt_tokens = parse_int(prompt) or 0
@@ -66,7 +73,7 @@
     return ItemSpec(
         item_id=item.item_id,
         path=item.path,
-        headers=item.headers,
+        headers=kept,
         body=item.body,
         prompt_tokens=prompt_tokens,
         max_tokens=parse_int(output) or max(0, item.tokens - prompt_tokens),
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/topic_watcher.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/topic_watcher.py
@@ -13,21 +13,11 @@
 from fulmarpulley_core.ids import (
     DataCentre,
     ModelName,
-    RouteName,
     ServiceName,
     UpstreamId,
     Version,
 )
 from fulmarpulley_core.registry import Registry
-from fulmarpulley_core.rollout.topology import (
-    CallerLimits,
-    EngineLimits,
-    Route,
-    RouteKind,
-    Topology,
-    WeightedService,
-)
-from fulmarpulley_core.rollout.topology import Service as TopologyService
 from fulmarpulley_core.rollout.upstreams import ListedState, ListedUpstream
 from fulmarpulley_schema.codec import from_json
 
@@ -43,6 +33,7 @@
 )
 from ..rollout.metrics import RolloutMetrics, labels
 from . import wire
+from .config_messages import to_topology
 from .headers import parse_int
 from .store import StoreClient, keyed_topic
 
@@ -232,8 +223,12 @@
             result = await (self._list() if self.offset is None else self._read())
             if isinstance(result, Ok):
                 self._record_contact()
+                is_listing = self.offset is None
                 result.ok_value()
-                if not self.has_backlog:
+                if is_listing and self.offset is not None:
+                    # A listing holds all records written before it began.
+                    self.handler.handle_end(started_at_s)
+                elif not self.has_backlog:
                     self.handler.handle_end(started_at_s)
                     await asyncio.sleep(self.batch_interval_s)
                 continue
@@ -256,7 +251,9 @@
 
     async def _read(self) -> Result[Callable[[], None], StoreFailure]:
         start = self.offset or 0
-        result = await self.store.read(self.topic, 0, start, self.long_poll_s)
+        # After an outage, an answer at once shows sooner that the records are current.
+        wait_s = 0.0 if self.contact_lost else self.long_poll_s
+        result = await self.store.read(self.topic, 0, start, wait_s)
         if isinstance(result, Err):
             return result
         page = result.ok_value
@@ -297,7 +294,10 @@
 
 @key_handlers.register("config")
 def handle_config(listener: DirectoryListener, key: str, value: bytes) -> None:
-    """Apply a configuration; keep the previous one if it cannot be decoded."""
+    """Apply a configuration; keep the previous one if it cannot be decoded.
+
+    Texts of the decoder's errors name types and positions, never values.
+    """
     try:
         topology = to_topology(from_json(value, wire.ConfigEntry))
     except (msgspec.DecodeError, ValueError) as error:
@@ -317,25 +317,6 @@
     listener.version_announced(ModelName(entry.model), Version(entry.version))
 
 
-def to_topology(entry: wire.ConfigEntry) -> Topology:
-    """Convert a configuration; raise ValueError for an invalid route."""
-    limits = entry.limits
-    return Topology(
-        version=entry.version,
-        routes=tuple(_to_route(route) for route in entry.routes),
-        services={
-            ServiceName(service.name): _to_service(service)
-            for service in entry.services
-        },
-        limits=CallerLimits(
-            header_bytes=limits.header_bytes,
-            body_bytes=limits.body_bytes,
-            header_timeout_s=limits.header_timeout_ms / 1000,
-            idle_timeout_s=limits.idle_timeout_ms / 1000,
-        ),
-    )
-
-
 def decode_upstream(key: str, value: bytes) -> ListedUpstream | None:
     """Convert the entry of a worker, or return None if it cannot be decoded."""
     try:
@@ -368,44 +349,3 @@
     number = parse_int(port)
     if number is None or not 0 < number <= MAX_PORT:
         raise ValueError(f"address {address!r} has no valid port")
-
-
-def _to_route(entry: wire.RouteEntry) -> Route:
-    if entry.service is not None:
-        parts = [WeightedService(ServiceName(entry.service), 1)]
-    else:
-        parts = [WeightedService(ServiceName(p.service), p.weight) for p in entry.split]
-    if not parts:
-        raise ValueError(f"route {entry.name} names no service")
-    return Route(
-        name=RouteName(entry.name),
-        host=entry.host,
-        prefix=entry.prefix,
-        kind=RouteKind(entry.kind),
-        services=tuple(parts),
-        timeout_s=entry.timeout_ms / 1000,
-        target_s=entry.target_ms / 1000,
-        priority=entry.priority,
-        attempts=max(1, entry.max_attempts),
-        resumable=entry.resumable,
-        single_version=entry.single_version,
-        retention_s=entry.retention_s,
-        result_deadline_s=entry.result_deadline_ms / 1000,
-    )
-
-
-def _to_service(entry: wire.ServiceEntry) -> TopologyService:
-    engine = entry.engine
-    limits = None
-    if engine is not None:
-        limits = EngineLimits(
-            slots=engine.slots,
-            cache_tokens=engine.cache_tokens,
-            tokens_per_event=max(1, engine.stride),
-            models=tuple(ModelName(model.name) for model in engine.models),
-        )
-    return TopologyService(
-        name=ServiceName(entry.name),
-        connection_limit=entry.connection_limit,
-        engine=limits,
-    )
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/wire.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/wire.py
@@ -112,6 +112,7 @@
     single_version: bool = msgspec.field(name="SingleVersion", default=False)
     retention_s: float = msgspec.field(name="RetentionS", default=0.0)
     result_deadline_ms: float = msgspec.field(name="ResultDeadlineMs", default=0.0)
+    anonymous: bool = msgspec.field(name="AllowAnonymous", default=False)
 
 
 class EngineModel(msgspec.Struct):
@@ -147,6 +148,14 @@
     idle_timeout_ms: float = msgspec.field(name="IdleTimeoutMs", default=15000.0)
 
 
+class TenantEntry(msgspec.Struct):
+    """Describe a client account."""
+
+    name: str = msgspec.field(name="Name")
+    keys: list[str] = msgspec.field(name="ApiKeys", default=[])
+    priority: Int64 | None = msgspec.field(name="Priority", default=None)
+
+
 class ConfigEntry(msgspec.Struct):
     """Hold a version of the operator's configuration."""
 
@@ -154,6 +163,8 @@
     routes: list[RouteEntry] = msgspec.field(name="Routes")
     services: list[ServiceEntry] = msgspec.field(name="Services")
     limits: LimitsEntry = msgspec.field(name="Limits", default_factory=LimitsEntry)
+    # None if the deployment has no client accounts.
+    tenants: list[TenantEntry] | None = msgspec.field(name="Tenants", default=None)
 
 
 class VersionEntry(msgspec.Struct):
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 from yarl import URL
 
+from fulmarpulley_core.ids import AccountName
 from fulmarpulley_core.pool.messages import Failure
 from fulmarpulley_core.rollout.upstreams import ListedUpstream
 from fulmarpulley_schema.codec import from_json
@@ -26,9 +27,16 @@
     UpstreamResponse,
 )
 from ..rollout.rate_limits import RateLimits
-from .connections import close_connection, new_session
+from .connections import new_session
 from .generation_stream import EventParser
-from .headers import end_to_end_headers, parse_int
+from .headers import ACCOUNT_HEADER, end_to_end_headers, parse_int, without_identity
+from .response_checks import (
+    MISDIRECTED,
+    belongs_to,
+    check_control_response,
+    check_response,
+    check_stream,
+)
 from .response_memory import ResponseMemory, read_body
 from .wire import ReportReply, VersionOrder
 
@@ -41,7 +49,6 @@
 # Limit for an item without a token limit.
 DEFAULT_MAX_EVENTS = 1_000_000
 ACCEPTED = 202
-MISDIRECTED = 421
 MAX_LOGGED_LIMIT_LENGTH = 40
 # Reports list the models and runs of an engine in some KB.
 MAX_REPORT_BYTES = 256 * 1024
@@ -67,6 +74,8 @@
         """Send a plain request and return the complete response."""
         headers = end_to_end_headers(request.headers)
         headers["Expected-Instance"] = upstream.upstream_id
+        if request.account:
+            headers[ACCOUNT_HEADER] = request.account
         if request.deadline is not None:
             remaining_s = request.deadline - asyncio.get_running_loop().time()
             headers["Deadline-Ms"] = str(max(1, int(remaining_s * 1000)))
@@ -83,10 +92,10 @@
                     allow_redirects=False,
                 ) as response,
             ):
-                if _belongs_to(response, request.request_id):
+                if belongs_to(response, request.request_id):
                     self._record_leaving(upstream, response)
                     self._record_limit(upstream, response, sent_at)
-                failure = _check_response(response, request.request_id)
+                failure = check_response(response, request.request_id)
                 if failure is not None and failure.failure is not Failure.REFUSED:
                     response.close()
                     return Err(failure)
@@ -117,9 +126,14 @@
         resume_after: int,
         min_version: int,
         sink: EventSink,
+        account: AccountName | None = None,
     ) -> Result[None, UpstreamCallFailure]:
         """Run an item, resumed after an event, and pass on each event and version."""
         headers = CIMultiDict(item.headers)
+        if account is not None:
+            headers = without_identity(headers)
+        if account:
+            headers[ACCOUNT_HEADER] = account
         headers["Host"] = host
         headers["Request-Id"] = item.item_id
         headers["Expected-Instance"] = upstream.upstream_id
@@ -131,10 +145,10 @@
             async with self._session.post(
                 url, headers=headers, data=item.body, allow_redirects=False
             ) as response:
-                if _belongs_to(response, item.item_id):
+                if belongs_to(response, item.item_id):
                     self._record_leaving(upstream, response)
                     self._record_limit(upstream, response, sent_at)
-                failure = _check_response(response, item.item_id) or _check_stream(
+                failure = check_response(response, item.item_id) or check_stream(
                     response, min_version
                 )
                 if failure is not None:
@@ -232,7 +246,7 @@
             asyncio.timeout(ORDER_TIMEOUT_S),
             self._session.get(url, headers=headers) as response,
         ):
-            _check_control_response(response)
+            check_control_response(response)
             self._record_leaving(upstream, response)
             if response.status != 200:
                 raise ValueError(f"the report has status {response.status}")
@@ -264,7 +278,7 @@
             asyncio.timeout(ORDER_TIMEOUT_S),
             self._session.post(url, headers=headers, data=body) as response,
         ):
-            _check_control_response(response)
+            check_control_response(response)
             self._record_leaving(upstream, response)
             content = await self._read_short_body(response)
             if content and response.status in (200, ACCEPTED):
@@ -311,53 +325,6 @@
     return Ok(None)
 
 
-def _belongs_to(response: aiohttp.ClientResponse, request_id: str) -> bool:
-    """Tell whether a response is that to a request.
-
-    A late copy of the response to an earlier request on the connection has its id.
-    """
-    return response.headers.get("Request-Id", "") == request_id
-
-
-def _check_control_response(response: aiohttp.ClientResponse) -> None:
-    """Raise ValueError for a late copy of the response to a caller's request.
-
-    Reports and orders have no request id, so that their responses have none.
-    """
-    if "Request-Id" in response.headers:
-        close_connection(response)
-        raise ValueError("the response belongs to another request")
-
-
-def _check_response(
-    response: aiohttp.ClientResponse, request_id: str
-) -> UpstreamCallFailure | None:
-    """Return why a response is invalid or says that the request was not run."""
-    status = response.status
-    # A response to another request says nothing about this one, which may have run.
-    if not _belongs_to(response, request_id):
-        # The response to this request is still to come.
-        close_connection(response)
-        return UpstreamCallFailure(
-            Failure.BROKEN, "the response belongs to another request"
-        )
-    if "Not-Executed" in response.headers or status == MISDIRECTED:
-        return UpstreamCallFailure(
-            Failure.REFUSED, f"request not run, status {status}", status
-        )
-    signature = response.headers.get("Server-Stamp")
-    if 200 <= status < 300 and signature is None:
-        return UpstreamCallFailure(Failure.BROKEN, "the response is not signed")
-    if signature is not None and not signature.isascii():
-        # It could be passed on neither in a header nor in a record.
-        return UpstreamCallFailure(Failure.BROKEN, "the signature is not text")
-    if not _has_length(response):
-        # The end of such a body is the end of the connection, and the client library
-        # does not report whether that was closed or reset.
-        return UpstreamCallFailure(Failure.BROKEN, "the response has no length")
-    return None
-
-
 def _parse_limit(text: str) -> float | None:
     """Return the requests per second, or None if the text is not such a number."""
     try:
@@ -368,27 +335,6 @@
     return requests_per_s if is_rate else None
 
 
-def _has_length(response: aiohttp.ClientResponse) -> bool:
-    chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
-    bodiless = response.method == "HEAD" or response.status in (204, 304)
-    return chunked or bodiless or "Content-Length" in response.headers
-
-
-def _check_stream(
-    response: aiohttp.ClientResponse, version: int
-) -> UpstreamCallFailure | None:
-    status = response.status
-    if status != 200:
-        return UpstreamCallFailure(Failure.ERRORED, f"status {status}", status)
-    served = parse_int(response.headers.get("Weight-Versions"))
-    if served is None:
-        return UpstreamCallFailure(Failure.BROKEN, "the response has no weight version")
-    if served < version:
-        reason = f"the engine serves version {served}, older than {version}"
-        return UpstreamCallFailure(Failure.REFUSED, reason, status, served)
-    return None
-
-
 def _to_call_failure(error: Exception) -> UpstreamCallFailure:
     connect_errors = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
     failure = Failure.NOT_SENT if isinstance(error, connect_errors) else Failure.BROKEN
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/attempts.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/attempts.py
@@ -5,7 +5,7 @@
 
 from result import Err, Ok, Result
 
-from fulmarpulley_core.ids import AttemptId, ModelName, Version
+from fulmarpulley_core.ids import AccountName, AttemptId, ModelName, Version
 from fulmarpulley_core.pool.messages import (
     AttemptFailed,
     AttemptFinished,
@@ -123,6 +123,7 @@
                 len(attempt.events),
                 run.step.accepted.min_version,
                 sink,
+                self._account(run),
             )
         except Exception as error:
             # The pool waits for the outcome of each attempt.
@@ -136,6 +137,13 @@
         else:
             self._report_failure(attempt, pool, result.err_value, tokens_per_event)
 
+    def _account(self, run: ItemRun) -> AccountName | None:
+        """Return the account that the upstream is told; None without accounts."""
+        account = AccountName(run.step.accepted.account)
+        routes = self.directory.routes
+        has_accounts = routes is not None and routes.topology.accounts is not None
+        return account if account or has_accounts else None
+
     def _report_failure(
         self,
         attempt: AttemptRun,
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/directory.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/directory.py
@@ -16,6 +16,10 @@
 from .metrics import RolloutMetrics
 
 EXPIRY_INTERVAL_S = 0.25
+# A node that has not read the configuration for longer, for example after a pause,
+# cannot tell that a route or a key does not exist. Shorter than the time within which
+# an acknowledged configuration must be in force.
+MAX_CONFIG_AGE_S = 2.0
 # Shorter gaps between two responses of the store do not count as an outage.
 MIN_OUTAGE_S = 1.0
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
@@ -255,10 +255,13 @@
         resume_after: int,
         min_version: int,
         sink: EventSink,
+        account: AccountName | None = None,
     ) -> Result[None, UpstreamCallFailure]:
         """Generate an item, passing each event and its version to `sink`.
 
         :param resume_after: number of events that the item already has
+        :param account: that of the item's step, empty if it has none; None if the
+            deployment has no accounts
         """
 
     async def refuses_connections(self, upstream: ListedUpstream) -> bool:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
@@ -36,6 +36,9 @@
         self.blocked_requests = self.gauge(
             "blocked_requests", "Requests that are blocked since they crash upstreams"
         )
+        self.unauthorized = self.counter(
+            "unauthorized_requests", "Requests refused for their key by reason"
+        )
         self.config_version = self.gauge(
             "config_version", "Version of the configuration in force"
         )
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_frontend.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_frontend.py
@@ -7,7 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from fulmarpulley_core.ids import ItemId, StepId
+from fulmarpulley_core.ids import AccountName, ItemId, StepId
 from fulmarpulley_core.rollout.step_fold import Step
 from fulmarpulley_core.rollout.topology import Route, RouteKind
 from fulmarpulley_schema.generated.steps import (
@@ -67,12 +67,18 @@
         self.partitions = partitions
         self.metrics = metrics
 
-    async def submit(self, route: Route, step: StepAccepted) -> StepOutcome:
-        """Accept a step once; REFUSED guarantees that none of it will run."""
+    async def submit(
+        self, route: Route, step: StepAccepted, account: AccountName | None = None
+    ) -> StepOutcome:
+        """Accept a step once; REFUSED guarantees that none of it will run.
+
+        :param account: that of the trainer, empty for an anonymous one; None if the
+            deployment has no accounts
+        """
         started_at = time.monotonic()
         outcome, reason = StepOutcome.UNKNOWN, "the trainer closed its connection"
         try:
-            outcome, reason = await self._submit(route, step)
+            outcome, reason = await self._submit(route, step, account)
         finally:
             self._log_submission(
                 route, step, outcome, reason, time.monotonic() - started_at
@@ -102,11 +108,12 @@
         )
 
     async def _submit(
-        self, route: Route, step: StepAccepted
+        self, route: Route, step: StepAccepted, account: AccountName | None
     ) -> tuple[StepOutcome, str]:
         step_id = StepId(step.step_id)
-        if self.partitions.find_loaded(step_id) is not None:
-            return StepOutcome.DONE, "accepted before"
+        known = self.partitions.find_loaded(step_id)
+        if known is not None:
+            return self._access(known[1], account), "accepted before"
         deadline = time.monotonic() + SUBMIT_TIMEOUT_S
         preferred = self.partitions.follower_for_service(route.services[0].service)
         try:
@@ -118,22 +125,36 @@
             # Nothing was accepted yet.
             return StepOutcome.REFUSED, "the nodes could not agree on a partition"
         if accepted:
-            return StepOutcome.DONE, f"accepted before in partition {partition}"
+            known = self.partitions.find_loaded(step_id)
+            access = self._access(known[1], account) if known else StepOutcome.DONE
+            return access, f"accepted before in partition {partition}"
         follower = self.partitions.followers[partition]
+        return await self._accept(follower, step, account, deadline)
+
+    async def _accept(
+        self,
+        follower: PartitionFollower,
+        step: StepAccepted,
+        account: AccountName | None,
+        deadline: float,
+    ) -> tuple[StepOutcome, str]:
+        """Append the record that accepts a step."""
+        step_id = StepId(step.step_id)
         may_be_appended = False
         while True:
             result = await self._append(follower, step, deadline)
-            if isinstance(result, Ok):
+            if isinstance(result, Ok) and account is None:
                 return StepOutcome.DONE, f"offset {result.ok_value}"
+            if isinstance(result, Ok):
+                return await self._confirm(follower, step_id, account, deadline)
             failure = result.err_value
             may_be_appended = may_be_appended or failure is StoreFailure.UNKNOWN
             if may_be_appended:
                 await follower.sync(max(0.0, deadline - time.monotonic()))
-                if self.partitions.find_loaded(step_id) is not None:
-                    return (
-                        StepOutcome.DONE,
-                        "found after an unacknowledged append",
-                    )
+                known = self.partitions.find_loaded(step_id)
+                if known is not None:
+                    reason = "found after an unacknowledged append"
+                    return self._access(known[1], account), reason
             if time.monotonic() + RETRY_DELAY_S + MIN_APPEND_S >= deadline:
                 outcome = (
                     StepOutcome.UNKNOWN if may_be_appended else StepOutcome.REFUSED
@@ -141,6 +162,40 @@
                 return outcome, failure.value
             await asyncio.sleep(RETRY_DELAY_S)
 
+    async def _confirm(
+        self,
+        follower: PartitionFollower,
+        step_id: StepId,
+        account: AccountName | None,
+        deadline: float,
+    ) -> tuple[StepOutcome, str]:
+        """Tell whether an appended step counts, or another account's of the same id."""
+        synced = await follower.sync(max(0.0, deadline - time.monotonic()))
+        known = self.partitions.find_loaded(step_id)
+        if known is not None:
+            return self._access(known[1], account), "read back"
+        reason = "not found" if synced else "not read back"
+        return StepOutcome.UNKNOWN, f"{reason} after an acknowledged append"
+
+    def _access(self, step: Step, account: AccountName | None) -> StepOutcome:
+        """Return DONE if a client may use a step."""
+        routes, accepted = self.directory.routes, step.accepted
+        if routes is None:
+            return StepOutcome.REFUSED
+        if account is None:
+            # A configuration that this node has not read may introduce accounts.
+            outdated = routes.topology.version < accepted.config_version
+            refused = bool(accepted.account) and outdated
+            return StepOutcome.REFUSED if refused else StepOutcome.DONE
+        if accepted.account:
+            own = accepted.account == account
+            return StepOutcome.DONE if own else StepOutcome.NOT_FOUND
+        if account:
+            return StepOutcome.DONE
+        route = routes.find(accepted.host, accepted.path)
+        anonymous = route is not None and route.anonymous
+        return StepOutcome.DONE if anonymous else StepOutcome.NOT_FOUND
+
     async def _append(
         self, follower: PartitionFollower, step: StepAccepted, deadline: float
     ) -> Result[int, StoreFailure]:
@@ -151,11 +206,16 @@
             return Err(StoreFailure.UNKNOWN)
 
     async def results(
-        self, host: str, step_id: StepId, after: int, wait_s: float
+        self,
+        host: str,
+        step_id: StepId,
+        after: int,
+        wait_s: float,
+        account: AccountName | None = None,
     ) -> Result[ResultPage, StepOutcome]:
         """Return the results from a position on, waiting for the first of them."""
         deadline = time.monotonic() + wait_s
-        found = await self._find(host, step_id)
+        found = await self._find(host, step_id, account)
         if isinstance(found, Err):
             return found
         follower, step = found.ok_value
@@ -192,24 +252,32 @@
         return Ok(ResultPage(step.total, after + len(complete), complete))
 
     async def body(
-        self, host: str, step_id: StepId, item_id: ItemId
+        self,
+        host: str,
+        step_id: StepId,
+        item_id: ItemId,
+        account: AccountName | None = None,
     ) -> Result[bytes, StepOutcome]:
         """Return the request body of an item that has no result yet."""
-        found = await self._find(host, step_id)
+        found = await self._find(host, step_id, account)
         if isinstance(found, Err):
             return found
         body = found.ok_value[1].body(item_id)
         return Err(StepOutcome.NOT_FOUND) if body is None else Ok(body)
 
-    async def end(self, host: str, step_id: StepId) -> StepOutcome:
+    async def end(
+        self, host: str, step_id: StepId, account: AccountName | None = None
+    ) -> StepOutcome:
         """End a step, retrying until the log accepts it or END_TIMEOUT_S has passed."""
-        outcome = await self._end(host, step_id)
+        outcome = await self._end(host, step_id, account)
         log_event("step_ended", step=step_id, outcome=outcome.value)
         return outcome
 
-    async def _end(self, host: str, step_id: StepId) -> StepOutcome:
+    async def _end(
+        self, host: str, step_id: StepId, account: AccountName | None
+    ) -> StepOutcome:
         deadline = time.monotonic() + END_TIMEOUT_S
-        found = await self._find(host, step_id)
+        found = await self._find(host, step_id, account)
         if isinstance(found, Err):
             return found.err_value
         follower, step = found.ok_value
@@ -224,7 +292,7 @@
         return StepOutcome.DONE
 
     async def _find(
-        self, host: str, step_id: StepId
+        self, host: str, step_id: StepId, account: AccountName | None
     ) -> Result[tuple[PartitionFollower, Step], StepOutcome]:
         routes = self.directory.routes
         if routes is None:
@@ -241,7 +309,8 @@
             return Err(StepOutcome.REFUSED)
         if found.ok_value is None:
             return Err(StepOutcome.NOT_FOUND)
-        return Ok(found.ok_value)
+        access = self._access(found.ok_value[1], account)
+        return Ok(found.ok_value) if access is StepOutcome.DONE else Err(access)
 
 
 def _results_for_page(step: Step, after: int) -> list[ItemResult]:
--- a/packages/fulmarpulley-node/tests/test_platform_decoding.py
+++ b/packages/fulmarpulley-node/tests/test_platform_decoding.py
@@ -3,11 +3,12 @@
 import msgspec
 
 from fulmarpulley_node.platform import wire
+from fulmarpulley_node.platform.config_messages import to_topology
 from fulmarpulley_node.platform.generation_stream import EventParser, StreamEvent
 from fulmarpulley_node.platform.headers import end_to_end_headers
 from fulmarpulley_node.platform.step_messages import to_step
 from fulmarpulley_node.platform.store import frame, unframe
-from fulmarpulley_node.platform.topic_watcher import decode_upstream, to_topology
+from fulmarpulley_node.platform.topic_watcher import decode_upstream
 
 SERVER = {
     "Service": "s",
--- a/packages/fulmarpulley-node/tests/test_wire_names.py
+++ b/packages/fulmarpulley-node/tests/test_wire_names.py
@@ -9,6 +9,7 @@
 ROOT = Path(__file__).resolve().parents[3]
 PLATFORM = ROOT / "packages/fulmarpulley-node/src/fulmarpulley_node/platform"
 HEADERS = {
+    "Authorization",
     "Deadline-Ms",
     "Expected-Instance",
     "Last-Event-Id",
@@ -17,6 +18,7 @@
     "Server-Leaving",
     "Server-Limit",
     "Server-Stamp",
+    "Tenant",
     "Token-Counts",
     "Wait-Ms",
     "Weight-Versions",
