--- a/testing/src/fulmarpulley_testing/findings.py
+++ b/testing/src/fulmarpulley_testing/findings.py
@@ -24,6 +24,7 @@
     LATE_RUN = "late_run"
     ORDER_CONFLICT = "order_conflict"
     LIMIT_EXCEEDED = "limit_exceeded"
+    LEAKED_KEY = "leaked_key"
 
 
 # Column of the summary line in which a fault is counted.
@@ -42,6 +43,7 @@
     Fault.LATE_RUN: "mislabelled",
     Fault.ORDER_CONFLICT: "mislabelled",
     Fault.LIMIT_EXCEEDED: "mislabelled",
+    Fault.LEAKED_KEY: "mislabelled",
     Fault.MISLABELLED: "mislabelled",
     Fault.STALE: "stale",
 }
--- a/testing/src/fulmarpulley_testing/platform_clients.py
+++ b/testing/src/fulmarpulley_testing/platform_clients.py
@@ -50,6 +50,15 @@
         self.history = system.history
         self.name = name
         self.random = rng
+        keys = system.platform.account_keys or {}
+        names = list(keys)
+        # The last character of a client's name is its number.
+        self.account = names[int(name[-1]) % len(names)] if names else None
+        self.credentials: dict[str, str] = {}
+        if self.account is not None:
+            # Workers must see the account of the key, not the one that clients name.
+            key = keys[self.account][0]
+            self.credentials = {"Authorization": f"Bearer {key}", "Tenant": "another"}
 
     @abstractmethod
     async def run(self) -> None:
@@ -77,6 +86,7 @@
         header_fields = {
             name.replace("_", "-"): value for name, value in headers.items()
         }
+        header_fields |= self.credentials
         connector = aiohttp.TCPConnector(force_close=True)
         try:
             async with (
@@ -124,6 +134,7 @@
             items=2 * self.random.randint(2, 6),
             min_version=max(1, self.system.version - 1),
             rewards=self.random.random() < REWARD_PROBABILITY,
+            account=self.account,
         )
         self.history.steps[step.step_id] = step
         await self._submit(step, number)
@@ -209,6 +220,7 @@
             body=f"body of {request_id}".encode(),
             repeatable=repeatable,
             began=time.monotonic(),
+            account=self.account,
         )
         self.history.requests[request_id] = request
         return request
@@ -220,6 +232,7 @@
             "Host": HOST,
             "Request-Id": request.request_id,
             "Deadline-Ms": str(DEADLINE_MS),
+            **self.credentials,
         }
         url = f"http://{LOOPBACK}:{node.caller_port}{request.path}"
         try:
--- a/testing/src/fulmarpulley_testing/platform_documents.py
+++ b/testing/src/fulmarpulley_testing/platform_documents.py
@@ -12,6 +12,8 @@
 ROLLOUT_PREFIX = "/lot/"
 DESK_PREFIX = "/desk/"
 UNSAFE_PREFIX = "/once/"
+# Keys of client accounts, by name.
+ACCOUNT_KEYS = {"acme": ["key-of-acme-1", "key-of-acme-2"], "bolt": ["key-of-bolt"]}
 
 
 def configuration(version: int) -> dict[str, Any]:
@@ -66,6 +68,11 @@
     }
 
 
+def tenants(keys: dict[str, list[str]]) -> list[dict[str, Any]]:
+    """Return the client accounts of a configuration."""
+    return [{"Name": name, "ApiKeys": list(own)} for name, own in keys.items()]
+
+
 def reward_id(item: str) -> str:
     """Return the request id of an item's reward call."""
     return f"{item}-reward"
--- a/testing/src/fulmarpulley_testing/platform_history.py
+++ b/testing/src/fulmarpulley_testing/platform_history.py
@@ -35,6 +35,7 @@
     items: int
     min_version: int
     rewards: bool = False
+    account: str | None = None
     statuses: list[int] = []
     accepted_at: float | None = None
     ended_at: float | None = None
@@ -62,6 +63,7 @@
     body: bytes
     repeatable: bool
     began: float
+    account: str | None = None
     ended: float = 0.0
     status: int = 0
     answer: bytes = b""
--- a/testing/src/fulmarpulley_testing/platform_soak.py
+++ b/testing/src/fulmarpulley_testing/platform_soak.py
@@ -20,13 +20,18 @@
 import msgspec
 
 # Register faults and checks.
-from . import platform_changes, platform_crashes, platform_limits  # noqa: F401
+from . import (  # noqa: F401
+    platform_accounts,
+    platform_changes,
+    platform_crashes,
+    platform_limits,
+)
 from .fault_proxy import FaultProxy
 from .findings import Finding
 from .output import print_flushed
 from .platform_checks import CheckContext, check_all
 from .platform_clients import CallerClient, Client, Trainer
-from .platform_documents import DESK, ENGINES, MODEL
+from .platform_documents import ACCOUNT_KEYS, DESK, ENGINES, MODEL
 from .platform_faults import FaultContext, platform_faults
 from .platform_history import PlatformHistory
 from .platform_store import OPERATOR_TOPIC
@@ -61,6 +66,7 @@
     faults_at_once: int = 3
     faults_per_round: int = 6
     lease_ms: float = 1000.0
+    accounts: bool = False
 
 
 class SoakSystem:
@@ -70,6 +76,8 @@
         self.folder = folder
         self.settings = settings
         self.platform = PlatformSystem(folder)
+        if settings.accounts:
+            self.platform.account_keys = ACCOUNT_KEYS
         self.history = PlatformHistory()
         self.store_proxies: dict[str, FaultProxy] = {}
         self.worker_proxies: dict[str, FaultProxy] = {}
@@ -182,6 +190,8 @@
         self.store_proxies[name] = proxy
         lease_ms = self.settings.lease_ms
         node = NodeProcess(name, self.folder, proxy.port, lease_ms)
+        if self.settings.accounts:
+            node.key = next(keys[0] for keys in ACCOUNT_KEYS.values())
         self.platform.nodes.append(node)
         node.start()
 
@@ -275,17 +285,24 @@
 
 
 def main(
-    *, seed: int = 1, seconds: float = 60.0, nodes: int = 5, keep: str = ""
+    *,
+    seed: int = 1,
+    seconds: float = 60.0,
+    nodes: int = 5,
+    accounts: bool = False,
+    keep: str = "",
 ) -> None:
     """Run random faults for some seconds; exit with 1 when a check found a violation.
 
+    :param accounts: Whether clients have accounts and send keys.
     :param keep: Folder for the logs of the nodes; a temporary one when empty.
     """
     exit_on_sigterm()
     with ExitStack() as stack:
         folder = Path(keep or stack.enter_context(tempfile.TemporaryDirectory()))
         folder.mkdir(parents=True, exist_ok=True)
-        found = run_soak(folder, SoakSettings(seed=seed, nodes=nodes), seconds)
+        settings = SoakSettings(seed=seed, nodes=nodes, accounts=accounts)
+        found = run_soak(folder, settings, seconds)
         sys.exit(1 if found else 0)
 
 
--- a/testing/src/fulmarpulley_testing/platform_system.py
+++ b/testing/src/fulmarpulley_testing/platform_system.py
@@ -24,6 +24,7 @@
     ROLLOUT_PREFIX,
     configuration,
     submission,
+    tenants,
 )
 from .platform_store import OPERATOR_TOPIC, SERVER_TOPIC, PlatformStore
 from .platform_worker import PlatformWorker
@@ -56,11 +57,19 @@
     """Configure and control the process of one node."""
 
     def __init__(
-        self, name: str, folder: Path, store_port: int, lease_ms: float = 100.0
+        self,
+        name: str,
+        folder: Path,
+        store_port: int,
+        lease_ms: float = 100.0,
+        revoke_ms: float | None = None,
     ) -> None:
         self.name = name
+        self.revoke_ms = revoke_ms
         self.lease_ms = lease_ms
         self.caller_port, self.readiness_port, self.metrics_port = free_ports(3)
+        # Sent with each call that has no credentials of its own, unless it is empty.
+        self.key = ""
         self.log_path = folder / f"{name}.log"
         self.clock_shift_path = folder / f"{name}.clock"
         self.settings_path = folder / f"{name}.jsonc"
@@ -106,6 +115,8 @@
         header_fields = {
             name.replace("_", "-"): value for name, value in headers.items()
         }
+        if self.key:
+            header_fields.setdefault("Authorization", f"Bearer {self.key}")
         try:
             connection.request(method, path, body, {"Host": HOST, **header_fields})
             response = connection.getresponse()
@@ -144,7 +155,11 @@
                 "partitions": PARTITIONS,
                 "member_ttl_ms": MEMBER_TTL_MS,
             },
-            "bounds": {"lease_ms": self.lease_ms, "grace_s": 8.0},
+            "bounds": {
+                "lease_ms": self.lease_ms,
+                "grace_s": 8.0,
+                "revoke_ms": self.revoke_ms,
+            },
         }
 
 
@@ -168,6 +183,10 @@
         self.store_port = 0
         self.config_version = 0
         self.added_routes: list[dict[str, Any]] = []
+        # Keys of the client accounts by name; None for a deployment without accounts.
+        self.account_keys: dict[str, list[str]] | None = None
+        # Settings of the nodes that are added.
+        self.revoke_ms: float | None = None
 
     def __enter__(self) -> Self:
         """Start the event loop and the store."""
@@ -246,6 +265,8 @@
         self.config_version += 1
         config = configuration(self.config_version)
         config["Routes"] += self.added_routes
+        if self.account_keys is not None:
+            config["Tenants"] = tenants(self.account_keys)
         self.run(self.store.put(OPERATOR_TOPIC, "config", {**config, **changes}))
 
     def add_route(self, prefix: str) -> None:
@@ -264,7 +285,7 @@
         self, name: str, wait: bool = True, lease_ms: float = 100.0
     ) -> NodeProcess:
         """Start a node and wait until it is ready, unless told not to."""
-        node = NodeProcess(name, self.folder, self.store_port, lease_ms)
+        node = NodeProcess(name, self.folder, self.store_port, lease_ms, self.revoke_ms)
         self.nodes.append(node)
         node.start()
         if wait:
--- a/testing/src/fulmarpulley_testing/platform_worker.py
+++ b/testing/src/fulmarpulley_testing/platform_worker.py
@@ -44,6 +44,10 @@
     ended: bool = False
     # Whether the run crashed the worker.
     crashed: bool = False
+    # Account that the request names.
+    account: str | None = None
+    # Credentials that the request carries.
+    credentials: str | None = None
 
 
 class Order(msgspec.Struct):
@@ -200,6 +204,8 @@
             path=request.raw_path,
             body=await request.read(),
             started=time.monotonic(),
+            account=headers.get("Tenant"),
+            credentials=headers.get("Authorization"),
         )
         self.runs.append(run)
         if run.body in self.deadly_bodies:
--- a/testing/tests/test_platform_checks.py
+++ b/testing/tests/test_platform_checks.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from fulmarpulley_testing import (  # noqa: F401
+    platform_accounts,
     platform_changes,
     platform_crashes,
     platform_limits,
@@ -97,6 +98,15 @@
         self.add_run()
         self.assertEqual(self.faults(), set())
 
+    def test_key_or_wrong_account_at_a_worker_is_found(self) -> None:
+        self.add_request(account="a")
+        run = self.add_run(account="a")
+        self.assertEqual(self.faults(), set())
+        run.credentials = "Bearer k"
+        self.assertEqual(self.faults(), {Fault.LEAKED_KEY})
+        run.credentials, run.account = None, "b"
+        self.assertEqual(self.faults(), {Fault.MISLABELLED})
+
     def test_refused_request_that_ran_is_found(self) -> None:
         self.add_request(status=503)
         self.add_run()
