Remove and add keys of accounts in the platform soak

The soak had accounts with fixed keys, so neither the revocation of keys nor new keys were played. Each round now changes keys twice beside its faults: one is removed, brought back or added. Callers choose among the keys of their account, one time in five a removed one. Soaks without accounts choose the same faults as before.

--- a/testing/src/fulmarpulley_testing/platform_changes.py
+++ b/testing/src/fulmarpulley_testing/platform_changes.py
@@ -60,7 +60,7 @@
         added_at = context.history.route_added_at(request.path)
         if request.status != 404 or request.began <= added_at + APPLY_BOUND_S:
             continue
-        if not _excused(context, request, added_at, WindowKind.STORE):
+        if not is_excused(context, request, added_at, WindowKind.STORE):
             after = request.began - added_at
             detail = f"404 from {request.node} {after:.1f} s after its route was added"
             yield Finding(Fault.STALE, request.request_id, detail)
@@ -85,13 +85,13 @@
         for run in context.runs.get(request.request_id, []):
             since = told_at.get((request.node, run.worker), float("inf"))
             late = request.began > since + DRAIN_BOUND_S
-            if late and not _excused(context, request, since):
+            if late and not is_excused(context, request, since):
                 after = request.began - since
                 detail = f"reached {run.worker} {after:.1f} s after it said it leaves"
                 yield Finding(Fault.LATE_RUN, request.request_id, detail)
 
 
-def _excused(
+def is_excused(
     context: CheckContext, request: RequestSeen, begin: float, *kinds: WindowKind
 ) -> bool:
     """Tell whether a fault of the request's node explains a late reaction."""
--- a/testing/src/fulmarpulley_testing/platform_clients.py
+++ b/testing/src/fulmarpulley_testing/platform_clients.py
@@ -37,6 +37,7 @@
 REQUEST_PAUSE_S = 0.15
 ADDED_ROUTE_PROBABILITY = 0.5
 REQUESTS_PER_CONNECTION = 12
+REMOVED_KEY_PROBABILITY = 0.2
 # Trainers read incomplete steps again at the end of a soak up to this age.
 MAX_REREAD_AGE_S = 60.0
 FINAL_READ_TIMEOUT_S = 35.0
@@ -54,11 +55,21 @@
         names = list(keys)
         # The last character of a client's name is its number.
         self.account = names[int(name[-1]) % len(names)] if names else None
-        self.credentials: dict[str, str] = {}
-        if self.account is not None:
-            # Workers must see the account of the key, not the one that clients name.
-            key = keys[self.account][0]
-            self.credentials = {"Authorization": f"Bearer {key}", "Tenant": "another"}
+
+    def choose_key(self, removed_probability: float = 0.0) -> str | None:
+        """Choose a key of the client's account, perhaps one that was removed."""
+        if self.account is None:
+            return None
+        removed = [
+            each.key
+            for each in self.history.removed_keys
+            if each.account == self.account
+        ]
+        if removed and self.random.random() < removed_probability:
+            return self.random.choice(removed)
+        return self.random.choice(
+            (self.system.platform.account_keys or {})[self.account]
+        )
 
     @abstractmethod
     async def run(self) -> None:
@@ -86,7 +97,7 @@
         header_fields = {
             name.replace("_", "-"): value for name, value in headers.items()
         }
-        header_fields |= self.credentials
+        header_fields |= key_headers(self.choose_key())
         connector = aiohttp.TCPConnector(force_close=True)
         try:
             async with (
@@ -221,6 +232,7 @@
             repeatable=repeatable,
             began=time.monotonic(),
             account=self.account,
+            key=self.choose_key(REMOVED_KEY_PROBABILITY),
         )
         self.history.requests[request_id] = request
         return request
@@ -232,7 +244,7 @@
             "Host": HOST,
             "Request-Id": request.request_id,
             "Deadline-Ms": str(DEADLINE_MS),
-            **self.credentials,
+            **key_headers(request.key),
         }
         url = f"http://{LOOPBACK}:{node.caller_port}{request.path}"
         try:
@@ -248,3 +260,11 @@
         except (TimeoutError, aiohttp.ClientError, OSError):
             request.status = 0
         request.ended = time.monotonic()
+
+
+def key_headers(key: str | None) -> dict[str, str]:
+    """Return the headers of a client with a key.
+
+    Workers must see the account of the key, not the one that clients name.
+    """
+    return {"Authorization": f"Bearer {key}", "Tenant": "another"} if key else {}
--- a/testing/src/fulmarpulley_testing/platform_documents.py
+++ b/testing/src/fulmarpulley_testing/platform_documents.py
@@ -13,6 +13,7 @@
 DESK_PREFIX = "/desk/"
 UNSAFE_PREFIX = "/once/"
 # Keys of client accounts, by name.
+# The first key of an account is never removed.
 ACCOUNT_KEYS = {"acme": ["key-of-acme-1", "key-of-acme-2"], "bolt": ["key-of-bolt"]}
 
 
--- a/testing/src/fulmarpulley_testing/platform_history.py
+++ b/testing/src/fulmarpulley_testing/platform_history.py
@@ -28,6 +28,15 @@
         return self.begin <= end and begin <= self.end
 
 
+class RemovedKey(msgspec.Struct, kw_only=True):
+    """Hold when the removal of a key was accepted, and when the key was to return."""
+
+    account: str
+    key: str
+    removed_at: float
+    restored_at: float = float("inf")
+
+
 class StepSeen(msgspec.Struct, kw_only=True):
     """Hold what a trainer observed of a step."""
 
@@ -64,6 +73,7 @@
     repeatable: bool
     began: float
     account: str | None = None
+    key: str | None = None
     ended: float = 0.0
     status: int = 0
     answer: bytes = b""
@@ -85,6 +95,9 @@
         self.draining: dict[str, float] = {}
         # By prefix, the monotonic time when the store accepted an added route.
         self.added_routes: dict[str, float] = {}
+        # By key, the monotonic time when the store last accepted it as added.
+        self.added_keys: dict[str, float] = {}
+        self.removed_keys: list[RemovedKey] = []
         self.nonzero_exits: list[str] = []
 
     def answers(self) -> int:
--- a/testing/src/fulmarpulley_testing/platform_soak.py
+++ b/testing/src/fulmarpulley_testing/platform_soak.py
@@ -21,7 +21,6 @@
 
 # Register faults and checks.
 from . import (  # noqa: F401
-    platform_accounts,
     platform_changes,
     platform_crashes,
     platform_limits,
@@ -29,11 +28,12 @@
 from .fault_proxy import FaultProxy
 from .findings import Finding
 from .output import print_flushed
+from .platform_accounts import KEYS_CHANGED, REVOKE_MS
 from .platform_checks import CheckContext, check_all
 from .platform_clients import CallerClient, Client, Trainer
 from .platform_documents import ACCOUNT_KEYS, DESK, ENGINES, MODEL
 from .platform_faults import FaultContext, platform_faults
-from .platform_history import PlatformHistory
+from .platform_history import PlatformHistory, RemovedKey
 from .platform_store import OPERATOR_TOPIC
 from .platform_system import RESTART_S, NodeProcess, PlatformSystem
 from .platform_worker import PlatformWorker
@@ -77,7 +77,7 @@
         self.settings = settings
         self.platform = PlatformSystem(folder)
         if settings.accounts:
-            self.platform.account_keys = ACCOUNT_KEYS
+            self.platform.account_keys = {n: list(k) for n, k in ACCOUNT_KEYS.items()}
         self.history = PlatformHistory()
         self.store_proxies: dict[str, FaultProxy] = {}
         self.worker_proxies: dict[str, FaultProxy] = {}
@@ -170,6 +170,34 @@
             self.platform.add_route(prefix)
             self.history.added_routes[prefix] = time.monotonic()
 
+    def change_keys(self, rng: random.Random) -> None:
+        """Write the next configuration, with one key less or more."""
+        history = self.history
+        with self.config_lock:
+            accounts = self.platform.account_keys or {}
+            account = rng.choice(list(accounts))
+            keys = accounts[account]
+            if len(keys) > 1 and rng.random() < 0.5:
+                key = keys.pop(rng.randrange(1, len(keys)))
+                self.platform.configure()
+                history.removed_keys.append(
+                    RemovedKey(account=account, key=key, removed_at=time.monotonic())
+                )
+                return
+            absent = [
+                each
+                for each in history.removed_keys
+                if each.account == account and each.restored_at == float("inf")
+            ]
+            if absent and rng.random() < 0.5:
+                returning = rng.choice(absent)
+                key, returning.restored_at = returning.key, time.monotonic()
+            else:
+                key = f"key-of-{account}-added-{len(history.added_keys)}"
+            keys.append(key)
+            self.platform.configure()
+            history.added_keys[key] = time.monotonic()
+
     def refresh_entries(self) -> None:
         """Update the entries to the versions that workers serve, as heartbeats do."""
         for name, entry in list(self.entries.items()):
@@ -189,7 +217,8 @@
         proxy, _ = self._proxy(self.platform.store_port)
         self.store_proxies[name] = proxy
         lease_ms = self.settings.lease_ms
-        node = NodeProcess(name, self.folder, proxy.port, lease_ms)
+        revoke_ms = REVOKE_MS if self.settings.accounts else None
+        node = NodeProcess(name, self.folder, proxy.port, lease_ms, revoke_ms)
         if self.settings.accounts:
             node.key = next(keys[0] for keys in ACCOUNT_KEYS.values())
         self.platform.nodes.append(node)
@@ -229,8 +258,11 @@
 
     def _round(self, number: int) -> None:
         names = self.random.choices(
-            list(platform_faults), k=self.settings.faults_per_round
+            [name for name in platform_faults if name != KEYS_CHANGED],
+            k=self.settings.faults_per_round,
         )
+        if self.settings.accounts:
+            names = [KEYS_CHANGED, *names, KEYS_CHANGED]
         print_flushed(f"round {number}: {' '.join(names)}")
         context = FaultContext(self.system, self.random.randrange(2**32))
         context.run_all(names, self.settings.faults_at_once)
--- a/testing/tests/test_platform_checks.py
+++ b/testing/tests/test_platform_checks.py
@@ -6,16 +6,17 @@
 import msgspec
 
 from fulmarpulley_testing import (  # noqa: F401
-    platform_accounts,
-    platform_changes,
     platform_crashes,
     platform_limits,
 )
 from fulmarpulley_testing.findings import Fault
+from fulmarpulley_testing.platform_accounts import REVOKE_MS
+from fulmarpulley_testing.platform_changes import APPLY_BOUND_S
 from fulmarpulley_testing.platform_checks import CheckContext, check_all
 from fulmarpulley_testing.platform_history import (
     FaultWindow,
     PlatformHistory,
+    RemovedKey,
     RequestSeen,
     StepSeen,
     WindowKind,
@@ -107,6 +108,29 @@
         run.credentials, run.account = None, "b"
         self.assertEqual(self.faults(), {Fault.MISLABELLED})
 
+    def test_run_with_a_key_that_was_removed_long_before_is_found(self) -> None:
+        self.add_request(key="k", began=self.now, ended=self.now + 1)
+        self.add_run()
+        removed = RemovedKey(
+            account="a", key="k", removed_at=self.now - REVOKE_MS / 1000 + 0.1
+        )
+        self.history.removed_keys.append(removed)
+        self.assertEqual(self.faults(), set())
+        removed.removed_at -= 0.2
+        self.assertEqual(self.faults(), {Fault.LATE_RUN})
+        removed.restored_at = self.now + 0.5
+        self.assertEqual(self.faults(), set())
+
+    def test_key_that_is_refused_long_after_it_was_added_is_found(self) -> None:
+        self.add_request(key="k", began=self.now, status=401)
+        self.history.added_keys["k"] = self.now - APPLY_BOUND_S + 0.1
+        self.assertEqual(self.faults(), set())
+        self.history.added_keys["k"] -= 0.2
+        self.assertEqual(self.faults(), {Fault.STALE})
+        removed = RemovedKey(account="a", key="k", removed_at=self.now)
+        self.history.removed_keys.append(removed)
+        self.assertEqual(self.faults(), set())
+
     def test_refused_request_that_ran_is_found(self) -> None:
         self.add_request(status=503)
         self.add_run()
