Run duties with the fence and the permits of partition ownership

Some calls to the platform are the duty of one node at a time. DutyRunner runs the registered duty tasks during the tenure of a partition, and makes their calls with an intent on the log before each, as orders to engines have. Ownership has lists of listeners.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/ids.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/ids.py
@@ -21,6 +21,7 @@
 PrefixId = NewType("PrefixId", str)
 RequestDigest = NewType("RequestDigest", str)
 AccountName = NewType("AccountName", str)
+DutySubject = NewType("DutySubject", str)
 
 Offset = NewType("Offset", int)
 Revision = NewType("Revision", int)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
@@ -11,6 +11,7 @@
 from ..rollout.crash_reports import CrashReports
 from ..rollout.crash_watch import CrashWatch
 from ..rollout.directory import Directory
+from ..rollout.duties import DutyRunner
 from ..rollout.forwarder import Forwarder
 from ..rollout.log_line_writer import LogLineWriter
 from ..rollout.metrics import RolloutMetrics
@@ -21,6 +22,7 @@
 from ..rollout.shared_limits import SharedLimits
 from ..rollout.step_frontend import StepFrontend
 from ..rollout.step_homes import StepHomes
+from .duty_calls import DutyClient, configured_duties
 from .ingress import Ingress
 from .store import StoreClient
 from .topic_watcher import TopicWatcher
@@ -72,6 +74,16 @@
             self.ownership,
             self.metrics,
         )
+        self.duty_calls = DutyClient(settings)
+        self.duties = DutyRunner(
+            settings,
+            self.directory,
+            self.partitions,
+            self.ownership,
+            self.duty_calls,
+            configured_duties(settings),
+            self.metrics,
+        )
         self.steps = StepFrontend(self.directory, self.partitions, self.metrics)
         self.forwarder = Forwarder(
             settings,
@@ -94,6 +106,7 @@
             self.partitions,
             self.shared_limits,
             self.ingress,
+            self.duties,
             self.ownership,
         )
 
@@ -122,8 +135,9 @@
         await self.ownership.leave()
 
     async def close(self) -> None:
-        """Close the connections to the workers and the store."""
+        """Close the connections to the workers, the platform and the store."""
         await self.workers.close()
+        await self.duty_calls.close()
         await self.store.close()
 
     def _ignore_settings_signal(self) -> None:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/wire.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/wire.py
@@ -4,10 +4,13 @@
 wire name.
 """
 
+from collections.abc import Mapping
 from typing import Annotated
 
 import msgspec
 
+from fulmarpulley_core.ids import AccountName
+
 # The range of numbers that can be written to the log. Larger ones are valid JSON, and
 # other writers may leave some.
 Int64 = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
@@ -235,3 +238,19 @@
     total: int = msgspec.field(name="Total")
     next_position: int = msgspec.field(name="Next")
     results: list[ResultEntry] = msgspec.field(name="Results")
+
+
+class UsageReportBody(msgspec.Struct):
+    """Report the requests of each account that began to run in a window."""
+
+    window: int = msgspec.field(name="Window")
+    counts: Mapping[AccountName, int] = msgspec.field(name="Counts")
+
+
+class ScalingOrder(msgspec.Struct, omit_defaults=True):
+    """Order the number of upstreams of a service in a data centre."""
+
+    service: str = msgspec.field(name="Service")
+    zone: str = msgspec.field(name="Zone")
+    count: int = msgspec.field(name="TargetGroups")
+    spot: bool = msgspec.field(name="Spot", default=False)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
@@ -36,6 +36,10 @@
         self.blocked_requests = self.gauge(
             "blocked_requests", "Requests that are blocked since they crash upstreams"
         )
+        self.duty_calls = self.counter("duty_calls", "Duty calls by duty and outcome")
+        self.duties_held = self.gauge(
+            "duties_held", "Partitions for which this node holds a duty"
+        )
         self.config_version = self.gauge(
             "config_version", "Version of the configuration in force"
         )
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/ownership.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/ownership.py
@@ -14,7 +14,7 @@
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 from fulmarpulley_schema.generated.steps import OrderIntent, OwnerFence
 
-from ..background_tasks import BackgroundTasks
+from ..background_tasks import BackgroundTasks, notify_all
 from ..observe.events import log_event
 from .clock import elapsed_s
 from .follower import STEPS_TOPIC
@@ -63,8 +63,8 @@
         self.tenures: dict[Partition, Tenure] = {}
         self.last_contact_at = float("-inf")
         self.leaving = False
-        self.on_gained: Callable[[Tenure], None] = lambda tenure: None
-        self.on_lost: Callable[[Tenure], None] = lambda tenure: None
+        self.on_gained: list[Callable[[Tenure], None]] = []
+        self.on_lost: list[Callable[[Tenure], None]] = []
 
     async def start(self) -> None:
         """Start the heartbeat, which joins the group."""
@@ -113,22 +113,35 @@
 
         :param fence: fence that the order carries; it is void once it has been renewed
         """
+        return await self.permit_until_s(tenure, upstream, fence) is not None
+
+    async def permit_until_s(
+        self, tenure: Tenure, upstream: UpstreamId, fence: FenceNumber
+    ) -> float | None:
+        """Append the intent of an order and return the time until which it is valid.
+
+        None means that the order may not be sent; see `permit_order`.
+        """
         while (
             tenure.fence == fence and await self.order_wait_s(tenure, upstream) == 0.0
         ):
-            if await self._append_intent(tenure, upstream):
-                return tenure.fence == fence
-        return False
+            valid_until_s = await self._append_intent(tenure, upstream)
+            if valid_until_s is not None:
+                return valid_until_s if tenure.fence == fence else None
+        return None
 
-    async def _append_intent(self, tenure: Tenure, upstream: UpstreamId) -> bool:
-        started_at = elapsed_s()
+    async def _append_intent(
+        self, tenure: Tenure, upstream: UpstreamId
+    ) -> float | None:
+        """Return the time until which the intent is valid; None if it is not."""
+        valid_until_s = elapsed_s() + INTENT_VALIDITY_S
         record = OrderIntent(tenure=tenure.tenure_id, upstream=upstream)
         result = await self.partitions.append(tenure.partition, [record])
         follower = self.partitions.followers[tenure.partition]
         if isinstance(result, Err) or not await follower.sync(SYNC_TIMEOUT_S):
-            return False
+            return None
         is_newest = follower.fold.orders.tenure == tenure.tenure_id
-        return is_newest and elapsed_s() < started_at + INTENT_VALIDITY_S
+        return valid_until_s if is_newest and elapsed_s() < valid_until_s else None
 
     async def _heartbeat(self) -> None:
         while not self.leaving:
@@ -173,7 +186,7 @@
                 del self.tenures[partition]
                 tenure.ended = True
                 log_event("partition_given_up", partition=partition)
-                self.on_lost(tenure)
+                notify_all(self.on_lost, tenure)
         for number in sorted(owned):
             partition = Partition(number)
             if partition not in self.tenures:
@@ -182,7 +195,7 @@
                 log_event(
                     "partition_owned", partition=number, generation=self.generation
                 )
-                self.on_gained(tenure)
+                notify_all(self.on_gained, tenure)
                 self.tasks.spawn(self._take_fence(tenure))
 
     async def _take_fence(self, tenure: Tenure) -> None:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_homes.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_homes.py
@@ -39,8 +39,8 @@
         self.metrics = metrics
         self.tasks = BackgroundTasks()
         self.homes: dict[Tenure, StepHome] = {}
-        ownership.on_gained = self.open
-        ownership.on_lost = self.close
+        ownership.on_gained.append(self.open)
+        ownership.on_lost.append(self.close)
 
     def open(self, tenure: Tenure) -> None:
         """Start the home of a partition that this node has gained."""
