Decide the number of upstreams of a service

Cause: spot engines are reclaimed a data centre at a time, and nothing orders others. Change: a pure decision (replace losses, add for forecast shortages, remove after a long quiet window), the decoding of its inputs, its state on the log, and the duty task. Not run yet: the duty task.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_fold.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_fold.py
@@ -21,10 +21,12 @@
     StepAccepted,
     StepEnded,
     TextRef,
+    UpstreamsWanted,
 )
 
 from ..ids import ItemId, StepId
 from .order_history import OrderHistory
+from .scaling_records import ScalingHistory
 from .step_records import StepRecord
 
 
@@ -88,6 +90,7 @@
     def __init__(self) -> None:
         self.steps: dict[StepId, Step] = {}
         self.orders = OrderHistory()
+        self.scaling = ScalingHistory()
         # The newest step of each item, since later steps may repeat items.
         self._newest_step: dict[ItemId, StepId] = {}
         self._handlers: dict[type, Callable[..., None]] = {
@@ -99,6 +102,7 @@
             ItemProgress: self._apply_progress,
             ItemsGenerated: self._apply_generated,
             StepEnded: self._apply_ended,
+            UpstreamsWanted: self._apply_wanted,
         }
 
     def apply(self, record: StepRecord) -> None:
@@ -187,3 +191,8 @@
             step.ended = True
             step.saved.clear()
             step.generated.clear()
+
+    def _apply_wanted(self, record: UpstreamsWanted) -> None:
+        # As with intents, records of a former owner are void.
+        if self.orders.tenure in {"", record.tenure}:
+            self.scaling.apply(record, self.orders.record_read_at_s)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/upstreams.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/upstreams.py
@@ -62,7 +62,12 @@
         """Add or replace an entry; return whether it changes anything."""
         self._removal_due.pop(entry.upstream_id, None)
         entry = self._with_known_state(entry)
-        if self.listed.get(entry.upstream_id) == entry:
+        known = self.listed.get(entry.upstream_id)
+        if known and None not in (known.leaves_ms, entry.leaves_ms):
+            # The remaining time differs in each entry of an upstream that leaves. A
+            # change would update all pools although nothing depends on it.
+            entry = msgspec.structs.replace(entry, leaves_ms=known.leaves_ms)
+        if known == entry:
             return False
         self.listed[entry.upstream_id] = entry
         return True
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
@@ -8,6 +8,7 @@
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 
 from ..observe.events import log_event
+from ..rollout import scaling_duty  # noqa: F401  (it registers the duty)
 from ..rollout.crash_reports import CrashReports
 from ..rollout.crash_watch import CrashWatch
 from ..rollout.directory import Directory
@@ -84,6 +85,7 @@
             configured_duties(settings),
             self.metrics,
         )
+        self.duties.home_of = self.homes.homes.get
         self.steps = StepFrontend(self.directory, self.partitions, self.metrics)
         self.forwarder = Forwarder(
             settings,
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/topic_watcher.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/topic_watcher.py
@@ -44,6 +44,7 @@
 from ..rollout.metrics import RolloutMetrics, labels
 from . import wire
 from .headers import parse_int
+from .scaling_messages import is_spot, leaves_ms, to_scaling
 from .store import StoreClient, keyed_topic
 
 OPERATOR_TOPIC = "keyed.op"
@@ -354,6 +355,8 @@
         slots=entry.slots,
         started_ms=entry.started_ms,
         versions={ModelName(m.name): Version(m.version) for m in entry.models},
+        spot=is_spot(entry),
+        leaves_ms=leaves_ms(entry),
     )
 
 
@@ -408,4 +411,5 @@
         name=ServiceName(entry.name),
         connection_limit=entry.connection_limit,
         engine=limits,
+        scaling=to_scaling(entry),
     )
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/wire.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/wire.py
@@ -89,6 +89,11 @@
     models: list[ModelEntry] = msgspec.field(name="Models", default=[])
     # Start of the worker's process, in Unix milliseconds.
     started_ms: Int64 = msgspec.field(name="born", default=0)
+    # A boolean and a number; an odd value must not take the worker out of use.
+    spot: msgspec.Raw = msgspec.field(name="Spot", default=msgspec.Raw(b"false"))
+    leaves_ms: msgspec.Raw = msgspec.field(
+        name="leaves_ms", default=msgspec.Raw(b"null")
+    )
 
 
 class SplitPart(msgspec.Struct):
@@ -133,12 +138,26 @@
     models: list[EngineModel] = msgspec.field(name="Models", default=[])
 
 
+class ScalingEntry(msgspec.Struct):
+    """Bound the workers of a service in each zone, and give their prices."""
+
+    minimum: Int64 = msgspec.field(name="Min")
+    maximum: Int64 = msgspec.field(name="Max")
+    boot_s: float = msgspec.field(name="BootS")
+    spot_price: float = msgspec.field(name="SpotPrice", default=1.0)
+    zone_prices: dict[str, float] = msgspec.field(
+        name="ZonePrices", default_factory=dict
+    )
+
+
 class ServiceEntry(msgspec.Struct):
     """Describe a service of the operator's configuration."""
 
     name: str = msgspec.field(name="Name")
     connection_limit: Int64 = msgspec.field(name="ConnectionLimit", default=0)
     engine: EngineEntry | None = msgspec.field(name="Engine", default=None)
+    # An instance of ScalingEntry; an odd one must not make the rest unreadable.
+    scaling: msgspec.Raw = msgspec.field(name="Scaling", default=msgspec.Raw(b"null"))
 
 
 class LimitsEntry(msgspec.Struct):
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/duties.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/duties.py
@@ -34,6 +34,7 @@
 from .metrics import RolloutMetrics, labels
 from .ownership import Ownership, Tenure
 from .partitions import Partitions, partition_of
+from .step_home import StepHome
 
 # Time of `elapsed_s` until which the bytes of the current duty call may be written.
 SEND_LIMIT_S: ContextVar[float] = ContextVar("SEND_LIMIT_S")
@@ -106,6 +107,8 @@
         self.duties = duties
         self.metrics = metrics
         self.tasks = BackgroundTasks()
+        # Returns the step home of a tenure, whose pools show the load of its services.
+        self.home_of: Callable[[Tenure], StepHome | None] = lambda tenure: None
         self.running: dict[Tenure, dict[Duty, asyncio.Task[None]]] = {}
         # The limit of the platform holds for all nodes together. There are at most as
         # many holders as partitions, so each tenure makes its share of the calls.
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
@@ -40,6 +40,18 @@
         self.duties_held = self.gauge(
             "duties_held", "Partitions for which this node holds a duty"
         )
+        self.upstream_orders = self.counter(
+            "upstream_orders", "Orders of upstreams by service, reason and outcome"
+        )
+        self.wanted_upstreams = self.gauge(
+            "wanted_upstreams", "Upstreams that a service is to have"
+        )
+        self.desired_upstreams = self.gauge(
+            "desired_upstreams", "Upstreams present or ordered by data centre"
+        )
+        self.listed_upstreams = self.gauge(
+            "listed_upstreams", "Upstreams listed and not leaving by data centre"
+        )
         self.config_version = self.gauge(
             "config_version", "Version of the configuration in force"
         )
