--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/scaling.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/scaling.py
@@ -44,6 +44,9 @@
 MAX_ADDED_SHARE = 0.25
 # Upstreams that arrived are given one step interval to take effect.
 SETTLING_S = 4.0
+# Upstreams that appear later count if they stay for this time: one that restarts under
+# another name can be listed beside its former entry.
+MORE_CONFIRMATION_S = 10.0
 # Data centres without a price are ordered from last.
 UNKNOWN_PRICE = 1e9
 
@@ -91,6 +94,8 @@
         # Whether a shortage cannot be answered since all data centres have the maximum.
         self.at_maximum = False
         self.late_s = 0.0
+        # Time since which more upstreams than wanted have been there.
+        self.more_since_s = started_s
         self._slots_each = 0.0
         self._inherited = inherited is not None
 
@@ -104,8 +109,7 @@
         if observing or unsettled or self.book.placed:
             self.disturbed_at_s = now_s
         if not self.state.fixed:
-            self.state.wanted = max(self.state.wanted, self.census.at_start())
-            self.base = self.state.wanted
+            self._count_initial(now_s)
         forecast = self._assess(view, observing)
         if not self.book.may_call(now_s):
             return None
@@ -147,6 +151,15 @@
         for subject, order in self.book.placed.items():
             order.known = frozenset(serving.get(subject, ()))
 
+    def _count_initial(self, now_s: float) -> None:
+        """Want as many upstreams as there are without an order."""
+        count = self.census.at_start()
+        if count <= self.state.wanted:
+            self.more_since_s = now_s
+        observed = now_s >= self.started_s + OBSERVATION_S
+        if not observed or now_s >= self.more_since_s + MORE_CONFIRMATION_S:
+            self.state.wanted = self.base = max(self.state.wanted, count)
+
     def _counted(self, subject: Subject) -> int:
         return self.census.counted(subject) + self.book.pending(subject)
 
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/scaling_orders.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/scaling_orders.py
@@ -11,7 +11,7 @@
 
 # A new upstream that does not serve after this multiple of its start time, and this
 # time more, is not expected any longer. It is listed some time after it has started.
-OVERDUE_FACTOR = 1.5
+OVERDUE_FACTOR = 2.0
 OVERDUE_MARGIN_S = 2.0
 # A data centre without upstreams is asked again after 1, 2, 4, 8 and 16 s. Reclaimed
 # capacity is away for tens of seconds.
--- a/packages/fulmarpulley-core/tests/rollout/test_upstreams.py
+++ b/packages/fulmarpulley-core/tests/rollout/test_upstreams.py
@@ -1,5 +1,7 @@
 import unittest
 
+import msgspec
+
 from fulmarpulley_core.ids import DataCentre, ServiceName, UpstreamId
 from fulmarpulley_core.rollout.upstreams import (
     MAX_LEAVING,
@@ -48,6 +50,14 @@
         self.assertTrue(self.directory.expire(10.0 + REMOVAL_GRACE_S))
         self.assertEqual(self.names(), ["u1"])
 
+    def test_remaining_time_of_a_leaving_upstream_changes_nothing(self) -> None:
+        # Guards against updates of all pools by each entry of a reclaimed upstream.
+        leaving = msgspec.structs.replace(entry(U1), leaves_ms=2000.0)
+        self.assertTrue(self.directory.put(leaving))
+        later = msgspec.structs.replace(leaving, leaves_ms=1000.0)
+        self.assertFalse(self.directory.put(later))
+        self.assertTrue(self.directory.put(entry(U1)))
+
     def test_replace_drops_what_is_not_listed(self) -> None:
         self.assertTrue(self.directory.replace([entry(U2)], 10.0))
         self.assertEqual(self.names(), ["u2"])
--- a/packages/fulmarpulley-node/tests/test_platform_decoding.py
+++ b/packages/fulmarpulley-node/tests/test_platform_decoding.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from fulmarpulley_core.ids import ServiceName
+from fulmarpulley_core.rollout.topology import Topology
 from fulmarpulley_node.platform import wire
 from fulmarpulley_node.platform.generation_stream import EventParser, StreamEvent
 from fulmarpulley_node.platform.headers import end_to_end_headers
@@ -85,6 +87,63 @@
             to_topology(entry)
 
 
+class ScalingTest(unittest.TestCase):
+    def topology(self, scaling: str) -> Topology:
+        service = f'{{"Name":"s","Scaling":{scaling}}}'
+        config = f'{{"Version":1,"Routes":[],"Services":[{service}]}}'
+        return to_topology(msgspec.json.decode(config, type=wire.ConfigEntry))
+
+    def test_to_topology_decodes_scaling(self) -> None:
+        limits = (
+            self.topology(
+                '{"Min":1,"Max":8,"BootS":4,"SpotPrice":0.18,"ZonePrices":{"a1":2}}'
+            )
+            .services[ServiceName("s")]
+            .scaling
+        )
+        assert limits is not None
+        self.assertEqual((limits.minimum, limits.maximum, limits.boot_s), (1, 8, 4.0))
+        self.assertEqual((limits.spot_price, limits.prices), (0.18, {"a1": 2.0}))
+
+    def test_odd_scaling_leaves_the_rest_of_the_configuration(self) -> None:
+        # Guards against a configuration that is not applied for a part of one service.
+        for text in (
+            '{"Min":3,"Max":2,"BootS":4}',
+            '{"Min":-1,"Max":2,"BootS":4}',
+            '{"Min":1,"Max":true,"BootS":4}',
+            '{"Min":1,"Max":2}',
+            '{"Min":1,"Max":2,"BootS":-4}',
+            '{"Min":1,"Max":2,"BootS":4,"ZonePrices":{"a1":"2"}}',
+            '{"Min":1,"Max":2,"BootS":4,"ZonePrices":{"a1":-2}}',
+            '{"Min":1,"Max":2,"BootS":4,"SpotPrice":null}',
+            "[]",
+            "7",
+            "null",
+        ):
+            with self.subTest(text=text):
+                service = self.topology(text).services[ServiceName("s")]
+                self.assertIsNone(service.scaling)
+
+    def test_decode_upstream_decodes_reclaimed_upstream(self) -> None:
+        data = _with_field("Spot", 'true,"leaves_ms":1500')
+        entry = decode_upstream("i-1", data)
+        assert entry is not None
+        self.assertEqual((entry.spot, entry.leaves_ms), (True, 1500.0))
+
+    def test_odd_scaling_fields_leave_an_upstream_in_use(self) -> None:
+        for field, text in (
+            ("Spot", '"yes"'),
+            ("Spot", "1"),
+            ("leaves_ms", '"soon"'),
+            ("leaves_ms", "[1]"),
+            ("leaves_ms", "null"),
+        ):
+            with self.subTest(field=field, text=text):
+                entry = decode_upstream("i-1", _with_field(field, text))
+                assert entry is not None
+                self.assertEqual((entry.spot, entry.leaves_ms), (False, None))
+
+
 class SubmissionTest(unittest.TestCase):
     def test_to_step_rejects_duplicate_item_id(self) -> None:
         item = {"Id": "a", "Path": "/p"}
