Count the usage of accounts, and report it as the duty of one node

Nodes count the plain requests that begin to run in slices of their clocks, and append the counts to the topic usage. The holder of the duty adds them up, fixes the counts of a window by a record of the step log, and sends what the record says until the platform answers. Records of a replaced owner are void.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_fold.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_fold.py
@@ -21,11 +21,13 @@
     StepAccepted,
     StepEnded,
     TextRef,
+    UsageReport,
 )
 
 from ..ids import ItemId, StepId
 from .order_history import OrderHistory
 from .step_records import StepRecord
+from .usage_reports import UsageReportFold
 
 
 class SavedEvents(msgspec.Struct):
@@ -88,6 +90,7 @@
     def __init__(self) -> None:
         self.steps: dict[StepId, Step] = {}
         self.orders = OrderHistory()
+        self.usage = UsageReportFold()
         # The newest step of each item, since later steps may repeat items.
         self._newest_step: dict[ItemId, StepId] = {}
         self._handlers: dict[type, Callable[..., None]] = {
@@ -99,6 +102,7 @@
             ItemProgress: self._apply_progress,
             ItemsGenerated: self._apply_generated,
             StepEnded: self._apply_ended,
+            UsageReport: self._apply_usage,
         }
 
     def apply(self, record: StepRecord) -> None:
@@ -125,6 +129,9 @@
         """Yield the steps with items left to run, oldest first."""
         return (step for step in self.steps.values() if step.is_open())
 
+    def _apply_usage(self, record: UsageReport) -> None:
+        self.usage.apply(record, self.orders.tenure)
+
     def _apply_accepted(self, record: StepAccepted) -> None:
         items = {ItemId(item.item_id): item for item in record.items}
         if StepId(record.step_id) in self.steps:
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_records.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_records.py
@@ -19,6 +19,7 @@
     RecordAges,
     StepAccepted,
     StepEnded,
+    UsageReport,
 )
 
 StepRecord = (
@@ -30,6 +31,7 @@
     | OwnerFence
     | OrderIntent
     | RecordAges
+    | UsageReport
 )
 
 
@@ -44,6 +46,7 @@
     ORDER_INTENT = 6
     ITEMS_GENERATED = 7
     RECORD_AGES = 8
+    USAGE_REPORT = 9
     PART = 16
     LAST_PART = 17
 
@@ -57,6 +60,7 @@
     RecordKind.ORDER_INTENT: OrderIntent,
     RecordKind.ITEMS_GENERATED: ItemsGenerated,
     RecordKind.RECORD_AGES: RecordAges,
+    RecordKind.USAGE_REPORT: UsageReport,
 }
 _KIND_BY_TYPE = {kind: number for number, kind in RECORD_TYPES.items()}
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
@@ -11,7 +11,7 @@
 from ..rollout.crash_reports import CrashReports
 from ..rollout.crash_watch import CrashWatch
 from ..rollout.directory import Directory
-from ..rollout.duties import DutyRunner
+from ..rollout.duties import Duty, DutyRunner
 from ..rollout.forwarder import Forwarder
 from ..rollout.log_line_writer import LogLineWriter
 from ..rollout.metrics import RolloutMetrics
@@ -22,6 +22,8 @@
 from ..rollout.shared_limits import SharedLimits
 from ..rollout.step_frontend import StepFrontend
 from ..rollout.step_homes import StepHomes
+from ..rollout.usage_counter import UsageRecorder
+from ..rollout.usage_reports import UsageReporting  # noqa: F401  (registers the duty)
 from .duty_calls import DutyClient, configured_duties
 from .ingress import Ingress
 from .store import StoreClient
@@ -75,15 +77,21 @@
             self.metrics,
         )
         self.duty_calls = DutyClient(settings)
+        duties = configured_duties(settings)
         self.duties = DutyRunner(
             settings,
             self.directory,
             self.partitions,
             self.ownership,
             self.duty_calls,
-            configured_duties(settings),
+            duties,
             self.metrics,
         )
+        self.usage = (
+            UsageRecorder(settings, self.store, self.metrics)
+            if Duty.USAGE in duties
+            else None
+        )
         self.steps = StepFrontend(self.directory, self.partitions, self.metrics)
         self.forwarder = Forwarder(
             settings,
@@ -92,6 +100,7 @@
             self.limits,
             self.crashes,
             self.metrics,
+            usage=self.usage,
         )
         self.ingress = Ingress(
             settings, self.directory, self.steps, self.forwarder, self.metrics
@@ -105,6 +114,7 @@
             self.topic_watcher,
             self.partitions,
             self.shared_limits,
+            *([] if self.usage is None else [self.usage]),
             self.ingress,
             self.duties,
             self.ownership,
@@ -126,6 +136,8 @@
         hand_over = asyncio.create_task(self._hand_over())
         await asyncio.sleep(BALANCER_REMOVAL_DELAY_S)
         await self.ingress.drain(deadline)
+        if self.usage is not None:
+            await self.usage.flush()
         await asyncio.wait({hand_over}, timeout=max(0.0, deadline - loop.time()))
         log_event("shutdown_finished", open_requests=self.ingress.open_requests)
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/age_marks.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/age_marks.py
@@ -12,6 +12,7 @@
 
 from .clock import elapsed_s
 from .directory import Directory
+from .duties import usage_partition
 from .partitions import Partitions
 
 # A new owner waits up to this much longer than necessary.
@@ -37,6 +38,7 @@
         partitions: Partitions,
         owned_partition: Partition,
     ) -> None:
+        self.settings = settings
         self.directory = directory
         self.partitions = partitions
         self.partition = Partition((owned_partition + 1) % len(partitions.followers))
@@ -68,6 +70,8 @@
             self.acknowledged.append((result.ok_value, elapsed_s()))
 
     def _has_orders(self) -> bool:
+        if self.settings.duties and self.partition == usage_partition(self.settings):
+            return True
         routes = self.directory.routes
         return any(self.partitions.engine_services(routes, self.partition))
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/forwarder.py
@@ -57,6 +57,7 @@
 from .rate_limits import RateLimits
 from .request_digest import request_digest
 from .service_pools import DocumentTransform, ServicePools, identity
+from .usage_counter import ClientAttempt, UsageRecorder
 
 # Share of the remaining time after which an attempt that may be repeated is abandoned,
 # so that time is left for another upstream. The longest work of a healthy upstream
@@ -88,6 +89,7 @@
     attempts: int = 0
     running: set[AttemptId] = set()
     upstream: str = ""
+    usage: ClientAttempt
 
 
 class Forwarder:
@@ -95,6 +97,7 @@
 
     `transform_document` adapts the service document that a pool is given. With
     `may_wait`, requests may wait for their turn at an upstream that limits its rate.
+    `usage` counts the requests that begin to run.
     """
 
     def __init__(
@@ -108,6 +111,7 @@
         routing: str = "open_connection",
         may_wait: bool = True,
         transform_document: DocumentTransform = identity,
+        usage: UsageRecorder | None = None,
     ) -> None:
         self.settings = settings
         self.directory = directory
@@ -116,6 +120,7 @@
         self.crashes = crashes
         self.metrics = metrics
         self.may_wait = may_wait
+        self.usage = usage
         self.tasks = BackgroundTasks()
         pool_settings = PoolSettings(
             id_prefix=f"{settings.node_id}.", routing=routing, avoid_limited=True
@@ -162,6 +167,7 @@
             config_version=self._config_version(),
             deadline=deadline,
             outcome=loop.create_future(),
+            usage=ClientAttempt(request.account, name),
         )
         self.sequence += 1
         work_id = WorkId(f"{request.request_id}.{self.sequence}")
@@ -347,9 +353,12 @@
                 )
             )
         pending.attempts += 1
-        result = await self.calls.forward(
+        call = self.calls.forward(
             entry, pending.request, self._attempt_timeout_s(pending)
         )
+        if self.usage is not None:
+            call = self.usage.observe(pending.usage, call)
+        result = await call
         if isinstance(result, Err):
             if result.err_value.connection is ConnectionFault.LOST:
                 await self.crashes.record_loss(entry, pending.digest)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
@@ -40,6 +40,12 @@
         self.duties_held = self.gauge(
             "duties_held", "Partitions for which this node holds a duty"
         )
+        self.usage_requests = self.counter(
+            "usage_requests", "Requests counted for usage reports by outcome"
+        )
+        self.usage_reports = self.seconds(
+            "usage_report", "Time from the end of a window to its answered report"
+        )
         self.config_version = self.gauge(
             "config_version", "Version of the configuration in force"
         )
