--- a/packages/fulmarpulley-core/src/fulmarpulley_core/ids.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/ids.py
@@ -22,6 +22,7 @@
 RequestDigest = NewType("RequestDigest", str)
 AccountName = NewType("AccountName", str)
 DutySubject = NewType("DutySubject", str)
+KeyDigest = NewType("KeyDigest", bytes)
 
 Offset = NewType("Offset", int)
 Revision = NewType("Revision", int)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
@@ -46,6 +46,9 @@
         self.usage_reports = self.seconds(
             "usage_report", "Time from the end of a window to its answered report"
         )
+        self.unauthorized = self.counter(
+            "unauthorized_requests", "Requests refused for their key by reason"
+        )
         self.config_version = self.gauge(
             "config_version", "Version of the configuration in force"
         )
