--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_records.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_records.py
@@ -20,6 +20,7 @@
     StepAccepted,
     StepEnded,
     UpstreamsWanted,
+    UsageReport,
 )
 
 StepRecord = (
@@ -31,6 +32,7 @@
     | OwnerFence
     | OrderIntent
     | RecordAges
+    | UsageReport
     | UpstreamsWanted
 )
 
@@ -46,6 +48,7 @@
     ORDER_INTENT = 6
     ITEMS_GENERATED = 7
     RECORD_AGES = 8
+    USAGE_REPORT = 9
     UPSTREAMS_WANTED = 10
     PART = 16
     LAST_PART = 17
@@ -60,6 +63,7 @@
     RecordKind.ORDER_INTENT: OrderIntent,
     RecordKind.ITEMS_GENERATED: ItemsGenerated,
     RecordKind.RECORD_AGES: RecordAges,
+    RecordKind.USAGE_REPORT: UsageReport,
     RecordKind.UPSTREAMS_WANTED: UpstreamsWanted,
 }
 _KIND_BY_TYPE = {kind: number for number, kind in RECORD_TYPES.items()}
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/duties.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/duties.py
@@ -11,6 +11,7 @@
 from collections.abc import Awaitable, Callable
 from contextvars import ContextVar
 from enum import StrEnum
+from typing import TYPE_CHECKING
 
 import msgspec
 from aiomisc import Service
@@ -34,7 +35,9 @@
 from .metrics import RolloutMetrics, labels
 from .ownership import Ownership, Tenure
 from .partitions import Partitions, partition_of
-from .step_home import StepHome
+
+if TYPE_CHECKING:
+    from .step_home import StepHome
 
 # Time of `elapsed_s` until which the bytes of the current duty call may be written.
 SEND_LIMIT_S: ContextVar[float] = ContextVar("SEND_LIMIT_S")
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
@@ -52,6 +52,15 @@
         self.listed_upstreams = self.gauge(
             "listed_upstreams", "Upstreams listed and not leaving by data centre"
         )
+        self.usage_requests = self.counter(
+            "usage_requests", "Requests counted for usage reports by outcome"
+        )
+        self.usage_reports = self.seconds(
+            "usage_report", "Time from the end of a window to its answered report"
+        )
+        self.unauthorized = self.counter(
+            "unauthorized_requests", "Requests refused for their key by reason"
+        )
         self.config_version = self.gauge(
             "config_version", "Version of the configuration in force"
         )
