--- a/testing/src/fulmarpulley_testing/platform_system.py
+++ b/testing/src/fulmarpulley_testing/platform_system.py
@@ -56,10 +56,16 @@
     """Configure and control the process of one node."""
 
     def __init__(
-        self, name: str, folder: Path, store_port: int, lease_ms: float = 100.0
+        self,
+        name: str,
+        folder: Path,
+        store_port: int,
+        lease_ms: float = 100.0,
+        duties: dict[str, Any] | None = None,
     ) -> None:
         self.name = name
         self.lease_ms = lease_ms
+        self.duties = duties or {}
         self.caller_port, self.readiness_port, self.metrics_port = free_ports(3)
         self.log_path = folder / f"{name}.log"
         self.clock_shift_path = folder / f"{name}.clock"
@@ -144,7 +150,12 @@
                 "partitions": PARTITIONS,
                 "member_ttl_ms": MEMBER_TTL_MS,
             },
-            "bounds": {"lease_ms": self.lease_ms, "grace_s": 8.0},
+            **self.duties,
+            "bounds": {
+                **self.duties.get("bounds", {}),
+                "lease_ms": self.lease_ms,
+                "grace_s": 8.0,
+            },
         }
 
 
@@ -166,6 +177,8 @@
         # Times at which workers crashed.
         self.crashes: list[float] = []
         self.store_port = 0
+        # Settings of the duties of nodes that are added later.
+        self.duties: dict[str, Any] = {}
         self.config_version = 0
         self.added_routes: list[dict[str, Any]] = []
 
@@ -264,7 +277,7 @@
         self, name: str, wait: bool = True, lease_ms: float = 100.0
     ) -> NodeProcess:
         """Start a node and wait until it is ready, unless told not to."""
-        node = NodeProcess(name, self.folder, self.store_port, lease_ms)
+        node = NodeProcess(name, self.folder, self.store_port, lease_ms, self.duties)
         self.nodes.append(node)
         node.start()
         if wait:
