Report the maximum of upstreams once in a shortage

Cause: the forecast of each burst turned the log event upstreams_at_maximum on and off. Tests: core rollout.test_scaling: 23 passed.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/scaling.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/scaling.py
@@ -217,7 +217,9 @@
         return self._order(missing, LOST, 0.0, now_s)
 
     def _add(self, forecast: Forecast | None, now_s: float) -> UpstreamOrder | None:
-        self.at_maximum = False
+        if now_s >= self.window.short_at_s + SHORTAGE_END_S:
+            # Not before: the forecast of each burst would change it.
+            self.at_maximum = False
         if (
             forecast is None
             or now_s < self.settled_s
