--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_fold.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_fold.py
@@ -21,11 +21,15 @@
     StepAccepted,
     StepEnded,
     TextRef,
+    UpstreamsWanted,
+    UsageReport,
 )
 
 from ..ids import ItemId, StepId
 from .order_history import OrderHistory
+from .scaling_records import ScalingHistory
 from .step_records import StepRecord
+from .usage_reports import UsageReportFold
 
 
 class SavedEvents(msgspec.Struct):
@@ -88,6 +92,8 @@
     def __init__(self) -> None:
         self.steps: dict[StepId, Step] = {}
         self.orders = OrderHistory()
+        self.usage = UsageReportFold()
+        self.scaling = ScalingHistory()
         # The newest step of each item, since later steps may repeat items.
         self._newest_step: dict[ItemId, StepId] = {}
         self._handlers: dict[type, Callable[..., None]] = {
@@ -99,6 +105,8 @@
             ItemProgress: self._apply_progress,
             ItemsGenerated: self._apply_generated,
             StepEnded: self._apply_ended,
+            UsageReport: self._apply_usage,
+            UpstreamsWanted: self._apply_wanted,
         }
 
     def apply(self, record: StepRecord) -> None:
@@ -125,6 +133,9 @@
         """Yield the steps with items left to run, oldest first."""
         return (step for step in self.steps.values() if step.is_open())
 
+    def _apply_usage(self, record: UsageReport) -> None:
+        self.usage.apply(record, self.orders.tenure)
+
     def _apply_accepted(self, record: StepAccepted) -> None:
         items = {ItemId(item.item_id): item for item in record.items}
         if StepId(record.step_id) in self.steps:
@@ -187,3 +198,8 @@
             step.ended = True
             step.saved.clear()
             step.generated.clear()
+
+    def _apply_wanted(self, record: UpstreamsWanted) -> None:
+        # As with intents, records of a former owner are void.
+        if self.orders.tenure in {"", record.tenure}:
+            self.scaling.apply(record, self.orders.record_read_at_s)
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_records.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/rollout/step_records.py
@@ -19,6 +19,8 @@
     RecordAges,
     StepAccepted,
     StepEnded,
+    UpstreamsWanted,
+    UsageReport,
 )
 
 StepRecord = (
@@ -30,6 +32,8 @@
     | OwnerFence
     | OrderIntent
     | RecordAges
+    | UsageReport
+    | UpstreamsWanted
 )
 
 
@@ -44,6 +48,8 @@
     ORDER_INTENT = 6
     ITEMS_GENERATED = 7
     RECORD_AGES = 8
+    USAGE_REPORT = 9
+    UPSTREAMS_WANTED = 10
     PART = 16
     LAST_PART = 17
 
@@ -57,6 +63,8 @@
     RecordKind.ORDER_INTENT: OrderIntent,
     RecordKind.ITEMS_GENERATED: ItemsGenerated,
     RecordKind.RECORD_AGES: RecordAges,
+    RecordKind.USAGE_REPORT: UsageReport,
+    RecordKind.UPSTREAMS_WANTED: UpstreamsWanted,
 }
 _KIND_BY_TYPE = {kind: number for number, kind in RECORD_TYPES.items()}
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/config_messages.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/config_messages.py
@@ -21,6 +21,7 @@
 
 from ..observe.events import log_event
 from . import wire
+from .scaling_messages import to_scaling
 
 # A faulty configuration may have any number of faulty accounts.
 MAX_LOGGED_ACCOUNTS = 10
@@ -85,6 +86,7 @@
         name=ServiceName(entry.name),
         connection_limit=entry.connection_limit,
         engine=limits,
+        scaling=to_scaling(entry),
     )
 
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/topic_watcher.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/topic_watcher.py
@@ -35,6 +35,7 @@
 from . import wire
 from .config_messages import to_topology
 from .headers import parse_int
+from .scaling_messages import is_spot, leaves_ms
 from .store import StoreClient, keyed_topic
 
 OPERATOR_TOPIC = "keyed.op"
@@ -335,6 +336,8 @@
         slots=entry.slots,
         started_ms=entry.started_ms,
         versions={ModelName(m.name): Version(m.version) for m in entry.models},
+        spot=is_spot(entry),
+        leaves_ms=leaves_ms(entry),
     )
 
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
@@ -36,6 +36,28 @@
         self.blocked_requests = self.gauge(
             "blocked_requests", "Requests that are blocked since they crash upstreams"
         )
+        self.duty_calls = self.counter("duty_calls", "Duty calls by duty and outcome")
+        self.duties_held = self.gauge(
+            "duties_held", "Partitions for which this node holds a duty"
+        )
+        self.upstream_orders = self.counter(
+            "upstream_orders", "Orders of upstreams by service, reason and outcome"
+        )
+        self.wanted_upstreams = self.gauge(
+            "wanted_upstreams", "Upstreams that a service is to have"
+        )
+        self.desired_upstreams = self.gauge(
+            "desired_upstreams", "Upstreams present or ordered by data centre"
+        )
+        self.listed_upstreams = self.gauge(
+            "listed_upstreams", "Upstreams listed and not leaving by data centre"
+        )
+        self.usage_requests = self.counter(
+            "usage_requests", "Requests counted for usage reports by outcome"
+        )
+        self.usage_reports = self.seconds(
+            "usage_report", "Time from the end of a window to its answered report"
+        )
         self.unauthorized = self.counter(
             "unauthorized_requests", "Requests refused for their key by reason"
         )
--- a/testing/src/fulmarpulley_testing/platform_system.py
+++ b/testing/src/fulmarpulley_testing/platform_system.py
@@ -63,10 +63,12 @@
         store_port: int,
         lease_ms: float = 100.0,
         revoke_ms: float | None = None,
+        duties: dict[str, Any] | None = None,
     ) -> None:
         self.name = name
         self.revoke_ms = revoke_ms
         self.lease_ms = lease_ms
+        self.duties = duties or {}
         self.caller_port, self.readiness_port, self.metrics_port = free_ports(3)
         # Sent with each call that has no credentials of its own, unless it is empty.
         self.key = ""
@@ -155,7 +157,9 @@
                 "partitions": PARTITIONS,
                 "member_ttl_ms": MEMBER_TTL_MS,
             },
+            **self.duties,
             "bounds": {
+                **self.duties.get("bounds", {}),
                 "lease_ms": self.lease_ms,
                 "grace_s": 8.0,
                 "revoke_ms": self.revoke_ms,
@@ -181,6 +185,8 @@
         # Times at which workers crashed.
         self.crashes: list[float] = []
         self.store_port = 0
+        # Settings of the duties of nodes that are added later.
+        self.duties: dict[str, Any] = {}
         self.config_version = 0
         self.added_routes: list[dict[str, Any]] = []
         # Keys of the client accounts by name; None for a deployment without accounts.
@@ -285,7 +291,14 @@
         self, name: str, wait: bool = True, lease_ms: float = 100.0
     ) -> NodeProcess:
         """Start a node and wait until it is ready, unless told not to."""
-        node = NodeProcess(name, self.folder, self.store_port, lease_ms, self.revoke_ms)
+        node = NodeProcess(
+            name,
+            self.folder,
+            self.store_port,
+            lease_ms,
+            self.revoke_ms,
+            self.duties,
+        )
         self.nodes.append(node)
         node.start()
         if wait:
