--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/usage_reports.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/usage_reports.py
@@ -85,11 +85,15 @@
 
     async def _count(self) -> None:
         while True:
-            if await self._read_topic() and await self._is_current(MAX_AGE_S):
-                await self._repeat_reports()
-                await self._write_due()
+            await self.count_once()
             await asyncio.sleep(READ_INTERVAL_S)
 
+    async def count_once(self) -> None:
+        """Read the new counts and write the reports that are due."""
+        if await self._read_topic() and await self._is_current(MAX_AGE_S):
+            await self._repeat_reports()
+            await self._write_due()
+
     async def _is_current(self, max_age_s: float = 0.0) -> bool:
         """Return whether this tenure is the newest, and all earlier reports are known.
 
@@ -181,6 +185,7 @@
             if not await self._append_report(window, counts):
                 return
             self.drafts = {k: c for k, c in self.drafts.items() if k >= window}
+            self._log_skipped(window)
             self.ledger.close(window, unix_us())
             log_event(
                 "usage_report_written",
@@ -190,6 +195,12 @@
                 fence=self.tenure.fence,
             )
 
+    def _log_skipped(self, window: int) -> None:
+        """Log the windows before a new one that are never reported."""
+        known = [k for k in self.follower.fold.usage.reports if k < window]
+        if known and max(known) + 1 < window:
+            log_event("usage_windows_skipped", first=max(known) + 1, last=window - 1)
+
     def _is_closed(self, window: int) -> bool:
         """Return whether the nodes have written their counts of a window."""
         if window in self.drafts:
