--- a/packages/fulmarpulley-node/tests/test_duty_settings.py
+++ b/packages/fulmarpulley-node/tests/test_duty_settings.py
@@ -49,7 +49,10 @@
 
 def look_up(values: Any, path: str) -> Any:
     for name in path.split("."):
-        values = values.get(name) if isinstance(values, dict) else None
+        if isinstance(values, list):
+            values = dict(enumerate(values)).get(int(name))
+        else:
+            values = values.get(name) if isinstance(values, dict) else None
     return values
 
 
@@ -58,7 +61,9 @@
 
     def section(match: re.Match[str]) -> str:
         value = look_up(values, match[1])
-        return "" if value is None or value is False else match[2]
+        # A section of a list is rendered once for each entry.
+        times = len(value) if isinstance(value, list) else 1
+        return "" if value is None or value is False else match[2] * times
 
     def value(match: re.Match[str]) -> str:
         found = look_up(values, match[1])
@@ -66,6 +71,7 @@
         return json.dumps(found) if match[2] else str(found)
 
     text = VALUE.sub(value, SECTION.sub(section, TEMPLATE.read_text()))
+    assert text.count('"duties"') <= 1, "a key is rendered twice"
     return jsonc.parse(text, RolloutSettings, "settings").unwrap()
 
 
