--- a/packages/fulmarpulley-node/tests/test_request_log.py
+++ b/packages/fulmarpulley-node/tests/test_request_log.py
@@ -14,6 +14,7 @@
 from fulmarpulley_node.rollout.interfaces import CallerRequest
 from fulmarpulley_node.rollout.metrics import RolloutMetrics
 from fulmarpulley_node.rollout.request_log import RequestLog
+from fulmarpulley_node.rollout.usage_counter import ClientAttempt
 from fulmarpulley_schema.generated.http import Ran
 
 DESK = ServiceName("desk")
@@ -33,14 +34,16 @@
     known = {name: getattr(request, name) for name in request.__struct_fields__}
     outcome: Any = None
     digest: Any = "digest"
+    merged = CallerRequest(**{**known, **fields})
     return PendingRequest(
-        request=CallerRequest(**{**known, **fields}),
+        request=merged,
         digest=digest,
         route=ROUTE,
         service=DESK,
         config_version=1,
         deadline=5.0,
         outcome=outcome,
+        usage=ClientAttempt(merged.account, DESK),
     )
 
 
