End the tenure of an owner that engines show to be replaced

An owner that alone could not reach the store went on for 15 s beside its successor, since it could not tell this from an outage for all nodes. It now asks two engines of its services for a report each half second. An item of its steps that an engine runs for somebody else ends the tenure.

Permits are refused once the tenure has ended, and closed pools open no others, since a home without the store writes results for 10 s after its end.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/wire.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/wire.py
@@ -196,12 +196,20 @@
     version: Int64 = msgspec.field(name="Version")
 
 
+class RunEntry(msgspec.Struct, array_like=True):
+    """Name a request that a worker runs; the further elements are not needed."""
+
+    request_id: str = msgspec.field(name="Id")
+
+
 class ReportReply(msgspec.Struct):
     """Report the state of a worker as of a few hundred milliseconds ago."""
 
     models: list[ModelEntry] = msgspec.field(name="Models", default=[])
     # Orders that the worker has accepted since its start.
     orders: Int64 = msgspec.field(name="Sequence", default=0)
+    # Instances of RunEntry; odd ones must not make the rest unreadable.
+    runs: msgspec.Raw = msgspec.field(name="Runs", default=msgspec.Raw(b"null"))
 
 
 class VersionOrder(msgspec.Struct):
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/workers.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 from yarl import URL
 
-from fulmarpulley_core.ids import AccountName
+from fulmarpulley_core.ids import AccountName, ItemId
 from fulmarpulley_core.pool.messages import Failure
 from fulmarpulley_core.rollout.upstreams import ListedUpstream
 from fulmarpulley_schema.codec import from_json
@@ -39,6 +39,7 @@
 )
 from .response_memory import ResponseMemory, read_body
 from .wire import ReportReply, VersionOrder
+from .worker_reports import decode_runs
 
 ORDER_TIMEOUT_S = 2.0
 CONNECTION_CHECK_TIMEOUT_S = 1.0
@@ -174,6 +175,16 @@
         writer.close()
         return False
 
+    async def running_requests(
+        self, upstream: ListedUpstream
+    ) -> Result[list[ItemId], str]:
+        """Return the ids of the requests that a worker reports to run."""
+        try:
+            report = await self._read_report(upstream)
+            return Ok(decode_runs(report.runs))
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+            return Err(repr(error))
+
     async def load_version(
         self, upstream: ListedUpstream, order: LoadOrder
     ) -> Result[None, str]:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/attempts.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/attempts.py
@@ -1,6 +1,7 @@
 """Run the attempts of a home's items on engines."""
 
 import asyncio
+import time
 from collections.abc import Callable
 
 from result import Err, Ok, Result
@@ -15,6 +16,7 @@
     StartAttempt,
     VersionReport,
 )
+from fulmarpulley_core.rollout.replacement_evidence import EndedRuns
 
 from ..background_tasks import BackgroundTasks, log_failure
 from ..observe.events import log_event
@@ -25,6 +27,8 @@
 from .pool_driver import PoolDriver
 from .rate_limits import RateLimits
 
+OK_STATUS = 200
+
 
 class ItemAttemptRunner:
     """Own the running attempts and report their progress and outcome to their pool."""
@@ -43,6 +47,7 @@
         self.metrics = metrics
         self.tasks = tasks
         self.running: dict[AttemptId, AttemptRun] = {}
+        self.ended = EndedRuns()
         # Called after the pool has handled the failure of an attempt.
         self.on_failed: Callable[[ItemRun, UpstreamCallFailure], None] = (
             lambda run, failure: None
@@ -133,7 +138,7 @@
             self._count_outcome(pool, "finished")
             tokens = len(attempt.events) * tokens_per_event
             pool.post(AttemptFinished(attempt.attempt_id, tokens))
-            self._remove(attempt.attempt_id)
+            self._remove(attempt.attempt_id, aborted=False)
         else:
             self._report_failure(attempt, pool, result.err_value, tokens_per_event)
 
@@ -171,12 +176,16 @@
             attempt.attempt_id, failure.failure, tokens, failure.retry_after_s
         )
         pool.post(failed)
-        self._remove(attempt.attempt_id)
+        # A stream that this node rejected may go on at the engine.
+        aborted = failure.failure is Failure.BROKEN or failure.status == OK_STATUS
+        self._remove(attempt.attempt_id, aborted)
         self.on_failed(run, failure)
 
     def _count_outcome(self, pool: PoolDriver, outcome: str) -> None:
         self.metrics.attempts.inc({"service": pool.service, "outcome": outcome})
 
-    def _remove(self, attempt_id: AttemptId) -> None:
-        self.running.pop(attempt_id, None)
+    def _remove(self, attempt_id: AttemptId, aborted: bool = True) -> None:
+        attempt = self.running.pop(attempt_id, None)
+        if attempt is not None:
+            self.ended.record(attempt.engine_run, aborted, time.monotonic())
         self._tasks.pop(attempt_id, None)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
@@ -12,6 +12,7 @@
     AccountName,
     DataCentre,
     FenceNumber,
+    ItemId,
     ModelName,
     ServiceName,
     UpstreamId,
@@ -267,6 +268,11 @@
     async def refuses_connections(self, upstream: ListedUpstream) -> bool:
         """Tell whether an upstream refuses a new connection."""
 
+    async def running_requests(
+        self, upstream: ListedUpstream
+    ) -> Result[list[ItemId], str]:
+        """Return the ids of the requests that an engine ran some hundred ms ago."""
+
     async def load_version(
         self, upstream: ListedUpstream, order: LoadOrder
     ) -> Result[None, str]:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/item_runs.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/item_runs.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from fulmarpulley_core.ids import AttemptId, StepId, UpstreamId, WorkId
+from fulmarpulley_core.ids import AttemptId, ItemId, StepId, UpstreamId, WorkId
+from fulmarpulley_core.rollout.replacement_evidence import EngineRun
 from fulmarpulley_core.rollout.step_fold import SavedEvents, Step
 from fulmarpulley_schema.generated.steps import (
     ItemProgress,
@@ -120,6 +121,11 @@
     events: list[bytes]
     versions: list[int]
 
+    @property
+    def engine_run(self) -> EngineRun:
+        """Return the item and its engine."""
+        return EngineRun(self.upstream, ItemId(self.run.item.item_id))
+
     def to_saved(self) -> SavedEvents:
         """Return the events and their versions for saving."""
         return SavedEvents(self.events, self.versions, self.attempt_id)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
@@ -36,6 +36,9 @@
         self.blocked_requests = self.gauge(
             "blocked_requests", "Requests that are blocked since they crash upstreams"
         )
+        self.replacement_checks = self.counter(
+            "replacement_checks", "Reports read without contact to the store by outcome"
+        )
         self.duty_calls = self.counter("duty_calls", "Duty calls by duty and outcome")
         self.duties_held = self.gauge(
             "duties_held", "Partitions for which this node holds a duty"
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/ownership.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/ownership.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Set
 
 import msgspec
 from aiomisc import Service
@@ -80,6 +80,15 @@
         self._update_tenures(frozenset())
         await self.log.leave(HOMES_GROUP, self.member)
 
+    def lacks_contact(self) -> bool:
+        """Return whether the group may have given the partitions to other nodes."""
+        return time.monotonic() > self.last_contact_at + self.ttl_s
+
+    def end_tenure(self, tenure: Tenure) -> None:
+        """End a tenure as if the group had; the group may begin another one later."""
+        if self.tenures.get(tenure.partition) is tenure:
+            self._update_tenures(self.tenures.keys() - {tenure.partition})
+
     async def wait_for_fence(self, tenure: Tenure) -> FenceNumber | None:
         """Wait for the fence of a tenure; return None if the tenure ends first."""
         while not tenure.ended:
@@ -127,7 +136,8 @@
         ):
             valid_until_s = await self._append_intent(tenure, upstream)
             if valid_until_s is not None:
-                return valid_until_s if tenure.fence == fence else None
+                still_owned = tenure.fence == fence and not tenure.ended
+                return valid_until_s if still_owned else None
         return None
 
     async def _append_intent(
@@ -180,7 +190,7 @@
         tenure.fence = tenure.superseded_at = None
         self.tasks.spawn(self._take_fence(tenure))
 
-    def _update_tenures(self, owned: frozenset[int]) -> None:
+    def _update_tenures(self, owned: Set[int]) -> None:
         for partition, tenure in list(self.tenures.items()):
             if partition not in owned:
                 del self.tenures[partition]
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/service_pools.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/service_pools.py
@@ -48,6 +48,7 @@
         self.transform_document = transform_document
         self.pools: dict[ServiceName, PoolDriver] = {}
         self.documents: dict[ServiceName, ServiceDocument] = {}
+        self.closed = False
         # Returns further events for the pool of a service after a directory change.
         self.extra_events: Callable[[ServiceName, PoolDriver], Iterable[Event]] = (
             lambda name, pool: ()
@@ -57,9 +58,12 @@
         return self.pools[name]
 
     def open(self, name: ServiceName) -> PoolDriver | None:
-        """Return the pool of a service, creating it if needed; None if unknown."""
+        """Return the pool of a service, creating it if needed; None if unknown.
+
+        Closed pools stay closed, and none is created any more.
+        """
         known = self.pools.get(name)
-        if known is not None:
+        if known is not None or self.closed:
             return known
         document = self._document(name)
         if document is None:
@@ -83,6 +87,7 @@
 
     def close(self) -> None:
         """Close all pools."""
+        self.closed = True
         for pool in self.pools.values():
             pool.close()
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_homes.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/step_homes.py
@@ -11,6 +11,7 @@
 from .ownership import Ownership, Tenure
 from .partitions import Partitions
 from .rate_limits import RateLimits
+from .replacement_check import ReplacementCheck
 from .rewards import RewardScorer
 from .step_home import StepHome
 
@@ -57,6 +58,10 @@
         )
         self.homes[tenure] = home
         home.start()
+        check = ReplacementCheck(
+            self.directory, self.calls, self.ownership, tenure, home, self.metrics
+        )
+        self.tasks.supervise(check.run)
 
     def close(self, tenure: Tenure) -> None:
         """Stop the home of a partition that this node has lost."""
--- a/packages/fulmarpulley-node/tests/test_ownership.py
+++ b/packages/fulmarpulley-node/tests/test_ownership.py
@@ -68,6 +68,12 @@
         permitted = self.ownership.permit_order(self.tenure, UPSTREAM, FenceNumber(5))
         self.assertFalse(await permitted)
 
+    async def test_permit_is_refused_when_the_tenure_ends_during_append(self) -> None:
+        # Guards against orders of an owner that engines have shown to be replaced.
+        self.partitions.on_append = lambda: setattr(self.tenure, "ended", True)
+        permitted = self.ownership.permit_order(self.tenure, UPSTREAM, FenceNumber(5))
+        self.assertFalse(await permitted)
+
     async def test_permit_is_refused_within_lease_of_another_owner(self) -> None:
         # The pool issues the order again when the wait is over.
         record_read_at_s = elapsed_s()
--- a/testing/src/fulmarpulley_testing/platform_worker.py
+++ b/testing/src/fulmarpulley_testing/platform_worker.py
@@ -42,6 +42,7 @@
     versions: list[int] = []
     complete: bool = False
     ended: bool = False
+    ended_at: float = float("inf")
     # Whether the run crashed the worker.
     crashed: bool = False
     # Account that the request names.
@@ -107,6 +108,9 @@
         self.runs: list[Run] = []
         self.orders: list[Order] = []
         self.accepted_orders = 0
+        # Age of the runs in a report, and the number of reports.
+        self.report_lag_s = 0.2
+        self.reports = 0
 
     def app(self) -> web.Application:
         """Return the application that serves the worker."""
@@ -133,10 +137,19 @@
         }
 
     async def report(self, request: web.Request) -> web.Response:
-        """Report the versions that the worker serves and whether it is loading."""
+        """Report the versions that the worker serves, and the runs of a moment ago."""
+        self.reports += 1
+        as_of = time.monotonic() - self.report_lag_s
+        running = [r for r in self.runs if r.started <= as_of < r.ended_at]
         models = [{"Name": m, "Version": v} for m, v in self.versions.items()]
         response = json_response(
-            {"Models": models, "Busy": self.loading, "Sequence": self.accepted_orders}
+            {
+                "Models": models,
+                "Busy": self.loading,
+                "Sequence": self.accepted_orders,
+                "RunningRequests": len(running),
+                "Runs": [[r.request_id, r.events * 10, r.events, 1] for r in running],
+            }
         )
         response.headers.update(self._leaving_headers())
         return response
@@ -215,6 +228,7 @@
             return await self._answer(request, run, model)
         finally:
             run.ended = True
+            run.ended_at = time.monotonic()
 
     async def _answer(
         self, request: web.Request, run: Run, model: str | None
