--- a/packages/fulmarpulley-cli/src/fulmarpulley_cli/trace.py
+++ b/packages/fulmarpulley-cli/src/fulmarpulley_cli/trace.py
@@ -21,6 +21,8 @@
         "node_stopped",
         "order_finished",
         "order_void",
+        "ownership_lapsed",
+        "ownership_superseded",
         "partition_given_up",
         "partition_lost",
         "partition_owned",
