Move long runs away from engines that are slow for a moment

An engine is 2.5 times slower for 600 ms in 15 of 100 periods. The scan for hedges measures the pace over 0.5 to 1 s and notices such a period when it is over, so the longest items of a step were late.

A run whose step it would make late gets a second attempt as soon as its next event is overdue, on a free engine whose latest events came at the usual pace; the slower attempt is cancelled within 0.4 s.

test_relocation: 9 tests pass.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/attempt_tracker.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/attempt_tracker.py
@@ -41,6 +41,8 @@
             self._record_tokens(attempt, event.tokens)
             if attempt.tokens > received_tokens:
                 self._components.health.record_tokens(attempt, now)
+                if len(attempt.item.attempts) > 1:
+                    self._components.relocator.record_progress(attempt)
             self._record_version(attempt, event.version)
 
     def on_finished(self, event: AttemptFinished, now: float) -> None:
@@ -87,6 +89,7 @@
                 self._components.lengths.record_first_token(
                     attempt, self._components.now
                 )
+            self._components.relocator.record_event(attempt, self._components.now)
             attempt.last_token_at = self._components.now
         record_tokens(attempt, tokens)
         if tokens > attempt.item.received_tokens:
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/components.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/components.py
@@ -10,7 +10,8 @@
 from .hedging import HedgeScheduler, LengthEstimator
 from .ledger import Ledger
 from .load import record_attempt_count
-from .messages import PoolSettings
+from .messages import PoolSettings, StartReason
+from .relocation import Relocator
 from .retries import RetryQueue
 from .routing import ROUTING
 from .state import Attempt, Item, Upstream
@@ -48,6 +49,7 @@
         self.hedges = HedgeScheduler(
             document, self.ledger, self.queue, self.lengths, self.timers
         )
+        self.relocator = Relocator(self.ledger, self.queue, self.lengths, self.timers)
         self.weights = WeightUpdater(
             document,
             self.ledger,
@@ -110,14 +112,20 @@
         self.dispatch_needed = True
         self.ledger.refuse(item, code, retry_after)
 
-    def start(self, item: Item, upstream: Upstream, hedge: bool = False) -> Attempt:
+    def start(
+        self,
+        item: Item,
+        upstream: Upstream,
+        reason: StartReason = StartReason.QUEUED,
+    ) -> Attempt:
         """Start an attempt."""
-        if not hedge:
+        if reason is StartReason.QUEUED:
             self._drop_stale_tokens(item)
-        attempt = self.ledger.start(item, upstream, self.now, hedge)
+        attempt = self.ledger.start(item, upstream, self.now, reason)
         self.routing.record_start(item, upstream)
         record_attempt_count(upstream, self.now)
         self.hedges.schedule_scan(self.now)
+        self.relocator.watch(attempt, self.now)
         return attempt
 
     def _drop_stale_tokens(self, item: Item) -> None:
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/dispatcher.py
@@ -6,7 +6,7 @@
 from fulmarpulley_schema.generated.document import ServiceDocument
 from fulmarpulley_schema.generated.http import Ran
 
-from ..ids import AccountName, WorkId
+from ..ids import AccountName, AttemptId, WorkId
 from .admission import longest_send_wait_s
 from .attempt_tracker import AttemptTracker
 from .components import PoolComponents
@@ -24,6 +24,7 @@
     OrderFinished,
     PoolSettings,
     PoolView,
+    StartReason,
     StopAt,
     Submit,
     UpstreamState,
@@ -32,8 +33,9 @@
     Withdraw,
     Work,
 )
+from .relocation import MoveCounts
 from .reports import ReportHandler
-from .state import HealthState, Item, Upstream
+from .state import Attempt, HealthState, Item, Upstream
 
 # Smaller items could keep every upstream too full for a large one, so after this wait
 # a large item gets an upstream reserved for it.
@@ -61,6 +63,7 @@
         self.components = PoolComponents(document, settings, seed)
         self.attempt_tracker = AttemptTracker(self.components)
         self.components.hedges.start_hedge = self._start_hedge
+        self.components.relocator.start_move = self._start_move
         reports = ReportHandler(self.components)
         self.handlers: dict[type, Callable[..., None]] = {
             Submit: self._submit,
@@ -105,6 +108,15 @@
         """Return the state of the pool for status pages."""
         return self.components.ledger.view(self.components.queue.waiting)
 
+    def start_reason(self, attempt_id: AttemptId) -> StartReason | None:
+        """Return why a running attempt was started, or None if it has ended."""
+        attempt = self.components.ledger.attempts.get(attempt_id)
+        return attempt.reason if attempt else None
+
+    def move_counts(self) -> MoveCounts:
+        """Return how many runs were moved, by outcome."""
+        return self.components.relocator.counts
+
     def largest_accounts(self, count: int) -> list[tuple[AccountName, int]]:
         """Return the accounts with the most waiting requests, and their numbers."""
         return self.components.queue.largest_accounts(count)
@@ -267,11 +279,21 @@
         upstreams = self.components.ledger.upstreams.values()
         now = self.components.now
         free = [u for u in upstreams if u.is_free() and u.keeps_pace(now)]
-        upstream = self._choose(item, [u for u in free if u not in excluded])
+        others = [u for u in free if u not in excluded]
+        return self._start_beside(item, others, StartReason.HEDGE) is not None
+
+    def _start_move(self, item: Item, targets: list[Upstream]) -> Attempt | None:
+        return self._start_beside(item, targets, StartReason.SLOW_ENGINE)
+
+    def _start_beside(
+        self, item: Item, free: list[Upstream], reason: StartReason
+    ) -> Attempt | None:
+        upstream = self._choose(item, free)
         if upstream is None:
-            return False
-        self.attempt_tracker.watch(self.components.start(item, upstream, hedge=True))
-        return True
+            return None
+        attempt = self.components.start(item, upstream, reason)
+        self.attempt_tracker.watch(attempt)
+        return attempt
 
     def _choose(self, item: Item, free: list[Upstream]) -> Upstream | None:
         components = self.components
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/ledger.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/ledger.py
@@ -16,6 +16,7 @@
     PoolView,
     Refuse,
     StartAttempt,
+    StartReason,
     UpstreamView,
     Work,
     WorkKind,
@@ -118,9 +119,14 @@
         return attempt.attempt_id in self.attempts
 
     def start(
-        self, item: Item, upstream: Upstream, now: float, hedge: bool = False
+        self,
+        item: Item,
+        upstream: Upstream,
+        now: float,
+        reason: StartReason = StartReason.QUEUED,
     ) -> Attempt:
         """Start an attempt that resumes after the received tokens."""
+        hedge = reason is not StartReason.QUEUED
         self.sequence += 1
         attempt = Attempt(
             attempt_id=AttemptId(
@@ -133,7 +139,7 @@
             pending_tokens=item.charge,
             resume_from=item.received_tokens,
             tokens=item.received_tokens,
-            hedge=hedge,
+            reason=reason,
         )
         item.attempts.append(attempt)
         self.attempts[attempt.attempt_id] = attempt
@@ -144,7 +150,11 @@
         work_id, upstream_id = item.work.work_id, upstream.upstream_id
         self.actions.append(
             StartAttempt(
-                attempt.attempt_id, work_id, upstream_id, item.received_tokens, hedge
+                attempt.attempt_id,
+                work_id,
+                upstream_id,
+                item.received_tokens,
+                hedge,
             )
         )
         return attempt
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/messages.py
@@ -54,6 +54,18 @@
     ERRORED = "errored"
 
 
+class StartReason(StrEnum):
+    """Name why an attempt starts.
+
+    A QUEUED item had its turn. A HEDGE runs beside a slow attempt, one for a
+    SLOW_ENGINE beside an attempt whose next event is overdue.
+    """
+
+    QUEUED = "queued"
+    HEDGE = "hedge"
+    SLOW_ENGINE = "slow_engine"
+
+
 class Availability(StrEnum):
     """Name whether an upstream accepts new attempts, and why not."""
 
@@ -74,7 +86,8 @@
     run. Work that does not stream has no tokens before its end, whatever upstream runs
     it. Desk work of an `account` takes turns with that of other accounts, else it is
     shared by `tenant`; `account_priority`, from 0 to 9, the most urgent, ranks it in
-    place of the tenant's class.
+    place of the tenant's class. The results of a step are `due` at a time, from which
+    moves of its long runs follow; it ends nothing.
     """
 
     work_id: WorkId
@@ -100,6 +113,7 @@
     oldest_version: Version | None = None
     account: AccountName = AccountName("")
     account_priority: int | None = None
+    due: float | None = None
 
 
 class Submit(msgspec.Struct, frozen=True):
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/state.py
@@ -11,7 +11,7 @@
 from fulmarpulley_schema.generated.http import Ran
 
 from ..ids import AttemptId, ModelName, UpstreamId, Version
-from .messages import Availability, Work, WorkKind
+from .messages import Availability, StartReason, Work, WorkKind
 
 if TYPE_CHECKING:
     from .bands import Lane
@@ -49,6 +49,8 @@
     ran_before: Ran = Ran.NOT_RUN
     queued: bool = False
     charge: int = 0
+    moves: int = 0
+    moved_at: float = -math.inf
     lane: "Lane | None" = None
     # Upstreams to avoid, the one to avoid most at the end.
     avoided: list[UpstreamId] = []
@@ -129,8 +131,10 @@
     resume_from: int = 0
     tokens: int = 0
     last_token_at: float = -math.inf
+    # A silence before this time was due to a load of weights or to the prompt.
+    not_silent_until: float = -math.inf
     recent_pace: RecentPace | None = None
-    hedge: bool = False
+    reason: StartReason = StartReason.QUEUED
     counted_as_probe: bool = False
 
     def silent_since(self, now: float) -> float:
@@ -177,7 +181,8 @@
     on. A weight swap may pause the upstream until `swap_until`. It is marked as slow
     until `slow_until`, and as limiting its rate until `limited_until`; then it has no
     turn for a further request before `next_turn_at`. It accepts no new work since
-    `unavailable_since`.
+    `unavailable_since`. Its latest event came at `last_event_at`, `event_interval_s`
+    after the one before of the same attempt.
     """
 
     entry: UpstreamEntry
@@ -196,6 +201,8 @@
     limited_until: float = -math.inf
     next_turn_at: float = -math.inf
     unavailable_since: float | None = None
+    event_interval_s: float = math.inf
+    last_event_at: float = -math.inf
     loading: set[ModelName] = set()
     attempt_counts: deque[tuple[float, int]] = msgspec.field(default_factory=deque)
     attempts: dict[AttemptId, Attempt] = {}
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/attempts.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/attempts.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
 from result import Err, Ok, Result
 
 from fulmarpulley_core.ids import AccountName, AttemptId, ModelName, Version
@@ -15,6 +16,7 @@
     StartAttempt,
     VersionReport,
 )
+from fulmarpulley_core.pool.relocation import MoveCounts
 
 from ..background_tasks import BackgroundTasks, log_failure
 from ..observe.events import log_event
@@ -48,6 +50,8 @@
             lambda run, failure: None
         )
         self._tasks: dict[AttemptId, asyncio.Task[None]] = {}
+        # Moves of each service that the metrics count already.
+        self._moves: dict[str, MoveCounts] = {}
 
     def start(
         self,
@@ -72,8 +76,10 @@
                 item=run.item.item_id,
                 upstream=action.upstream,
                 hedge=action.hedge,
+                reason=self._start_reason(action, pool),
                 events=resume_events,
             )
+        self._count_moves(pool)
         self.running[action.attempt_id] = attempt
         task = self.tasks.spawn(self._run(attempt, pool, tokens_per_event))
         self._tasks[action.attempt_id] = task
@@ -137,6 +143,17 @@
         else:
             self._report_failure(attempt, pool, result.err_value, tokens_per_event)
 
+    def _count_moves(self, pool: PoolDriver) -> None:
+        counts, known = pool.move_counts(), self._moves.get(pool.service)
+        if counts != known:
+            self.metrics.add_moves(pool.service, known or MoveCounts(), counts)
+            self._moves[pool.service] = msgspec.structs.replace(counts)
+
+    def _start_reason(self, action: StartAttempt, pool: PoolDriver) -> str:
+        """Return why an item goes on at another engine."""
+        reason = pool.start_reason(action.attempt_id) if action.hedge else None
+        return reason.value if reason else "resumed"
+
     def _account(self, run: ItemRun) -> AccountName | None:
         """Return the account that the upstream is told; None without accounts."""
         account = AccountName(run.step.accepted.account)
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/item_runs.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/item_runs.py
@@ -6,6 +6,7 @@
 
 from fulmarpulley_core.ids import AttemptId, StepId, UpstreamId, WorkId
 from fulmarpulley_core.rollout.step_fold import SavedEvents, Step
+from fulmarpulley_core.rollout.topology import Route
 from fulmarpulley_schema.generated.steps import (
     ItemProgress,
     ItemResult,
@@ -65,12 +66,26 @@
     # by the clock that counts suspended time.
     end_due_since_s: float | None = None
     ended: bool = False
+    # When a pool got the item for the first time, by the clock of the event loop.
+    submitted_at: float | None = None
 
     @property
     def step_id(self) -> StepId:
         """Return the id of the item's step."""
         return self.step.step_id
 
+    def results_due(self, route: Route | None, now: float) -> float | None:
+        """Return when the results of the step are due, or None without a due time.
+
+        The time counts from the first submission to a pool, since the clock of the
+        node that accepted the step may be off by seconds.
+        """
+        if self.submitted_at is None:
+            self.submitted_at = now
+        if route is None or not route.result_deadline_s:
+            return None
+        return self.submitted_at + route.result_deadline_s
+
     def unsaved_progress(self, min_events: int) -> UnsavedProgress | None:
         """Return the events not yet on the log, or None if fewer than `min_events`."""
         saved = self.saved
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
@@ -1,5 +1,7 @@
 """Define the metrics of a node on the platform."""
 
+from fulmarpulley_core.pool.relocation import MoveCounts
+
 from ..observe.metrics import Collectors
 
 LATENCY_BUCKETS_S = (
@@ -15,6 +17,8 @@
     16.0,
     float("inf"),
 )
+# A move that has not won or lost is in progress, or one of its attempts ended itself.
+MOVE_OUTCOMES = ("started", "won", "lost", "over_budget", "without_engine")
 
 
 class RolloutMetrics(Collectors):
@@ -25,6 +29,12 @@
         self.requests = self.seconds("request", "Time of a request by route and code")
         self.items = self.seconds("item", "Time from submission to an item's result")
         self.attempts = self.counter("attempts", "Attempts by service and outcome")
+        self.moves = self.counter(
+            "moves", "Moves of long runs from slow engines by service and outcome"
+        )
+        self.moved_tokens = self.counter(
+            "moved_tokens", "Tokens that engines read again after moves, by service"
+        )
         self.steps = self.counter("steps", "Submissions by outcome")
         self.store_calls = self.counter("store_calls", "Calls to the log by outcome")
         self.limited_responses = self.counter(
@@ -73,6 +83,13 @@
         """Count dropped log lines of an event."""
         self.log_lines.add(labels(event=event), count)
 
+    def add_moves(self, service: str, known: MoveCounts, counts: MoveCounts) -> None:
+        """Count the moves of a service since the known counts."""
+        for outcome in MOVE_OUTCOMES:
+            added = getattr(counts, outcome) - getattr(known, outcome)
+            self.moves.add(labels(service=service, outcome=outcome), added)
+        self.moved_tokens.add(labels(service=service), counts.tokens - known.tokens)
+
 
 def labels(**values: str | int) -> dict[str, str]:
     """Return label values as strings."""
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/pool_driver.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/pool_driver.py
@@ -5,14 +5,16 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from fulmarpulley_core.ids import AccountName, UpstreamId, WorkId
+from fulmarpulley_core.ids import AccountName, AttemptId, UpstreamId, WorkId
 from fulmarpulley_core.pool.dispatcher import Pool
 from fulmarpulley_core.pool.messages import (
     Action,
     Event,
     PoolSettings,
+    StartReason,
     Tick,
 )
+from fulmarpulley_core.pool.relocation import MoveCounts
 from fulmarpulley_schema.generated.document import ServiceDocument
 
 MIN_TIMER_S = 0.001
@@ -58,6 +60,14 @@
         """Return the accounts with the most waiting requests, and their numbers."""
         return self.pool.largest_accounts(count)
 
+    def start_reason(self, attempt_id: AttemptId) -> StartReason | None:
+        """Return why a running attempt was started, or None if it has ended."""
+        return self.pool.start_reason(attempt_id)
+
+    def move_counts(self) -> MoveCounts:
+        """Return how many runs were moved, by outcome."""
+        return self.pool.move_counts()
+
     def latest_start(self, work_id: WorkId) -> float:
         """Return the time after which no attempt of a work item may start."""
         return self.pool.latest_start(work_id)
