Keep checks of runs from repeating at one time; test due times and failed moves

A check time that is rounded to a multiple could be due at once again, which would not end. test_relocation (10 tests) and test_item_moves (2) pass; make lint passes.

--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/relocation.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/relocation.py
@@ -157,7 +157,8 @@
     def _schedule(
         self, attempt: Attempt, when: float, grid_s: float = OVERDUE_GRID_S
     ) -> None:
-        due = math.ceil(when / grid_s) * grid_s
+        # A product that is rounded down must not be due at once, again and again.
+        due = max(when, math.ceil(when / grid_s) * grid_s)
         self._timers.at(due, lambda now: self._check(attempt, due, now))
 
     def _check(self, attempt: Attempt, due: float, now: float) -> None:
--- a/packages/fulmarpulley-core/tests/pool/test_relocation.py
+++ b/packages/fulmarpulley-core/tests/pool/test_relocation.py
@@ -151,6 +151,19 @@
         play.run(2.6)
         self.assertEqual(attempts_of(play), [engine])
 
+    def test_run_goes_on_where_it_was_when_the_new_attempt_breaks(self) -> None:
+        play = Play(never_slow)
+        play.run(2.0)
+        engine = engine_of(play)
+        play.slow_at = slow_between([engine], 2.0, 2.6)
+        play.run(2.15)
+        new = next(start for _, start in play.moves if start.work_id == "long0")
+        play.cancelled.add(new.attempt_id)
+        play.apply(play.driver.fail(new.attempt_id, m.Failure.BROKEN))
+        play.run(2.55)
+        self.assertEqual(attempts_of(play), [engine])
+        self.assertEqual(len(play.run(12.0)), 4)
+
     def test_short_items_and_items_without_a_due_time_stay(self) -> None:
         play = Play(slow_periods(1), due=None)
         play.run(9.0)
