Test late timers of the owner and short items that start late

Without the check of late timers, or without the lower limit of the length, test_relocation passed; now each of them makes one of its tests fail.

--- a/packages/fulmarpulley-core/tests/pool/test_relocation.py
+++ b/packages/fulmarpulley-core/tests/pool/test_relocation.py
@@ -6,9 +6,10 @@
 from itertools import count
 from unittest import TestCase
 
-from fulmarpulley_core.ids import AttemptId, UpstreamId
+from fulmarpulley_core.ids import AttemptId, UpstreamId, Version
 from fulmarpulley_core.pool import messages as m
 from fulmarpulley_core.pool.relocation import MIN_BUDGET
+from fulmarpulley_core.pool.state import Item
 
 from .pool_fixtures import MODEL, Driver, document, sample, starts
 
@@ -169,10 +170,20 @@
         play.run(9.0)
         self.assertEqual(play.moves, [])
         self.assertEqual(play.driver.pool.components.relocator.intervals.count, 0)
-        play = Play(slow_periods(1))
+        # A short item that starts late is expected to end after it is due.
+        play = Play(never_slow, short_items=20)
+        late = {"max_tokens": LONG, "length_hint": 16, "min_version": 2}
+        play.driver.submit(sample("late", due=3.0, **late))
+        play.run(2.6)
+        for name in ENGINES:
+            play.apply(
+                play.driver.send(m.VersionReport(UpstreamId(name), MODEL, Version(2)))
+            )
+        engine = engine_of(play, "late")
+        play.slow_at = slow_between([engine], 2.7, 3.3)
         play.run(9.0)
-        self.assertTrue(play.moves)
-        self.assertTrue(all(s.work_id.startswith("long") for _, s in play.moves))
+        self.assertIn("late", play.ends)
+        self.assertNotIn("late", [start.work_id for _, start in play.moves])
 
     def test_nothing_moves_while_all_engines_are_slow(self) -> None:
         play = Play(slow_between(ENGINES, 2.0, 6.0))
@@ -183,9 +194,12 @@
         # Guards against silence that is only that of a busy owner.
         play = Play(never_slow)
         play.run(2.0)
-        for _ in range(10):
-            play.driver.now += 0.2
-            play.apply(play.driver.send(m.Tick()))
+        attempt = item_of(play).attempts[0]
+        play.events = [e for e in play.events if e[1] != attempt.attempt_id]
+        play.run(attempt.last_token_at + 0.075)
+        # The event is overdue after 0.08 s. Others came less than 0.08 s ago.
+        play.driver.now = attempt.last_token_at + 0.115
+        play.apply(play.driver.send(m.Tick()))
         self.assertEqual(play.moves, [])
 
     def test_silence_during_a_load_of_weights_moves_nothing(self) -> None:
@@ -229,5 +243,8 @@
 
 
 def attempts_of(play: Play, name: str = "long0") -> list[str]:
-    item = play.driver.pool.components.ledger.items[sample(name).work_id]
-    return [attempt.upstream.upstream_id for attempt in item.attempts]
+    return [attempt.upstream.upstream_id for attempt in item_of(play, name).attempts]
+
+
+def item_of(play: Play, name: str = "long0") -> Item:
+    return play.driver.pool.components.ledger.items[sample(name).work_id]
