--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/item_runs.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/item_runs.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from fulmarpulley_core.ids import AttemptId, ItemId, StepId, UpstreamId, WorkId
+from fulmarpulley_core.pool.messages import StartReason
 from fulmarpulley_core.rollout.replacement_evidence import EngineRun
 from fulmarpulley_core.rollout.step_fold import SavedEvents, Step
 from fulmarpulley_core.rollout.topology import Route
@@ -135,6 +136,7 @@
     upstream: UpstreamId
     events: list[bytes]
     versions: list[int]
+    reason: StartReason | None = None
 
     @property
     def engine_run(self) -> EngineRun:
