Let nodes take part in the ownership by their capacity

The group shares the partitions evenly among all nodes, so that a node of 0.36 cores becomes the owner of a busy service as readily as one of 2.15 cores, and each of 124 members that comes or goes may move partitions.

A node whose settings state less than 1 core or 200 MB reads the owners first. It joins only if fewer than 3 ample nodes are seen or partitions have no owner, and leaves again when there are enough. The capacity stands in the member name. Ample nodes that own nothing announce themselves in groups of their own while weak nodes own partitions, since the list of owners does not show other members. Settings without a capacity change nothing.

All of packages/fulmarpulley-node/tests: 254 ran; 5 errors in test_request_log, which are the same without this change, and one failure of test_scaling_duty.test_holder_that_loses_the_duty_before_the_call_does_not_call under load, which three runs of the module alone did not show.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/app.py
@@ -16,6 +16,7 @@
 from ..rollout.forwarder import Forwarder
 from ..rollout.log_line_writer import LogLineWriter
 from ..rollout.metrics import RolloutMetrics
+from ..rollout.owner_admission import OwnerAdmission
 from ..rollout.ownership import Ownership
 from ..rollout.partitions import Partitions
 from ..rollout.rate_limits import RateLimits
@@ -77,6 +78,9 @@
             self.ownership,
             self.metrics,
         )
+        self.admission = OwnerAdmission(
+            settings, self.store, self.ownership, self.homes, self.metrics
+        )
         self.duty_calls = DutyClient(settings)
         duties = configured_duties(settings)
         self.duties = DutyRunner(
@@ -120,6 +124,7 @@
             self.ingress,
             self.duties,
             self.ownership,
+            self.admission,
         )
 
     async def run(self) -> None:
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/platform/store.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/platform/store.py
@@ -13,9 +13,16 @@
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 
 from ..observe.events import log_event
-from ..rollout.interfaces import KeyedValue, LogPage, Membership, StoreFailure
+from ..rollout.interfaces import (
+    KeyedValue,
+    LogPage,
+    Membership,
+    PartitionOwner,
+    StoreFailure,
+)
 from ..rollout.metrics import RolloutMetrics, labels
 from .connections import RenewableSession
+from .owner_rows import decode_owners
 from .response_memory import ResponseMemory, read_body
 from .wire import (
     AppendedReply,
@@ -171,6 +178,19 @@
         result = await self._call("leave", "POST", "/-/log-leave", body, json=True)
         return result.map(lambda response: None)
 
+    async def owners(
+        self, group: str, topic: str
+    ) -> Result[list[PartitionOwner], StoreFailure]:
+        """List the partitions of a topic that members of a group own."""
+        path = f"/-/log-owners?Group={quote(group, safe='')}"
+        result = await self._call_with_resends("owners", "GET", path)
+        if isinstance(result, Err):
+            return result
+        response = result.ok_value
+        if response.status != 200:
+            return Err(self._log_unexpected("owners", response))
+        return decode_owners(response.body, topic)
+
     async def close(self) -> None:
         """Close all connections."""
         await self.session.close()
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/interfaces.py
@@ -63,6 +63,13 @@
     partitions: frozenset[int]
 
 
+class PartitionOwner(NamedTuple):
+    """Name the member of a group that owns a partition."""
+
+    partition: int
+    member: str
+
+
 class DurableLog(Protocol):
     """Append to and read from partitions, and assign them to the members of a group."""
 
@@ -92,6 +99,11 @@
     async def leave(self, group: str, member: str) -> Result[None, StoreFailure]:
         """Leave a group."""
 
+    async def owners(
+        self, group: str, topic: str
+    ) -> Result[list[PartitionOwner], StoreFailure]:
+        """List the partitions of a topic that members of a group own."""
+
     async def close(self) -> None:
         """Close all connections."""
 
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/metrics.py
@@ -40,6 +40,12 @@
         self.duties_held = self.gauge(
             "duties_held", "Partitions for which this node holds a duty"
         )
+        self.ownership_checks = self.counter(
+            "ownership_checks", "Checks of the owners' capacity by decision and reason"
+        )
+        self.ownership_member = self.gauge(
+            "ownership_member", "1 when the node takes part in the ownership"
+        )
         self.upstream_orders = self.counter(
             "upstream_orders", "Orders of upstreams by service, reason and outcome"
         )
--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/ownership.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/ownership.py
@@ -11,6 +11,7 @@
 
 from fulmarpulley_core.ids import FenceNumber, Partition, UpstreamId
 from fulmarpulley_core.rollout.order_history import INTENT_VALIDITY_S
+from fulmarpulley_core.rollout.owner_eligibility import Capacity
 from fulmarpulley_schema.generated.rollout_settings import RolloutSettings
 from fulmarpulley_schema.generated.steps import OrderIntent, OwnerFence
 
@@ -46,6 +47,14 @@
     ended: bool = False
 
 
+def instance_capacity(settings: RolloutSettings) -> Capacity | None:
+    """Return the capacity of this node's instance; None if it is not known."""
+    instance = settings.instance
+    millicores = round(instance.cores * instance.cpu_share * 1000)
+    memory_mb = int(instance.memory_mb)
+    return Capacity(millicores, memory_mb) if millicores and memory_mb else None
+
+
 class Ownership(Service):
     """Maintain the membership in the group that assigns the partitions."""
 
@@ -58,7 +67,17 @@
         self.partitions = partitions
         self.tasks = BackgroundTasks()
         self.ttl_s = settings.log.member_ttl_ms / 1000 * TTL_FACTOR
+        self.capacity = instance_capacity(settings)
         self.member = f"{settings.node_id}/{uuid.uuid4().hex[:8]}"
+        if self.capacity is not None:
+            self.member += f"/{self.capacity}"
+        # Set while this node takes part in the group.
+        self.admitted = asyncio.Event()
+        if self.capacity is None or self.capacity.ample:
+            self.admitted.set()
+        # Held during a call that changes the membership, so that a join that is on its
+        # way does not undo a leave.
+        self.membership_call = asyncio.Lock()
         self.generation = 0
         self.tenures: dict[Partition, Tenure] = {}
         self.last_contact_at = float("-inf")
@@ -67,7 +86,7 @@
         self.on_lost: list[Callable[[Tenure], None]] = []
 
     async def start(self) -> None:
-        """Start the heartbeat, which joins the group."""
+        """Start the heartbeat, which joins the group once the node is admitted."""
         self.tasks.supervise(self._heartbeat)
 
     async def stop(self, exception: Exception | None = None) -> None:
@@ -80,6 +99,13 @@
         self._update_tenures(frozenset())
         await self.log.leave(HOMES_GROUP, self.member)
 
+    async def withdraw(self) -> None:
+        """Release all partitions and leave the group until the node is admitted."""
+        self.admitted.clear()
+        self._update_tenures(frozenset())
+        async with self.membership_call:
+            await self.log.leave(HOMES_GROUP, self.member)
+
     async def wait_for_fence(self, tenure: Tenure) -> FenceNumber | None:
         """Wait for the fence of a tenure; return None if the tenure ends first."""
         while not tenure.ended:
@@ -145,12 +171,16 @@
 
     async def _heartbeat(self) -> None:
         while not self.leaving:
-            started_at = time.monotonic()
-            result = await self.log.join(
-                HOMES_GROUP, self.member, STEPS_TOPIC, self.ttl_s, self.generation
-            )
+            await self.admitted.wait()
+            async with self.membership_call:
+                started_at = time.monotonic()
+                result = await self.log.join(
+                    HOMES_GROUP, self.member, STEPS_TOPIC, self.ttl_s, self.generation
+                )
             if self.leaving:
                 return
+            if not self.admitted.is_set():
+                continue
             if isinstance(result, Ok):
                 self._apply_membership(result.ok_value, started_at)
             elif (
--- a/testing/src/fulmarpulley_testing/platform_store.py
+++ b/testing/src/fulmarpulley_testing/platform_store.py
@@ -36,6 +36,7 @@
     """Hold the expiry times of a group's members and the owners of partitions."""
 
     generation: int = 0
+    topic: str = ""
     members: dict[str, float] = {}
     owners: dict[int, str] = {}
 
@@ -71,6 +72,7 @@
         app.router.add_get("/-/log-newest", self.newest)
         app.router.add_post("/-/log-join", self.join)
         app.router.add_post("/-/log-leave", self.leave)
+        app.router.add_get("/-/log-owners", self.list_owners)
         return app
 
     async def put(self, topic: str, key: str, value: Any) -> None:
@@ -209,6 +211,7 @@
         if body["Member"] in self.rejected_members:
             return web.Response(status=503)
         expiry = time.monotonic() + body["TtlMs"] / 1000
+        group.topic = body["Topics"][0]
         group.members[body["Member"]] = expiry
         self._assign_partitions(group)
         rows = [
@@ -226,10 +229,19 @@
         self._assign_partitions(group)
         return json_response({})
 
+    async def list_owners(self, request: web.Request) -> web.Response:
+        """Return topic, partition, owner and offset of a group's partitions."""
+        group = self.groups[request.query["Group"]]
+        self._assign_partitions(group)
+        rows = [[group.topic, p, owner, 0] for p, owner in group.owners.items()]
+        return json_response({"parts": rows})
+
     def _assign_partitions(self, group: Group) -> None:
         now = time.monotonic()
         alive = sorted(name for name, expiry in group.members.items() if expiry > now)
         group.members = {name: group.members[name] for name in alive}
+        if not alive and not group.owners:
+            return
         if (
             set(group.owners.values()) == set(alive)
             and len(group.owners) == self.partition_count
--- a/testing/src/fulmarpulley_testing/platform_system.py
+++ b/testing/src/fulmarpulley_testing/platform_system.py
@@ -64,11 +64,13 @@
         lease_ms: float = 100.0,
         revoke_ms: float | None = None,
         duties: dict[str, Any] | None = None,
+        instance: dict[str, float] | None = None,
     ) -> None:
         self.name = name
         self.revoke_ms = revoke_ms
         self.lease_ms = lease_ms
         self.duties = duties or {}
+        self.instance = instance or {}
         self.caller_port, self.readiness_port, self.metrics_port = free_ports(3)
         # Sent with each call that has no credentials of its own, unless it is empty.
         self.key = ""
@@ -158,6 +160,7 @@
                 "member_ttl_ms": MEMBER_TTL_MS,
             },
             **self.duties,
+            "instance": self.instance,
             "bounds": {
                 **self.duties.get("bounds", {}),
                 "lease_ms": self.lease_ms,
@@ -187,6 +190,8 @@
         self.store_port = 0
         # Settings of the duties of nodes that are added later.
         self.duties: dict[str, Any] = {}
+        # What the instances of nodes have that are added later.
+        self.instance: dict[str, float] = {}
         self.config_version = 0
         self.added_routes: list[dict[str, Any]] = []
         # Keys of the client accounts by name; None for a deployment without accounts.
@@ -298,6 +303,7 @@
             lease_ms,
             self.revoke_ms,
             self.duties,
+            self.instance,
         )
         self.nodes.append(node)
         node.start()
