Join without reading announced nodes when there is no owner

A fleet of weak nodes would make up to three more read calls at its start, which delays its first owner when the log is slow. Without an owner the announced nodes decide nothing.

Tests: test_platform_capacity, test_platform_owner, test_platform_drain and test_platform_store passed (24, 142 s at a load average of 16); test_owner_eligibility (11) and test_owner_admission, test_ownership, test_settings_template, test_duty_settings, test_owner_rows, test_wire_names (19) passed; make lint passed.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/owner_admission.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/owner_admission.py
@@ -156,7 +156,8 @@
         """Read the owners, and the announced nodes only if they may matter."""
         view = await self._read_owners()
         for group in STANDBY_GROUPS:
-            if view is None or view.ample >= MIN_AMPLE_NODES:
+            # Without any owner this node joins at once when it starts.
+            if not view or not view.owners or view.ample >= MIN_AMPLE_NODES:
                 break
             result = await self.log.owners(group, STEPS_TOPIC)
             # A group that nobody has joined yet may be unknown to the log.
