--- a/testing/src/fulmarpulley_testing/findings.py
+++ b/testing/src/fulmarpulley_testing/findings.py
@@ -25,6 +25,8 @@
     ORDER_CONFLICT = "order_conflict"
     LIMIT_EXCEEDED = "limit_exceeded"
     LEAKED_KEY = "leaked_key"
+    DUTY_BROKEN = "duty_broken"
+    DUTY_UNDONE = "duty_undone"
 
 
 # Column of the summary line in which a fault is counted.
@@ -45,6 +47,8 @@
     Fault.LIMIT_EXCEEDED: "mislabelled",
     Fault.LEAKED_KEY: "mislabelled",
     Fault.MISLABELLED: "mislabelled",
+    Fault.DUTY_BROKEN: "mislabelled",
+    Fault.DUTY_UNDONE: "lost",
     Fault.STALE: "stale",
 }
 
--- a/testing/src/fulmarpulley_testing/platform_checks.py
+++ b/testing/src/fulmarpulley_testing/platform_checks.py
@@ -3,7 +3,7 @@
 import itertools
 from collections import defaultdict
 from collections.abc import Callable, Iterator, Mapping
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from fulmarpulley_core.registry import Registry
 
@@ -12,6 +12,9 @@
 from .platform_history import PlatformHistory, RequestSeen, StepSeen, WindowKind
 from .platform_worker import PlatformWorker, Run, server_stamp
 
+if TYPE_CHECKING:
+    from .platform_duties import SoakDuties
+
 # Statuses that guarantee that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # The platform's limits on how long items of an ended step and requests to a draining
@@ -37,8 +40,10 @@
         workers: Mapping[str, PlatformWorker],
         lease_s: float,
         nodes: int = 0,
+        duties: "SoakDuties | None" = None,
     ) -> None:
         self.history = history
+        self.duties = duties
         self.workers = workers
         self.lease_s = lease_s
         self.nodes = nodes
@@ -282,12 +287,13 @@
             gap = later.at - earlier.at
             if earlier.fence == later.fence:
                 yield Finding(Fault.ORDER_CONFLICT, worker.name, "one fence, 2 holders")
-            elif gap < context.lease_s and not _just_resumed(context, later.at):
+            elif gap < context.lease_s and not has_just_resumed(context, later.at):
                 detail = f"{later.holder} {gap:.2f} s after {earlier.holder}"
                 yield Finding(Fault.ORDER_CONFLICT, worker.name, detail)
 
 
-def _just_resumed(context: CheckContext, at: float) -> bool:
+def has_just_resumed(context: CheckContext, at: float) -> bool:
+    """Tell whether a fault of a process ended right before a time."""
     return any(
         window.kind is WindowKind.PROCESS
         and window.end <= at <= window.end + RESUME_GRACE_S
--- a/testing/src/fulmarpulley_testing/platform_faults.py
+++ b/testing/src/fulmarpulley_testing/platform_faults.py
@@ -262,7 +262,7 @@
     """Abort a node's connections to the store and refuse new ones."""
     with context.node(WindowKind.STORE) as node:
         if node is not None:
-            _disconnect(context, context.system.store_proxies[node.name])
+            disconnect(context, context.system.store_proxies[node.name])
 
 
 @platform_faults.register("store_links_silent")
@@ -270,7 +270,7 @@
     """Drop all data on a node's open connections to the store, one way or both."""
     with context.node(WindowKind.STORE) as node:
         if node is not None:
-            _silence(context, context.system.store_proxies[node.name])
+            silence(context, context.system.store_proxies[node.name])
 
 
 @platform_faults.register("worker_crashed")
@@ -379,7 +379,7 @@
     """Abort the nodes' connections to a worker and refuse new ones."""
     with context.worker() as worker:
         if worker is not None:
-            _disconnect(context, context.system.worker_proxies[worker.name])
+            disconnect(context, context.system.worker_proxies[worker.name])
 
 
 @platform_faults.register("worker_links_silent")
@@ -387,7 +387,7 @@
     """Drop all data on the open connections to a worker, one way or both."""
     with context.worker() as worker:
         if worker is not None:
-            _silence(context, context.system.worker_proxies[worker.name])
+            silence(context, context.system.worker_proxies[worker.name])
 
 
 @platform_faults.register("worker_links_slow")
@@ -410,14 +410,16 @@
         time.sleep(context.random.uniform(0.0, MIN_FAULT_S))
 
 
-def _disconnect(context: FaultContext, proxy: FaultProxy) -> None:
+def disconnect(context: FaultContext, proxy: FaultProxy) -> None:
+    """Abort the connections of a proxy and refuse new ones for a while."""
     proxy.faults.refuse = True
     context.call_in_loop(proxy.abort_connections)
     context.sleep_fault_duration()
     proxy.faults.refuse = False
 
 
-def _silence(context: FaultContext, proxy: FaultProxy) -> None:
+def silence(context: FaultContext, proxy: FaultProxy) -> None:
+    """Drop all data on the open connections of a proxy, one way or both."""
     directions = [Direction.BOTH, Direction.TO_TARGET, Direction.TO_CLIENT]
     direction = context.random.choice(directions)
     context.call_in_loop(lambda: proxy.discard_data(direction))
--- a/testing/src/fulmarpulley_testing/platform_soak.py
+++ b/testing/src/fulmarpulley_testing/platform_soak.py
@@ -32,6 +32,13 @@
 from .platform_checks import CheckContext, check_all
 from .platform_clients import CallerClient, Client, Trainer
 from .platform_documents import ACCOUNT_KEYS, DESK, ENGINES, MODEL
+from .platform_duties import (
+    PLACES,
+    Place,
+    SoakDuties,
+    duty_faults,
+    random_of_duties,
+)
 from .platform_faults import FaultContext, platform_faults
 from .platform_history import PlatformHistory, RemovedKey
 from .platform_store import OPERATOR_TOPIC
@@ -67,6 +74,7 @@
     faults_per_round: int = 6
     lease_ms: float = 1000.0
     accounts: bool = False
+    duties: bool = False
 
 
 class SoakSystem:
@@ -86,11 +94,14 @@
         self.workers_started = 0
         self.version = 1
         self.config_lock = threading.Lock()
+        self.duties = SoakDuties(self) if settings.duties else None
 
     def __enter__(self) -> Self:
         """Start stand-ins, proxies and nodes, and wait until all nodes are ready."""
         self.platform.__enter__()
         settings = self.settings
+        if self.duties is not None:
+            self.duties.serve()
         for service, count in ((ENGINES, settings.engines), (DESK, settings.desks)):
             for _ in range(count):
                 self.add_worker(service)
@@ -103,6 +114,8 @@
 
     def __exit__(self, *error: object) -> None:
         """Stop the nodes and the stand-ins."""
+        if self.duties is not None:
+            self.duties.closed = True
         self.platform.__exit__(*error)
 
     @property
@@ -119,7 +132,7 @@
         """Return the names of the listed workers of a service."""
         return [n for n, e in self.entries.items() if e["Service"] == service]
 
-    def add_worker(self, service: str) -> str:
+    def add_worker(self, service: str, place: Place | None = None) -> str:
         """Start a worker behind a proxy and list it."""
         self.workers_started += 1
         name = f"{service}-{self.workers_started}"
@@ -136,7 +149,11 @@
         proxy, listener = self._proxy(port)
         self.worker_proxies[name], self.worker_listeners[name] = proxy, listener
         address = f"{LOOPBACK}:{proxy.port}"
-        self.update_entry(name, worker.entry(service, address, "a1", worker.slots))
+        if place is None:
+            spread = self.duties is not None and service == ENGINES
+            place = PLACES[self.workers_started % 2 if spread else 0]
+        entry = worker.entry(service, address, place.data_centre, worker.slots)
+        self.update_entry(name, {**entry, "Spot": True} if place.spot else entry)
         return name
 
     def _crash_worker(self, name: str, service: str) -> None:
@@ -218,7 +235,12 @@
         self.store_proxies[name] = proxy
         lease_ms = self.settings.lease_ms
         revoke_ms = REVOKE_MS if self.settings.accounts else None
-        node = NodeProcess(name, self.folder, proxy.port, lease_ms, revoke_ms)
+        duties = {}
+        if self.duties is not None:
+            duty_proxy, _ = self._proxy(self.duties.port)
+            self.duties.proxies[name] = duty_proxy
+            duties = self.duties.node_settings(duty_proxy.port)
+        node = NodeProcess(name, self.folder, proxy.port, lease_ms, revoke_ms, duties)
         if self.settings.accounts:
             node.key = next(keys[0] for keys in ACCOUNT_KEYS.values())
         self.platform.nodes.append(node)
@@ -238,6 +260,7 @@
         self.system = system
         self.settings = system.settings
         self.random = random.Random(self.settings.seed)
+        self.duty_random = random_of_duties(self.settings.seed)
 
     def run(self, seconds: float) -> list[str]:
         """Run rounds until a finding or the end of the time; return all findings."""
@@ -252,17 +275,28 @@
             found = self._check(final=False)
             if found or time.monotonic() > deadline:
                 break
+        if self.system.duties is not None:
+            self.system.duties.wait_until_settled(RECOVERY_TIMEOUT_S)
         self.system.history.stopping = True
         traffic.result(RECOVERY_TIMEOUT_S)
         return self._report(number)
 
-    def _round(self, number: int) -> None:
+    def choose_faults(self) -> list[str]:
+        """Choose the faults of a round; those of duties do not change the others."""
+        optional = {KEYS_CHANGED, *duty_faults}
         names = self.random.choices(
-            [name for name in platform_faults if name != KEYS_CHANGED],
+            [name for name in platform_faults if name not in optional],
             k=self.settings.faults_per_round,
         )
         if self.settings.accounts:
             names = [KEYS_CHANGED, *names, KEYS_CHANGED]
+        if self.settings.duties:
+            first, *others = self.duty_random.sample(sorted(duty_faults), 4)
+            names = [first, *names[:3], *others, *names[3:]]
+        return names
+
+    def _round(self, number: int) -> None:
+        names = self.choose_faults()
         print_flushed(f"round {number}: {' '.join(names)}")
         context = FaultContext(self.system, self.random.randrange(2**32))
         context.run_all(names, self.settings.faults_at_once)
@@ -286,7 +320,11 @@
         system = self.system
         lease_s = self.settings.lease_ms / 1000
         context = CheckContext(
-            system.history, system.workers, lease_s, self.settings.nodes
+            system.history,
+            system.workers,
+            lease_s,
+            self.settings.nodes,
+            system.duties,
         )
         return check_all(context, final)
 
@@ -322,18 +360,22 @@
     seconds: float = 60.0,
     nodes: int = 5,
     accounts: bool = False,
+    duties: bool = False,
     keep: str = "",
 ) -> None:
     """Run random faults for some seconds; exit with 1 when a check found a violation.
 
     :param accounts: Whether clients have accounts and send keys.
+    :param duties: Whether the nodes report usage and order engines.
     :param keep: Folder for the logs of the nodes; a temporary one when empty.
     """
     exit_on_sigterm()
     with ExitStack() as stack:
         folder = Path(keep or stack.enter_context(tempfile.TemporaryDirectory()))
         folder.mkdir(parents=True, exist_ok=True)
-        settings = SoakSettings(seed=seed, nodes=nodes, accounts=accounts)
+        settings = SoakSettings(
+            seed=seed, nodes=nodes, accounts=accounts, duties=duties
+        )
         found = run_soak(folder, settings, seconds)
         sys.exit(1 if found else 0)
 
--- a/testing/src/fulmarpulley_testing/platform_system.py
+++ b/testing/src/fulmarpulley_testing/platform_system.py
@@ -191,6 +191,8 @@
         self.added_routes: list[dict[str, Any]] = []
         # Keys of the client accounts by name; None for a deployment without accounts.
         self.account_keys: dict[str, list[str]] | None = None
+        # Scaling limits of the engines; None if they are not scaled.
+        self.scaling: dict[str, Any] | None = None
         # Settings of the nodes that are added.
         self.revoke_ms: float | None = None
 
@@ -273,6 +275,8 @@
         config["Routes"] += self.added_routes
         if self.account_keys is not None:
             config["Tenants"] = tenants(self.account_keys)
+        if self.scaling is not None:
+            config["Services"][0]["Scaling"] = self.scaling
         self.run(self.store.put(OPERATOR_TOPIC, "config", {**config, **changes}))
 
     def add_route(self, prefix: str) -> None:
--- a/testing/tests/test_platform_soak.py
+++ b/testing/tests/test_platform_soak.py
@@ -7,10 +7,21 @@
 from types import SimpleNamespace
 from typing import Any
 
+from fulmarpulley_testing.platform_duties import duty_faults
 from fulmarpulley_testing.platform_faults import FaultContext, platform_faults
-from fulmarpulley_testing.platform_soak import SoakSettings, run_soak
+from fulmarpulley_testing.platform_soak import Soak, SoakSettings, run_soak
 
 SEED = 12
+DUTY_SEED = 6001
+# The faults of the first round of seed 44, which failed before.
+FIRST_ROUND_OF_44 = [
+    "store_deals_anew",
+    "store_writes_late",
+    "worker_links_slow",
+    "node_stopped",
+    "request_crashes_workers",
+    "all_nodes_killed",
+]
 SECONDS = 20.0
 # Seeds that found a violation, with its cause. The timing of faults differs between
 # runs of a seed, so each cause also has a test of its own.
@@ -58,16 +69,41 @@
         self.assertEqual((node.starts, node.running), (1, True))
 
 
+class ChosenFaultsTest(unittest.TestCase):
+    """Guards against seeds that stop to choose the faults with which they failed."""
+
+    def rounds(self, **options: bool) -> list[list[str]]:
+        system: Any = SimpleNamespace(settings=SoakSettings(seed=44, **options))
+        soak = Soak(system)
+        return [soak.choose_faults() for _ in range(20)]
+
+    def test_faults_of_a_seed_stay_the_same(self) -> None:
+        self.assertEqual(
+            self.rounds()[0],
+            FIRST_ROUND_OF_44,
+        )
+
+    def test_duties_add_faults_and_change_no_others(self) -> None:
+        with_duties = self.rounds(duties=True)
+        others = [[n for n in r if n not in duty_faults] for r in with_duties]
+        self.assertEqual(others, self.rounds())
+        self.assertLessEqual(duty_faults, {n for r in with_duties for n in r})
+
+
 class PlatformSoakTest(unittest.TestCase):
     """Runs some seeds for a short time; `make platform-soak` runs longer."""
 
-    def soak(self, seed: int) -> list[str]:
+    def soak(self, seed: int, **options: bool) -> list[str]:
         folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
-        return run_soak(folder, SoakSettings(seed=seed, nodes=4), SECONDS)
+        settings = SoakSettings(seed=seed, nodes=4, **options)
+        return run_soak(folder, settings, SECONDS)
 
     def test_guarantees_hold_under_random_faults(self) -> None:
         self.assertEqual(self.soak(SEED), [])
 
+    def test_duties_are_done_once_under_random_faults(self) -> None:
+        self.assertEqual(self.soak(DUTY_SEED, accounts=True, duties=True), [])
+
     def test_guarantees_hold_for_seeds_that_failed_before(self) -> None:
         for seed, cause in FAILED_SEEDS.items():
             with self.subTest(seed=seed, cause=cause):
