--- a/testing/src/fulmarpulley_testing/platform_cloud.py
+++ b/testing/src/fulmarpulley_testing/platform_cloud.py
@@ -99,18 +99,19 @@
         holder = request.headers["Lease-Holder"]
         token = int(request.headers["Fencing-Token"])
         call = DutyCall(subject, holder, token, now, body)
-        self._check(call)
+        self.check_holder(call)
         if mode is CloudMode.LATE:
-            asyncio.get_running_loop().call_later(LATE_S, self._execute, call)
+            asyncio.get_running_loop().call_later(LATE_S, self.execute, call)
             return abort_connection(request)
         if mode is CloudMode.SLOW:
             await asyncio.sleep(SLOW_S)
-        response = self._execute(call)
+        response = self.execute(call)
         if CloudMode.LOSE_ANSWERS in (mode, self.mode) or self.mode is CloudMode.DOWN:
             return abort_connection(request)
         return response
 
-    def _execute(self, call: DutyCall) -> web.Response:
+    def execute(self, call: DutyCall) -> web.Response:
+        """Carry out a call unless its token is outdated, and return the answer."""
         if self.fencing_required and call.token < self._newest(self.calls, call):
             return web.Response(status=409, text="a higher token was seen")
         self.calls.append(call)
@@ -129,7 +130,7 @@
         same = (other.token for other in calls if other.subject == call.subject)
         return max(same, default=0)
 
-    def _check(self, call: DutyCall) -> None:
+    def check_holder(self, call: DutyCall) -> None:
         """Check the rules for holders; calls that a fence stops break none."""
         newest = self._newest(self.received, call)
         if call.token < newest:
--- a/testing/src/fulmarpulley_testing/platform_duties.py
+++ b/testing/src/fulmarpulley_testing/platform_duties.py
@@ -147,9 +147,10 @@
 
     def _take_order(self, order: Any) -> None:
         """Start or remove engines outside of the event loop, which they need."""
-        threading.Thread(target=self._carry_out, args=(order,), daemon=True).start()
+        threading.Thread(target=self.carry_out, args=(order,), daemon=True).start()
 
-    def _carry_out(self, order: Any) -> None:
+    def carry_out(self, order: Any) -> None:
+        """Start the engines that are missing, or drain those that are too many."""
         place = Place(order["Zone"], order.get("Spot", False))
         count = order["TargetGroups"]
         if not MIN_ENGINES <= count <= MAX_ENGINES:
