Check that no window is missing after a soak with duties

Cause: the check looked only at windows after the faults, so a holder that skips the windows of an outage would have passed.

Change: all windows since the first report are required. The soak prints how many requests were reported and how many ran.

--- a/testing/src/fulmarpulley_testing/platform_duties.py
+++ b/testing/src/fulmarpulley_testing/platform_duties.py
@@ -132,9 +132,13 @@
             wait_for(lambda: not self.undone(), "duties", timeout_s)
 
     def undone(self) -> list[str]:
-        """Return what is missing after all faults have ended."""
-        first = self.first_window
-        required = range(first, first + WINDOWS_AFTER_FAULTS)
+        """Return what is missing after all faults have ended.
+
+        Windows of the time of the faults have to be reported then, too.
+        """
+        reported = list(self.cloud.windows)
+        first = min([self.first_window, *reported])
+        required = range(first, self.first_window + WINDOWS_AFTER_FAULTS)
         found = [
             f"window {window} is not reported"
             for window in required
@@ -145,6 +149,29 @@
             found.append(f"{count} of {self.wanted} engines")
         return found
 
+    def summary(self) -> str:
+        """Compare the reported requests with those that ran in the same windows.
+
+        The difference is no finding: faults of nodes and links lose counts, and a
+        request that a silent link drops counts until it is known not to have run.
+        """
+        windows = dict(self.cloud.windows)
+        clock_offset_s = time.time() - time.monotonic()
+        requests = self.system.history.requests
+        ran = {
+            run.request_id
+            for worker in self.system.workers.values()
+            for run in worker.runs
+            if run.request_id in requests
+            and int((run.started + clock_offset_s) / WINDOW_S) in windows
+        }
+        reported = sum(sum(counts.values()) for counts in windows.values())
+        return (
+            f"duties windows={len(windows)} reported={reported} ran={len(ran)} "
+            f"calls={len(self.cloud.calls)} fencing={self.fencing_required} "
+            f"engines={len(self.present())} wanted={self.wanted}"
+        )
+
     def _take_order(self, order: Any) -> None:
         """Start or remove engines outside of the event loop, which they need."""
         threading.Thread(target=self.carry_out, args=(order,), daemon=True).start()
--- a/testing/src/fulmarpulley_testing/platform_soak.py
+++ b/testing/src/fulmarpulley_testing/platform_soak.py
@@ -336,6 +336,8 @@
         for line in found:
             print_flushed(line)
         history = self.system.history
+        if self.system.duties is not None:
+            print_flushed(self.system.duties.summary())
         print_flushed(
             f"platform soak seed={self.settings.seed} rounds={rounds} "
             f"steps={len(history.steps)} answers={history.answers()} "
--- a/testing/tests/test_platform_duty_checks.py
+++ b/testing/tests/test_platform_duty_checks.py
@@ -136,6 +136,10 @@
         self.cloud.windows.pop(7)
         self.assertEqual(self.faults(final=True), {Fault.DUTY_UNDONE})
 
+    def test_window_of_the_time_of_the_faults_that_is_missing_is_found(self) -> None:
+        self.cloud.execute(self.receive("a", 1, 0.1, window=5))
+        self.assertEqual(self.faults(final=True), {Fault.DUTY_UNDONE})
+
     def test_engine_that_is_not_replaced_is_found(self) -> None:
         self.entries["engines-2"] = {**self.entries["engines-2"], "State": "draining"}
         self.assertEqual(self.faults(final=True), {Fault.DUTY_UNDONE})
