Close no usage window before the nodes could write after an outage

Cause: a window that was over for 0.6 of UsageLateS was closed as soon as the holder reached the log again. Other nodes repeat their appends with pauses of up to 1 s, so their counts came too late.

Change: such a window is closed when the topic has been read for 1.5 s without a failure, or when it is twice as late as permitted. The holders of test_usage_reports have this contact at their start; the tests' decisions are as before.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/usage_reports.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/usage_reports.py
@@ -43,6 +43,12 @@
 CLOSE_SHARE = 0.35
 LATEST_CLOSE_SHARE = 0.6
 SETTLING_S = 3.0
+# After an outage of the log, nodes repeat their appends with pauses of up to 1 s, so
+# the holder may reach the log before their counts do. It closes no window before they
+# had this time, unless the log keeps failing until a window is twice as late as
+# permitted.
+CATCH_UP_S = 1.5
+LOST_CONTACT_SHARE = 2.0
 # The log keeps records for 20 s at least.
 RETAINED_S = 15.0
 
@@ -207,12 +213,15 @@
             return True
         holder_us = unix_us()
         age_us = self.ledger.age_us(window, holder_us)
-        if age_us >= LATEST_CLOSE_SHARE * self.late_us:
+        if age_us >= LOST_CONTACT_SHARE * self.late_us:
             return True
         since_s = elapsed_s() if self.contact_since_s is None else self.contact_since_s
+        contact_s = elapsed_s() - since_s
+        if age_us >= LATEST_CLOSE_SHARE * self.late_us:
+            return contact_s >= CATCH_UP_S
         return (
             age_us >= CLOSE_SHARE * self.late_us
-            and elapsed_s() >= since_s + SETTLING_S
+            and contact_s >= SETTLING_S
             and not self.ledger.missing_nodes(window)
         )
 
--- a/packages/fulmarpulley-node/tests/test_usage_reports.py
+++ b/packages/fulmarpulley-node/tests/test_usage_reports.py
@@ -84,7 +84,10 @@
         context = DutyContext(
             runner, tenure, settings(), nothing, partitions, calls, RolloutMetrics()
         )
-        return UsageReporting(context)
+        holder = UsageReporting(context)
+        # The nodes have had time to write their counts since the log is reached.
+        holder.contact_since_s = self.elapsed_s - usage_reports.CATCH_UP_S
+        return holder
 
     async def report_usage(
         self, window: int, counts: dict[AccountName, int], fence: FenceNumber
@@ -127,6 +130,29 @@
         await self.send(holder)
         self.assertEqual(self.counts(), [{"a": 3}])
 
+    async def test_counts_that_follow_an_outage_of_the_log_are_reported(self) -> None:
+        # The holder reaches the log again before another node repeats its append.
+        holder = await self.holder("t1")
+        holder.contact_since_s = None
+        await self.write(holder)
+        self.elapsed_s += usage_reports.CATCH_UP_S - 0.1
+        self.count(3)
+        await self.write(holder)
+        self.elapsed_s += 0.2
+        await self.write(holder)
+        await self.send(holder)
+        self.assertEqual(self.counts(), [{"a": 3}])
+
+    async def test_log_that_fails_again_and_again_does_not_stop_reports(self) -> None:
+        holder = await self.holder("t1")
+        self.count(3)
+        for _ in range(2):
+            holder.contact_since_s = None
+            await self.write(holder)
+            self.now_us += 20 * US_PER_S
+        await self.send(holder)
+        self.assertEqual(self.counts(), [{"a": 3}])
+
     async def test_next_holder_sends_what_the_last_one_wrote(self) -> None:
         self.count(3)
         await self.write(await self.holder("t1"))
