--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/usage_reports.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/usage_reports.py
@@ -39,7 +39,7 @@
 # A page that was read sooner after the one before holds records written just before.
 MAX_LIVE_INTERVAL_S = 0.6
 # Shares of the permitted lateness: after the first one a window is closed if all nodes
-# have written and the log was read for some time; after the second one in any case.
+# have written and the log was read for some time; after the second one without them.
 CLOSE_SHARE = 0.35
 LATEST_CLOSE_SHARE = 0.6
 SETTLING_S = 3.0
