Keep the wanted number of upstreams from the first seconds of a tenure on

Cause: an owner wrote the wanted number only after it had observed for 5 s. No tenure had left a record, so the last owner took the three engines that were left as wanted, and nobody ordered the fourth.

Change: the number is written as soon as upstreams are counted and whenever it changes. As long as no order was made, an inherited number only rises, so an early, too small one does no harm.

Result: test_wanted_number_outlasts_a_tenure_of_seconds fails before (2 instead of 3) and passes now; test_scaling_duty 8, rollout.test_scaling 23 and test_platform_scaling 2 pass.

--- a/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/scaling_duty.py
+++ b/packages/fulmarpulley-node/src/fulmarpulley_node/rollout/scaling_duty.py
@@ -7,7 +7,6 @@
 
 from fulmarpulley_core.ids import DutySubject, FenceNumber, ServiceName
 from fulmarpulley_core.rollout.scaling import (
-    OBSERVATION_S,
     ScalingDecision,
     ScalingView,
 )
@@ -120,6 +119,8 @@
         self.meter = LoadMeter(context.directory, service)
         self.follower = context.partitions.followers[context.tenure.partition]
         self.started_s = self.written_s = elapsed_s()
+        # The wanted number of the last record of this tenure.
+        self.written_wanted = 0
         inherited = self.follower.fold.scaling.state(service)
         self.decision = ScalingDecision(limits, self.started_s, inherited)
         self.at_maximum = False
@@ -134,8 +135,10 @@
         while (order := self._decide()) is not None:
             if await self._make(order) is OrderOutcome.NOT_EXECUTED:
                 break
-        now_s = elapsed_s()
-        if now_s >= self.written_s + STATE_INTERVAL_S:
+        # A tenure may end within seconds, and upstreams be reclaimed meanwhile. Without
+        # a record, the next owner would take what is left as the wanted number.
+        is_due = elapsed_s() >= self.written_s + STATE_INTERVAL_S
+        if is_due or self.decision.state.wanted != self.written_wanted:
             await self._write(None)
         self._update_metrics()
 
@@ -195,16 +198,14 @@
     async def _write(self, intended: UpstreamOrder | None) -> bool:
         """Write the state of the decision to the log; return whether it is there."""
         decision, now_s = self.decision, elapsed_s()
-        observed = now_s >= self.started_s + OBSERVATION_S
-        if not observed and not decision.state.fixed and intended is None:
-            # Not all upstreams may be listed yet.
-            return False
         tenure = self.context.tenure
         record = to_record(
             decision.state, self.service, tenure.tenure_id, now_s, intended
         )
         self.written_s = now_s
         result = await self.context.partitions.append(tenure.partition, [record])
+        if isinstance(result, Ok):
+            self.written_wanted = decision.state.wanted
         return isinstance(result, Ok)
 
     def _update_metrics(self) -> None:
--- a/packages/fulmarpulley-node/tests/test_scaling_duty.py
+++ b/packages/fulmarpulley-node/tests/test_scaling_duty.py
@@ -211,6 +211,16 @@
             await scaler.act()
         self.assertEqual(self.calls.orders, [])
 
+    async def test_wanted_number_outlasts_a_tenure_of_seconds(self) -> None:
+        # Guards against a next owner that takes what a reclaim has left as wanted.
+        self.directory.upstream_put(entry("u3", spot=True))
+        await self.scaler("first", 5).act()
+        self.directory.upstream_put(entry("u3", spot=True, leaves_ms=900.0))
+        self.directory.upstream_removed(UpstreamId("u3"))
+        second = self.scaler("second", 9)
+        await second.act()
+        self.assertEqual(second.decision.state.wanted, 3)
+
     async def test_unknown_data_centre_disables_orders(self) -> None:
         self.scaler("first", 5)
         duty = ScalingDuty(self.context)
