--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/admission.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/admission.py
@@ -19,9 +19,8 @@
 # Random factor that spreads the retries of callers that were refused together.
 RETRY_AFTER_SPREAD = (0.75, 1.25)
 # Expected duration of an account's request as a multiple of the mean. An account that
-# floods is always at the limit of its wait; of 845 requests that could be served in
-# 8 s, 716 were with the mean, since others missed their deadline while they ran, and
-# 813 with twice the mean (trial of 300 requests a second at 10 slots).
+# floods is always at the limit of its wait, so that with the mean alone every request
+# that takes longer would miss its deadline while it runs.
 ACCOUNT_DURATION_FACTOR = 2.0
 
 
--- a/packages/fulmarpulley-core/src/fulmarpulley_core/pool/relocation.py
+++ b/packages/fulmarpulley-core/src/fulmarpulley_core/pool/relocation.py
@@ -14,7 +14,7 @@
 from .timers import Timers
 
 # A run qualifies if its expected rest takes more than this share of the time until its
-# step is due. The longest runs of the measured days take 6.6 to 8.4 s of 7.5 s.
+# step is due. The longest runs take 6.6 to 8.4 s of 7.5 s.
 RISK_SHARE = 0.7
 # Runs that are expected to take less than this share of the time allowed are short and
 # never moved: 2.3 s of 7.5 s, while half of the answers take 0.7 s.
