Give the records of the scaling test the time at which they are read

Cause: the fake partition did as if all records were read when the process started. In a process that had run for more than 10 s, before or beside other modules, an order in flight counted as overdue, and test_holder_that_loses_the_duty_before_the_call_does_not_call failed (seen once under load, and each time after test_endless_answers). Nodes set the time when they read.

Change: the fake sets it too. The assertions are the same.

--- a/packages/fulmarpulley-node/tests/test_scaling_duty.py
+++ b/packages/fulmarpulley-node/tests/test_scaling_duty.py
@@ -96,6 +96,8 @@
     async def append(self, partition: Partition, records: list[Any]) -> Any:
         for record in records:
             self.before_append(record)
+            # As the follower does; ages of orders count from the time of reading.
+            self.fold.orders.record_read_at_s = elapsed_s()
             self.fold.apply(record)
         return Ok(1)
 
