--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""After two resets of channels, items of an accepted step wait beside idle workers."""
+"""After three resets of channels, items of an accepted step wait beside idle workers."""
 
 import asyncio
 import base64
@@ -35,7 +35,7 @@
 # `reset_conns`: share (.1) of the machines, here the one that runs the step's items,
 # have x (.5) of their connections reset.
 RESET_SHARE = 0.5
-RESETS_AT_S = (0.7, 1.4)
+RESETS_AT_S = (0.7, 1.4, 2.1)
 STABILITY_S = 3.0
 NO_WORKER_S = 5.0
 # The trainer's deadline on the sheet.
@@ -155,7 +155,7 @@
 
 
 async def main(trouble: bool) -> bool:
-    """Submit a step, reset channels twice, and look for items at no worker."""
+    """Submit a step, reset channels three times, and look for items at no worker."""
     items = [f"item-{index}" for index in range(GROUPS * GROUP_SIZE)]
     lengths = random.Random(SEED)
     events = {i: max(10, int(lengths.gauss(MEAN_EVENTS, 8))) for i in items}
