--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,6 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 runs the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-PYTHONPATH=target/deps:testing/src:review/standins-2 exec python3 review/6/case.py
+export TROUBLE="${TROUBLE:-1}"
+PYTHONPATH=target/deps:testing/src:review exec python3 review/6/case.py
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -7,7 +7,7 @@
 import time
 from pathlib import Path
 
-from deployment import (
+from standins_2 import (
     HOST,
     Channel,
     Client,
