--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -473,9 +473,17 @@
 def run_case(main: Callable[[bool], Awaitable[bool]]) -> None:
     """Run a case; exit with 1 if the rule was broken, 0 if it held, else 2."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    async def run() -> bool:
+        # Ends the nodes also when the script is asked to stop.
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await main(trouble)
+
     try:
-        broken = asyncio.run(main(trouble))
-    except Exception as error:
+        broken = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}", file=sys.stderr)
         sys.exit(2)
     print("the rule was broken" if broken else "the rule held")
