--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 runs the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
-PYTHONPATH=target/deps:testing/src:review exec python3 review/6/case.py
+PYTHONPATH=target/deps:testing/src:review/6 exec python3 review/6/case.py
--- a/review/standins_2.py
+++ b/review/6/standins_2.py
@@ -23,7 +23,7 @@
 from fulmarpulley_testing.platform_store import PlatformStore
 from fulmarpulley_testing.ports import free_ports
 
-REPOSITORY = Path(__file__).resolve().parents[1]
+REPOSITORY = Path(__file__).resolve().parents[2]
 LOOPBACK = "127.0.0.1"
 HOST = "desk.example"
 PARTITIONS = 8
