Show that one item larger than a worker's memory holds up a step

review/11: a step of 112 items, one of which is larger than the memory of any worker. The workers reject it as if they were full, as PROTOCOL.md says. A second trainer's step keeps one long run on each engine.

--- a/review/standins_3/worker.py
+++ b/review/standins_3/worker.py
@@ -39,7 +39,12 @@
         expected = headers.get("Expected-Instance", self.name)
         if expected != self.name:
             return web.Response(status=421, headers={"Not-Executed": "1", **echo})
-        if self.waiting >= self.options.queue:
+        prompt, _, output = headers.get("Token-Counts", "0,0").partition(",")
+        tokens = int(prompt) + int(output)
+        # A request that is larger than the memory is rejected as if the worker were full.
+        is_larger = self.options.kv_tokens and tokens > self.options.kv_tokens
+        if is_larger or self.waiting >= self.options.queue:
+            self.write("rejected", id=echo["Request-Id"], tokens=tokens)
             return web.Response(status=503, headers={"Not-Executed": "1", **echo})
         body = await request.read()
         self.waiting += 1
@@ -73,7 +78,12 @@
         response = web.StreamResponse(headers=echo)
         response.content_type = "text/event-stream"
         await response.prepare(request)
-        for number in range(resume + 1, self.options.events + 1):
+        events = self.options.events
+        if self.options.stride:
+            # The run goes on to the most tokens that the request allows.
+            output = request.headers["Token-Counts"].partition(",")[2]
+            events = int(output) // self.options.stride
+        for number in range(resume + 1, events + 1):
             await asyncio.sleep(self.options.work_ms / 1000)
             text = f"{name}:{number}".ljust(self.options.event_bytes, ".")
             data = f"id: {number}\ndata: {text}\n\n".encode()
@@ -166,6 +176,8 @@
     parser.add_argument("--slots", type=int, default=12)
     parser.add_argument("--queue", type=int, default=36)
     parser.add_argument("--events", type=int, default=11)
+    parser.add_argument("--stride", type=int, default=0)
+    parser.add_argument("--kv-tokens", type=int, default=0)
     parser.add_argument("--event-bytes", type=int, default=0)
     parser.add_argument("--work-ms", type=float, default=25)
     parser.add_argument("--log", required=True)
