--- a/review/standins_3/kit.py
+++ b/review/standins_3/kit.py
@@ -252,7 +252,7 @@
         path = f"/control/put?topic={topic}&key={key}"
         call(self.store_port, "POST", path, json.dumps(value).encode())
 
-    def configure(self, **changes: object) -> None:
+    def configure(self, desk_timeout_ms: int = 3000, **changes: object) -> None:
         """Write the next version of the configuration."""
         self.config_version += 3
         engine = {
@@ -267,7 +267,7 @@
         }
         desk = {
             "Name": "r-desk", "Host": HOST, "PathPrefix": DESK, "RouteKind": "safe",
-            "TimeoutMs": 3000, "TargetLatencyMs": 192, "Priority": 2,
+            "TimeoutMs": desk_timeout_ms, "TargetLatencyMs": 192, "Priority": 2,
             "Service": "trial-desk", "MaxAttempts": 2,
         }
         config = {
--- a/review/standins_3/worker.py
+++ b/review/standins_3/worker.py
@@ -72,7 +72,10 @@
         if request.headers.get("Model") is None:
             await asyncio.sleep(self.options.work_ms / 1000)
             self.write("done", id=name)
-            return web.Response(body=b"answer " + body, headers=echo)
+            text = b"answer " + body
+            if self.options.answer_bytes:
+                text = text.ljust(self.options.answer_bytes, b".")
+            return web.Response(body=text, headers=echo)
         version = self.models.get(request.headers["Model"], 1)
         echo["Weight-Versions"] = str(version)
         response = web.StreamResponse(headers=echo)
@@ -176,6 +179,7 @@
     parser.add_argument("--slots", type=int, default=12)
     parser.add_argument("--queue", type=int, default=36)
     parser.add_argument("--events", type=int, default=11)
+    parser.add_argument("--answer-bytes", type=int, default=0)
     parser.add_argument("--stride", type=int, default=0)
     parser.add_argument("--kv-tokens", type=int, default=0)
     parser.add_argument("--event-bytes", type=int, default=0)
