--- a/review/11/case.py
+++ b/review/11/case.py
@@ -6,21 +6,30 @@
 import sys
 import threading
 import time
+import zlib
 
-sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "standins_3"))
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "11"))
 import kit
 
 STRIDE = 52
 KV_TOKENS = 34744
 PROMPT = 271
-SHORT, LONG, TOO_LARGE = 10 * STRIDE, 84 * STRIDE, 40_000
+SHORT, LONG, TOO_LARGE = 8 * STRIDE, 84 * STRIDE, 40_000
 EVENT_MS = 145
 # The trainer's deadline on the sheet; the results are due after 7.5 s.
 TIME_S = 12.0
 UNTOUCHED_S = 5.0
 BEGAN_S = 3.0
 SLOTS = 60
-STEP_ITEMS = 112
+# Groups of four items and those that the trainer waits for, as on the sheet.
+GROUPS, WANTED = 14, 13
+OTHER_GROUPS = 9
+LONG_GROUPS, OTHER_LONG_GROUPS = 8, 2
+
+
+def part_id(text: str) -> str:
+    """Return the id of a part of a prompt."""
+    return f"{zlib.crc32(text.encode()):08x}"
 
 
 def item(name: str, tokens: int, group: str) -> dict:
@@ -28,7 +37,11 @@
     return {
         "Id": name,
         "Path": f"{kit.LOT}3/{name}",
-        "Headers": {"Model": "", "Token-Counts": f"{PROMPT},{tokens}"},
+        "Headers": {
+            "Model": "",
+            "Token-Counts": f"{PROMPT},{tokens}",
+            "Prompt-Prefix": f"{part_id(group)}:255,{part_id(name)}:16",
+        },
         "Body": base64.b64encode(f"body of {name}".encode()).decode(),
         "Tokens": PROMPT + tokens,
         "Group": group,
@@ -90,15 +103,18 @@
     case.record(f"end of m0-0: {status}")
     time.sleep(2)
     carried = first[4:] if kit.DISTURBED else []
-    fresh = [SHORT] * (STEP_ITEMS - len(carried))
-    step = submit(case, 1, "m0-1", "m0", fresh, 25, carried)
+    fresh = [LONG] + [SHORT] * 3
+    short = [SHORT] * 4
+    count = GROUPS - len(carried) // 4
+    lengths = fresh * LONG_GROUPS + short * (count - LONG_GROUPS)
+    step = submit(case, 1, "m0-1", "m0", lengths, WANTED, carried)
     accepted = time.time()
     names = {each["Id"] for each in step} - {first[7]["Id"]}
-    lengths = ([LONG] + [SHORT] * 3) * 17
+    other = fresh * OTHER_LONG_GROUPS + short * (OTHER_GROUPS - OTHER_LONG_GROUPS)
 
     def other_trainer() -> None:
         time.sleep(0.3)
-        submit(case, 0, "m1-0", "m1", lengths, 17, [])
+        submit(case, 0, "m1-0", "m1", other, OTHER_GROUPS, [])
 
     thread = threading.Thread(target=other_trainer)
     thread.start()
--- a/review/standins_3/kit.py
+++ b/review/11/kit.py
@@ -28,6 +28,7 @@
 RESTART_S = 1.0
 DISTURBED = os.environ.get("TROUBLE", "1") != "0"
 PASSED, BROKEN, NOT_RUN = 0, 1, 2
+LONGEST_S = 115
 
 
 def free_ports(count: int) -> list[int]:
@@ -340,11 +341,22 @@
     if not (DEPS / "aiohttp").exists():
         print("target/deps is missing: run the build of the deploy file first")
         sys.exit(NOT_RUN)
+
+    def end(number: int, _frame: object) -> None:
+        raise CannotRun(f"ended by signal {number}")
+
+    # Also a case that is ended early, or takes too long, ends its processes.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, end)
+    signal.alarm(LONGEST_S)
     with Case(folder) as case:
         try:
             result = main(case)
-        except CannotRun as error:
-            case.record(f"could not run: {error}")
+        except Exception as error:
+            case.record(f"could not run: {error!r}")
             result = NOT_RUN
+        signal.alarm(0)
         case.record(f"result {result}")
-    sys.exit(result)
+    # Threads that still wait for an answer must not hold up the end.
+    sys.stdout.flush()
+    os._exit(result)
